--- /dev/null
+++ b/src/balancing/BalancerState.ts
@@ -0,0 +1,65 @@
+import type { AttemptId, RequestId, ServiceName, TargetId, ZoneName } from '../core/model/index.js';
+import { ColdAllowance } from './ColdAllowance.js';
+import type { Journey, Sending } from './Journey.js';
+import type { RoutingTable, ServiceRules } from './model.js';
+import { ProbeBudget } from './ProbeBudget.js';
+import { RetryBudget } from './RetryBudget.js';
+import type { BalancingSettings } from './settings.js';
+import type { TargetRecord } from './TargetRecord.js';
+import { WorkTimes } from './WorkTimes.js';
+
+/** What a handler may ask of the outside: time and chance, nothing else. */
+export interface BalancerContext {
+  /** Monotonic milliseconds of this process. */
+  readonly now: number;
+  /** Uniform in [0, 1). */
+  random(): number;
+}
+
+/** All that this entry VM knows. The reducer owns it and updates it in place. */
+export interface BalancerState {
+  readonly settings: BalancingSettings;
+  table: RoutingTable | undefined;
+  services: ReadonlyMap<ServiceName, ServiceRules>;
+  readonly targets: Map<TargetId, TargetRecord>;
+  /** The same records by service. */
+  byService: ReadonlyMap<ServiceName, readonly TargetRecord[]>;
+  zonesOut: ReadonlySet<ZoneName>;
+  /** Entry VMs that are up, this one among them. */
+  vms: readonly string[];
+  readonly journeys: Map<RequestId, Journey>;
+  readonly sendings: Map<AttemptId, Sending>;
+  lastAttempt: AttemptId;
+  readonly retries: RetryBudget;
+  readonly cold: ColdAllowance;
+  readonly probes: ProbeBudget;
+  readonly work: WorkTimes;
+  /** When a planned stop began; undefined if none did. */
+  stopAskedAt: number | undefined;
+}
+
+/**
+ * Makes the state of a process that has just started.
+ * @param settings - Checked settings.
+ * @example
+ * const state = createBalancerState(settings);
+ */
+export function createBalancerState(settings: BalancingSettings): BalancerState {
+  return {
+    settings,
+    table: undefined,
+    services: new Map(),
+    targets: new Map(),
+    byService: new Map(),
+    zonesOut: new Set(),
+    vms: [settings.vm],
+    journeys: new Map(),
+    sendings: new Map(),
+    lastAttempt: 0,
+    retries: new RetryBudget(settings.retries),
+    cold: new ColdAllowance(settings.cold),
+    probes: new ProbeBudget(settings.probesPerTargetAndSecond),
+    work: new WorkTimes(),
+    stopAskedAt: undefined,
+  };
+}
--- /dev/null
+++ b/src/balancing/Journey.ts
@@ -0,0 +1,45 @@
+import type { AttemptId, RequestId, ServiceName, TargetId } from '../core/model/index.js';
+import type { Route } from './model.js';
+import type { TargetRecord } from './TargetRecord.js';
+
+/** One sending of a request to a target. */
+export interface Sending {
+  readonly attempt: AttemptId;
+  readonly request: RequestId;
+  readonly target: TargetRecord;
+  readonly sentAt: number;
+  /** What was expected of it, without what is learnt of the target itself, in milliseconds. */
+  readonly expectedMs: number;
+  /** When it takes too long, so that the target is taken for slow; monotonic milliseconds. */
+  readonly overdueAt: number;
+  isOverdue: boolean;
+}
+
+/** Targets asked for their load on behalf of one request. */
+export interface ProbeRound {
+  readonly startedAt: number;
+  /** Probes that are still out. */
+  readonly waitingFor: Set<TargetId>;
+}
+
+/** A request's way from its arrival to its answer. */
+export interface Journey {
+  readonly request: RequestId;
+  readonly route: Route;
+  readonly service: ServiceName;
+  readonly arrivedAt: number;
+  /** End of the route's or the caller's time, whichever is sooner; monotonic milliseconds. */
+  readonly deadlineAt: number;
+  round: ProbeRound | undefined;
+  /** No further round before this time, unless a probe answers. */
+  nextRoundAt: number;
+  readonly sendings: Set<Sending>;
+  /** Targets that it was sent to. */
+  readonly tried: Set<TargetId>;
+  /** Whether a target may have run it. */
+  mayHaveRun: boolean;
+  /** Whether the sending that is looked for now is a repeat that was taken from the budget. */
+  isRepeatPaid: boolean;
+  /** Whether a second sending was looked for beside the first. */
+  isHedged: boolean;
+}
--- /dev/null
+++ b/src/balancing/candidates.ts
@@ -0,0 +1,104 @@
+import type { BalancerContext, BalancerState } from './BalancerState.js';
+import { getColdOwners } from './ColdAllowance.js';
+import type { Expectation } from './expectedTime.js';
+import { getExpectation } from './expectedTime.js';
+import type { Journey } from './Journey.js';
+import { GOOD_SLOWDOWN, READING_FRESH_MS } from './settings.js';
+import type { TargetRecord } from './TargetRecord.js';
+import { getScores } from './TargetRecord.js';
+
+/** A target that a request may go to now. */
+export interface Candidate {
+  readonly record: TargetRecord;
+  readonly expected: Expectation;
+  /** Whether nothing better is worth waiting for. */
+  readonly isGood: boolean;
+}
+
+/**
+ * Targets of a request's service that may be sent to at all, without those it was sent to already.
+ * @param state - What is known.
+ * @param journey - The request.
+ * @param now - Monotonic milliseconds.
+ */
+export function getUsable(state: BalancerState, journey: Journey, now: number): TargetRecord[] {
+  return (state.byService.get(journey.service) ?? []).filter(
+    ({ entry, deadUntil }) =>
+      !entry.isDraining &&
+      deadUntil <= now &&
+      !state.zonesOut.has(entry.zone) &&
+      !journey.tried.has(entry.id),
+  );
+}
+
+/** A cold target takes requests from a few entry VMs only, at a bounded rate. */
+function isBarredByCold(state: BalancerState, record: TargetRecord, now: number): boolean {
+  if (record.coldUntil <= now) return false;
+  const { id, service } = record.entry;
+  if (!getColdOwners(id, state.vms).includes(state.settings.vm)) return true;
+  const perSecond = state.services.get(service)?.coldRequestsPerSecond ?? 0;
+  return !state.cold.has(id, perSecond, now);
+}
+
+function isGood(record: TargetRecord, expected: Expectation, now: number): boolean {
+  const { reading } = record;
+  if (!expected.isFree || reading === undefined || record.coldUntil > now) return false;
+  const { failures, slowness } = getScores(record, now);
+  const busy = reading.running + record.sentSinceReading;
+  const isSound = reading.isHealthy && failures < 0.1 && slowness < GOOD_SLOWDOWN;
+  return isSound && busy === 0 && reading.slowdown <= GOOD_SLOWDOWN;
+}
+
+/**
+ * The best of the targets whose load was read lately.
+ * @param state - What is known.
+ * @param journey - The request.
+ * @param context - Time and chance.
+ * @param maxAgeMs - Oldest reading that counts.
+ */
+export function findBest(
+  state: BalancerState,
+  journey: Journey,
+  context: BalancerContext,
+  maxAgeMs = READING_FRESH_MS,
+): Candidate | undefined {
+  const { now } = context;
+  const workMs = state.work.get(journey.route);
+  let best: Candidate | undefined;
+  let bestCost = Number.POSITIVE_INFINITY;
+  for (const record of getUsable(state, journey, now)) {
+    const { reading } = record;
+    if (reading === undefined || now - reading.at > maxAgeMs) continue;
+    if (isBarredByCold(state, record, now)) continue;
+    const expected = getExpectation(record, journey.route, workMs, now);
+    // Targets that look alike are told apart by chance, or all entry VMs take the same one.
+    const cost = expected.costMs * (1 + 0.05 * context.random());
+    if (cost >= bestCost) continue;
+    bestCost = cost;
+    best = { record, expected, isGood: isGood(record, expected, now) };
+  }
+  return best;
+}
+
+/**
+ * Draws targets to probe: any of the usable ones, those that failed or were slow lately less often.
+ * @param usable - Targets that may be sent to.
+ * @param count - How many to draw.
+ * @param context - Time and chance.
+ */
+export function drawTargets(
+  usable: readonly TargetRecord[],
+  count: number,
+  context: BalancerContext,
+): TargetRecord[] {
+  if (usable.length <= count) return [...usable];
+  return usable
+    .map((record) => {
+      const { failures, slowness } = getScores(record, context.now);
+      const weight = 1 / ((1 + 8 * failures) * Math.max(1, slowness));
+      return { record, key: context.random() ** (1 / weight) };
+    })
+    .sort((a, b) => b.key - a.key)
+    .slice(0, count)
+    .map(({ record }) => record);
+}
--- /dev/null
+++ b/src/balancing/endings.ts
@@ -0,0 +1,141 @@
+import type { BalancerContext, BalancerState } from './BalancerState.js';
+import type { BalancerEffect, OwnReason } from './effects.js';
+import type { Journey, Sending } from './Journey.js';
+
+/** A caller is asked to come back after so many times the work of its request, at least. */
+const RETRY_AFTER_WORKS = 0.7;
+/** Spread on top, so that those who were refused together don't come back together. */
+const RETRY_SPREAD_WORKS = 1.5;
+
+const STATUS_BY_REASON: Readonly<Record<OwnReason, number>> = {
+  notConfigured: 503,
+  noRoute: 404,
+  stopping: 503,
+  noTarget: 503,
+  overloaded: 503,
+  rejected: 503,
+  targetFailed: 502,
+  timedOut: 504,
+};
+
+/** Reasons that a request which has not run is refused for, so that its caller may come back. */
+const REFUSALS: ReadonlySet<OwnReason> = new Set([
+  'notConfigured',
+  'stopping',
+  'noTarget',
+  'overloaded',
+  'rejected',
+]);
+
+/**
+ * Forgets a sending.
+ * @param state - What is known.
+ * @param sending - The sending.
+ */
+export function forgetSending(state: BalancerState, sending: Sending): void {
+  state.sendings.delete(sending.attempt);
+  state.journeys.get(sending.request)?.sendings.delete(sending);
+  sending.target.outstanding -= 1;
+}
+
+/**
+ * Breaks off all that is still out for a request.
+ * @param state - What is known.
+ * @param journey - The request.
+ */
+export function cancelSendings(state: BalancerState, journey: Journey): BalancerEffect[] {
+  return [...journey.sendings].map((sending) => {
+    forgetSending(state, sending);
+    return { kind: 'cancelAttempt', attempt: sending.attempt };
+  });
+}
+
+/**
+ * When a refused caller may come back: a slot is free once some work has ended.
+ * @param workMs - Work of its request, in milliseconds.
+ * @param chance - Uniform in [0, 1).
+ */
+export function getRetryAfterMs(workMs: number, chance: number): number {
+  return Math.round(workMs * (RETRY_AFTER_WORKS + RETRY_SPREAD_WORKS * chance));
+}
+
+/**
+ * Ends a request's round of probes; later answers to them are of use to others.
+ * @param state - What is known.
+ * @param journey - The request.
+ */
+export function endRound(state: BalancerState, journey: Journey): void {
+  for (const id of journey.round?.waitingFor ?? []) {
+    state.targets.get(id)?.probeWaiters.delete(journey.request);
+  }
+  journey.round = undefined;
+}
+
+/**
+ * Answers a request in this entry VM's own name and forgets it.
+ * @param state - What is known.
+ * @param journey - The request.
+ * @param reason - Why.
+ * @param context - Time and chance.
+ */
+export function answerOwn(
+  state: BalancerState,
+  journey: Journey,
+  reason: OwnReason,
+  context: BalancerContext,
+): BalancerEffect[] {
+  endRound(state, journey);
+  const cancelled = cancelSendings(state, journey);
+  state.journeys.delete(journey.request);
+  const isRefusal = REFUSALS.has(reason);
+  const retryAfterMs = isRefusal
+    ? getRetryAfterMs(state.work.get(journey.route), context.random())
+    : undefined;
+  const { request } = journey;
+  const status = STATUS_BY_REASON[reason];
+  return [
+    ...cancelled,
+    { kind: 'answer', request, status, reason, retryAfterMs },
+    {
+      kind: 'log',
+      event: isRefusal ? 'request.refused' : 'request.failed',
+      fields: {
+        request,
+        status,
+        reason,
+        route: journey.route.name,
+        service: journey.service,
+        tookMs: Math.round(context.now - journey.arrivedAt),
+        tried: [...journey.tried],
+        retryAfterMs,
+      },
+    },
+  ];
+}
+
+/**
+ * Ends a request that finds no target: refused if it has certainly not run, else failed.
+ * @param state - What is known.
+ * @param journey - The request.
+ * @param reason - Why it is refused if it has not run.
+ * @param context - Time and chance.
+ */
+export function answerRefused(
+  state: BalancerState,
+  journey: Journey,
+  reason: OwnReason,
+  context: BalancerContext,
+): BalancerEffect[] {
+  return answerOwn(state, journey, journey.mayHaveRun ? 'targetFailed' : reason, context);
+}
+
+/**
+ * Forgets a request whose caller has its answer or has left.
+ * @param state - What is known.
+ * @param journey - The request.
+ */
+export function endJourney(state: BalancerState, journey: Journey): BalancerEffect[] {
+  endRound(state, journey);
+  state.journeys.delete(journey.request);
+  return cancelSendings(state, journey);
+}
--- /dev/null
+++ b/src/balancing/fleetHandlers.ts
@@ -0,0 +1,145 @@
+import type { ServiceName } from '../core/model/index.js';
+import type { BalancerContext, BalancerState } from './BalancerState.js';
+import type { BalancerEffect } from './effects.js';
+import type { ProbeEnded, TableRead, TargetsRead, VmsChanged, ZonesOutRead } from './events.js';
+import type { TargetEntry } from './model.js';
+import { place } from './placing.js';
+import { markDead } from './requestHandlers.js';
+import type { TargetRecord } from './TargetRecord.js';
+import { createTargetRecord, noteOutcome } from './TargetRecord.js';
+
+/** A configuration was read: it is adopted unless a later one is in force. */
+export function handleTable(state: BalancerState, { table }: TableRead): BalancerEffect[] {
+  // The store, a peer or a late answer may give an older one; going back would undo a change.
+  if (state.table !== undefined && table.version <= state.table.version) return [];
+  const before = state.table?.version;
+  state.table = table;
+  state.services = new Map(table.services.map((rules) => [rules.name, rules]));
+  const { version, routes } = table;
+  return [
+    { kind: 'log', event: 'config.adopted', fields: { version, before, routes: routes.length } },
+  ];
+}
+
+function groupByService(records: Iterable<TargetRecord>): Map<ServiceName, TargetRecord[]> {
+  const groups = new Map<ServiceName, TargetRecord[]>();
+  for (const record of records) {
+    const group = groups.get(record.entry.service) ?? [];
+    group.push(record);
+    groups.set(record.entry.service, group);
+  }
+  return groups;
+}
+
+function logTarget(
+  event: 'target.added' | 'target.removed' | 'target.draining',
+  { id, service, address, bornAt, zone, coldMs }: TargetEntry,
+): BalancerEffect {
+  return { kind: 'log', event, fields: { target: id, service, address, bornAt, zone, coldMs } };
+}
+
+/** Takes one registered target in. */
+function takeEntry(state: BalancerState, entry: TargetEntry, now: number): BalancerEffect[] {
+  const known = state.targets.get(entry.id);
+  const isSame =
+    known !== undefined &&
+    known.entry.bornAt === entry.bornAt &&
+    known.entry.address === entry.address &&
+    known.entry.service === entry.service;
+  if (!isSame) {
+    const record = createTargetRecord(entry, now);
+    state.targets.set(entry.id, record);
+    for (const request of known?.probeWaiters ?? []) {
+      state.journeys.get(request)?.round?.waitingFor.delete(entry.id);
+    }
+    return [logTarget('target.added', entry)];
+  }
+  const turnedDraining = entry.isDraining && !known.entry.isDraining;
+  const changed = known.entry.coldMs !== entry.coldMs;
+  known.entry = entry;
+  if (changed && entry.coldMs > 0) known.coldUntil = Math.max(known.coldUntil, now + entry.coldMs);
+  return turnedDraining ? [logTarget('target.draining', entry)] : [];
+}
+
+/** The registered targets were read. */
+export function handleTargets(
+  state: BalancerState,
+  { targets }: TargetsRead,
+  context: BalancerContext,
+): BalancerEffect[] {
+  const effects: BalancerEffect[] = [];
+  const present = new Set(targets.map(({ id }) => id));
+  for (const [id, record] of state.targets) {
+    if (present.has(id)) continue;
+    state.targets.delete(id);
+    for (const request of record.probeWaiters) {
+      state.journeys.get(request)?.round?.waitingFor.delete(id);
+    }
+    effects.push(logTarget('target.removed', record.entry));
+  }
+  for (const entry of targets) effects.push(...takeEntry(state, entry, context.now));
+  state.byService = groupByService(state.targets.values());
+  state.cold.keepOnly(state.targets);
+  return effects;
+}
+
+/** Availability zones were taken out or back. */
+export function handleZonesOut(state: BalancerState, { zones }: ZonesOutRead): BalancerEffect[] {
+  const before = [...state.zonesOut].sort().join();
+  state.zonesOut = new Set(zones);
+  if ([...zones].sort().join() === before) return [];
+  return [{ kind: 'log', event: 'zones.out', fields: { zones } }];
+}
+
+/** Entry VMs joined or left. */
+export function handleVms(state: BalancerState, { vms }: VmsChanged): BalancerEffect[] {
+  if (vms.join() === state.vms.join()) return [];
+  state.vms = vms;
+  return [{ kind: 'log', event: 'vms.changed', fields: { count: vms.length } }];
+}
+
+function noteCold(record: TargetRecord, coldMs: number, now: number): BalancerEffect[] {
+  const wasCold = record.coldUntil > now;
+  record.coldUntil = coldMs > 0 ? now + coldMs : 0;
+  if (wasCold || coldMs <= 0) return [];
+  const { id, service } = record.entry;
+  return [{ kind: 'log', event: 'target.cold', fields: { target: id, service, coldMs } }];
+}
+
+function takeProbeEnd(record: TargetRecord, { end }: ProbeEnded, now: number): BalancerEffect[] {
+  if (end.kind === 'answered') {
+    record.reading = end.reading;
+    record.sentSinceReading = 0;
+    const effects = noteCold(record, end.coldMs, now);
+    if (record.deadTimes === 0) return effects;
+    record.deadTimes = 0;
+    const { id, service } = record.entry;
+    return [...effects, { kind: 'log', event: 'target.alive', fields: { target: id, service } }];
+  }
+  if (end.kind === 'broken') {
+    noteOutcome(record, true, now);
+    return [];
+  }
+  return markDead(record, now);
+}
+
+/** A probe is over: requests that wait for it are placed. */
+export function handleProbeEnded(
+  state: BalancerState,
+  event: ProbeEnded,
+  context: BalancerContext,
+): BalancerEffect[] {
+  const record = state.targets.get(event.target);
+  if (record === undefined || record.entry.bornAt !== event.bornAt) return [];
+  record.probeSentAt = undefined;
+  const effects = takeProbeEnd(record, event, context.now);
+  const waiters = [...record.probeWaiters];
+  record.probeWaiters.clear();
+  for (const request of waiters) {
+    const journey = state.journeys.get(request);
+    if (journey?.round === undefined) continue;
+    journey.round.waitingFor.delete(event.target);
+    effects.push(...place(state, journey, context));
+  }
+  return effects;
+}
--- /dev/null
+++ b/src/balancing/placing.ts
@@ -0,0 +1,252 @@
+import type { BalancerContext, BalancerState } from './BalancerState.js';
+import type { Candidate } from './candidates.js';
+import { drawTargets, findBest, getUsable } from './candidates.js';
+import type { BalancerEffect } from './effects.js';
+import { answerRefused, endRound } from './endings.js';
+import type { Journey, Sending } from './Journey.js';
+import {
+  HEDGE_AFTER,
+  HEDGE_GAIN,
+  HEDGE_MIN_MS,
+  PATIENCE_SHARE,
+  PROBE_ROUND_MS,
+  PROBES_PER_ROUND,
+  READING_FRESH_MS,
+  READING_USABLE_MS,
+  ROUND_PAUSE_MS,
+} from './settings.js';
+import type { TargetRecord } from './TargetRecord.js';
+import { getScores } from './TargetRecord.js';
+
+/** Least time that a target is given, in milliseconds; with less the answer can't come back. */
+const LEAST_ALLOWED_MS = 10;
+
+function toDestination({ entry }: TargetRecord) {
+  return { target: entry.id, bornAt: entry.bornAt, address: entry.address };
+}
+
+function startProbe(state: BalancerState, record: TargetRecord, now: number): BalancerEffect {
+  record.probeSentAt = now;
+  const path = state.services.get(record.entry.service)?.healthPath ?? '/health';
+  return { kind: 'probe', to: toDestination(record), path };
+}
+
+/** Asks some targets for their load. */
+function startRound(
+  state: BalancerState,
+  journey: Journey,
+  usable: readonly TargetRecord[],
+  context: BalancerContext,
+): BalancerEffect[] {
+  const { now } = context;
+  const round = { startedAt: now, waitingFor: new Set<string>() };
+  journey.round = round;
+  const effects: BalancerEffect[] = [];
+  const drawn = drawTargets(usable, PROBES_PER_ROUND, context);
+  const stale = drawn.filter(
+    ({ reading, probeSentAt }) =>
+      probeSentAt === undefined && (reading === undefined || now - reading.at > READING_FRESH_MS),
+  );
+  const targets = state.byService.get(journey.service)?.length ?? 0;
+  const { probes, vms } = state;
+  const allowed = probes.take(journey.service, stale.length, targets, vms.length, now);
+  effects.push(...stale.slice(0, allowed).map((record) => startProbe(state, record, now)));
+  for (const record of drawn) {
+    if (record.probeSentAt === undefined) continue;
+    round.waitingFor.add(record.entry.id);
+    record.probeWaiters.add(journey.request);
+  }
+  effects.push({ kind: 'wake', request: journey.request, at: now + PROBE_ROUND_MS });
+  return effects;
+}
+
+/**
+ * When a request has to be looked at again if nothing happens before.
+ * @param journey - The request.
+ */
+export function getNextWake(journey: Journey): number {
+  let at = journey.deadlineAt;
+  for (const { overdueAt, isOverdue } of journey.sendings) {
+    if (!isOverdue) at = Math.min(at, overdueAt);
+  }
+  return at;
+}
+
+/** Sends a request to a target. */
+function send(
+  state: BalancerState,
+  journey: Journey,
+  { record, expected }: Candidate,
+  context: BalancerContext,
+): BalancerEffect[] {
+  const { now } = context;
+  endRound(state, journey);
+  const { id, service } = record.entry;
+  const isCold = record.coldUntil > now;
+  if (isCold) state.cold.take(id, state.services.get(service)?.coldRequestsPerSecond ?? 0, now);
+  state.lastAttempt += 1;
+  const overdueMs = Math.max(HEDGE_MIN_MS, expected.readMs * HEDGE_AFTER);
+  const sending: Sending = {
+    attempt: state.lastAttempt,
+    request: journey.request,
+    target: record,
+    sentAt: now,
+    expectedMs: expected.readMs,
+    overdueAt: now + overdueMs,
+    isOverdue: false,
+  };
+  state.sendings.set(sending.attempt, sending);
+  journey.sendings.add(sending);
+  journey.tried.add(id);
+  journey.isRepeatPaid = false;
+  record.outstanding += 1;
+  record.sentSinceReading += 1;
+  const { reading } = record;
+  return [
+    {
+      kind: 'sendAttempt',
+      request: journey.request,
+      attempt: sending.attempt,
+      to: toDestination(record),
+      allowedMs: Math.max(1, Math.floor(journey.deadlineAt - now)),
+    },
+    {
+      kind: 'log',
+      event: 'request.sent',
+      fields: {
+        request: journey.request,
+        attempt: sending.attempt,
+        target: id,
+        expectedMs: Math.round(expected.readMs),
+        costMs: Math.round(expected.costMs),
+        running: reading?.running,
+        waiting: reading?.waiting,
+        slowdown: reading?.slowdown,
+        readingAgeMs: reading === undefined ? undefined : Math.round(now - reading.at),
+        isCold,
+        failures: Number(getScores(record, now).failures.toFixed(2)),
+      },
+    },
+    { kind: 'wake', request: journey.request, at: getNextWake(journey) },
+  ];
+}
+
+/**
+ * Whether to send to the best target now although it has no free slot.
+ *
+ * This answers to load above what the service bears for a while. Each look for a free slot costs
+ * probes and time; a request that waits here is offered to no target, while one in a target's own
+ * queue starts as soon as a slot is free. So it waits here only while its objective hardly suffers.
+ */
+function isWorthQueueing(journey: Journey, best: Candidate, now: number): boolean {
+  const waitedMs = now - journey.arrivedAt;
+  if (waitedMs < PATIENCE_SHARE * journey.route.objectiveMs) return false;
+  return now + best.expected.readMs < journey.deadlineAt;
+}
+
+function chooseNow(
+  state: BalancerState,
+  journey: Journey,
+  context: BalancerContext,
+  isRoundOver: boolean,
+): Candidate | undefined {
+  const best = findBest(state, journey, context);
+  if (best === undefined || best.isGood) return best;
+  if (!isRoundOver) return undefined;
+  if (best.expected.isFree) return best;
+  return isWorthQueueing(journey, best, context.now) ? best : undefined;
+}
+
+/** No target answered in time: one that was sound a moment ago is better than none. */
+function chooseBlindly(
+  state: BalancerState,
+  journey: Journey,
+  context: BalancerContext,
+): Candidate | undefined {
+  const waitedMs = context.now - journey.arrivedAt;
+  if (waitedMs < PATIENCE_SHARE * journey.route.objectiveMs) return undefined;
+  const best = findBest(state, journey, context, READING_USABLE_MS);
+  return best?.expected.isFree === true ? best : undefined;
+}
+
+/** A second sending has to bring the answer sooner than the first may still do. */
+function isWorthSending(journey: Journey, best: Candidate, now: number): boolean {
+  if (journey.deadlineAt - now < LEAST_ALLOWED_MS) return false;
+  const [first] = journey.sendings;
+  if (first === undefined) return true;
+  const leftMs = Math.max(now - first.sentAt, first.expectedMs) * HEDGE_GAIN;
+  return best.expected.isFree && best.expected.costMs < leftMs;
+}
+
+/** Whether a target that is left alone now may be back before the request's time is over. */
+function hasHope(state: BalancerState, journey: Journey): boolean {
+  return (state.byService.get(journey.service) ?? []).some(
+    ({ entry, deadUntil }) =>
+      !entry.isDraining &&
+      !state.zonesOut.has(entry.zone) &&
+      !journey.tried.has(entry.id) &&
+      deadUntil < journey.deadlineAt,
+  );
+}
+
+/**
+ * Whether a request can't be served any more: its work alone takes longer than is left, or its
+ * objective has gone by with every target full, so that others wait for the same slots.
+ */
+function isTooLate(state: BalancerState, journey: Journey, now: number): boolean {
+  const workMs = state.work.get(journey.route);
+  if (now + workMs > journey.deadlineAt) return true;
+  return now - journey.arrivedAt > journey.route.objectiveMs / 2;
+}
+
+function lookAgain(
+  state: BalancerState,
+  journey: Journey,
+  context: BalancerContext,
+): BalancerEffect[] {
+  const usable = getUsable(state, journey, context.now);
+  if (journey.sendings.size > 0 && usable.length === 0) return [];
+  const hopeless = usable.length === 0 && !hasHope(state, journey);
+  const isAtTarget = journey.sendings.size > 0;
+  if (!isAtTarget && (hopeless || isTooLate(state, journey, context.now))) {
+    return answerRefused(state, journey, hopeless ? 'noTarget' : 'overloaded', context);
+  }
+  return startRound(state, journey, usable, context);
+}
+
+/**
+ * Looks for a target for a request that is at none, or for its second sending.
+ * @param state - What is known.
+ * @param journey - The request.
+ * @param context - Time and chance.
+ */
+export function place(
+  state: BalancerState,
+  journey: Journey,
+  context: BalancerContext,
+): BalancerEffect[] {
+  const { now } = context;
+  const { round } = journey;
+  const isOver =
+    round === undefined || round.waitingFor.size === 0 || now >= round.startedAt + PROBE_ROUND_MS;
+  const isAsked = round !== undefined;
+  const best =
+    chooseNow(state, journey, context, isAsked && isOver) ??
+    (isAsked && isOver ? chooseBlindly(state, journey, context) : undefined);
+  if (best !== undefined && isWorthSending(journey, best, now)) {
+    return send(state, journey, best, context);
+  }
+  if (!isOver) return [];
+  if (isAsked && journey.sendings.size > 0) {
+    endRound(state, journey);
+    return [{ kind: 'wake', request: journey.request, at: getNextWake(journey) }];
+  }
+  if (isAsked) {
+    endRound(state, journey);
+    journey.nextRoundAt = now + ROUND_PAUSE_MS;
+  }
+  if (now < journey.nextRoundAt) {
+    return [{ kind: 'wake', request: journey.request, at: journey.nextRoundAt }];
+  }
+  return lookAgain(state, journey, context);
+}
--- /dev/null
+++ b/src/balancing/reduceBalancer.ts
@@ -0,0 +1,55 @@
+import type { BalancerContext, BalancerState } from './BalancerState.js';
+import type { BalancerEffect } from './effects.js';
+import type { BalancerEvent } from './events.js';
+import {
+  handleProbeEnded,
+  handleTable,
+  handleTargets,
+  handleVms,
+  handleZonesOut,
+} from './fleetHandlers.js';
+import {
+  handleArrived,
+  handleAttemptEnded,
+  handleCallerLeft,
+  handleWake,
+} from './requestHandlers.js';
+
+type Handler<K extends BalancerEvent['kind']> = (
+  state: BalancerState,
+  event: Extract<BalancerEvent, { kind: K }>,
+  context: BalancerContext,
+) => BalancerEffect[];
+
+const HANDLERS: { readonly [K in BalancerEvent['kind']]: Handler<K> } = {
+  requestArrived: handleArrived,
+  callerLeft: handleCallerLeft,
+  probeEnded: handleProbeEnded,
+  attemptEnded: handleAttemptEnded,
+  wakeDue: handleWake,
+  tableRead: handleTable,
+  targetsRead: handleTargets,
+  zonesOutRead: handleZonesOut,
+  vmsChanged: handleVms,
+  stopAsked: (state, _event, { now }) => {
+    state.stopAskedAt ??= now;
+    return [];
+  },
+};
+
+/**
+ * Takes one event, updates the state in place and gives what the process is to do, in order.
+ * @param state - What this entry VM knows; owned by the caller and changed here.
+ * @param event - What happened.
+ * @param context - Time and chance.
+ * @example
+ * const effects = reduceBalancer(state, { kind: 'stopAsked' }, { now: clock.now(), random });
+ */
+export function reduceBalancer(
+  state: BalancerState,
+  event: BalancerEvent,
+  context: BalancerContext,
+): BalancerEffect[] {
+  const handler = HANDLERS[event.kind] as Handler<BalancerEvent['kind']>;
+  return handler(state, event, context);
+}
--- /dev/null
+++ b/src/balancing/requestHandlers.ts
@@ -0,0 +1,280 @@
+import type { BalancerContext, BalancerState } from './BalancerState.js';
+import type { BalancerEffect } from './effects.js';
+import { answerOwn, answerRefused, endJourney, forgetSending } from './endings.js';
+import type { AttemptEnd, AttemptEnded, CallerLeft, RequestArrived, WakeDue } from './events.js';
+import type { Journey, Sending } from './Journey.js';
+import { getNextWake, place } from './placing.js';
+import { findRoute, pickService } from './routes.js';
+import { DEAD_MOST_MS, DEAD_MS, HEDGE_BUDGET_SHARE, STOP_TAKES_MS } from './settings.js';
+import type { TargetRecord } from './TargetRecord.js';
+import { noteOutcome, noteSlowness } from './TargetRecord.js';
+
+/** First status by which a target says that it failed. */
+const FIRST_FAILURE = 500;
+
+function answerAtOnce(
+  event: RequestArrived,
+  status: number,
+  reason: 'notConfigured' | 'noRoute' | 'stopping',
+  retryAfterMs?: number,
+): BalancerEffect[] {
+  const { request, host, path } = event;
+  return [
+    { kind: 'answer', request, status, reason, retryAfterMs },
+    {
+      kind: 'log',
+      event: 'request.refused',
+      fields: { request, status, reason, host, path, retryAfterMs },
+    },
+  ];
+}
+
+/** When a caller may come back to another entry VM, in milliseconds. */
+const ELSEWHERE_MS = 50;
+/** When a process that has just started may know its configuration, in milliseconds. */
+const STARTING_MS = 300;
+
+/** A request is here: it is refused or a target is looked for. */
+export function handleArrived(
+  state: BalancerState,
+  event: RequestArrived,
+  context: BalancerContext,
+): BalancerEffect[] {
+  const { now } = context;
+  const { table, stopAskedAt } = state;
+  if (stopAskedAt !== undefined && now - stopAskedAt > STOP_TAKES_MS) {
+    return answerAtOnce(event, 503, 'stopping', ELSEWHERE_MS);
+  }
+  if (table === undefined) return answerAtOnce(event, 503, 'notConfigured', STARTING_MS);
+  const route = findRoute(table, event.host, event.path);
+  if (route === undefined) return answerAtOnce(event, 404, 'noRoute');
+  const allowedMs = Math.min(event.allowedMs ?? Number.POSITIVE_INFINITY, route.timeoutMs);
+  const journey: Journey = {
+    request: event.request,
+    route,
+    service: pickService(route.services, context.random()),
+    arrivedAt: event.arrivedAt,
+    deadlineAt: event.arrivedAt + allowedMs,
+    round: undefined,
+    nextRoundAt: 0,
+    sendings: new Set(),
+    tried: new Set(),
+    mayHaveRun: false,
+    isRepeatPaid: false,
+    isHedged: false,
+  };
+  state.journeys.set(journey.request, journey);
+  state.retries.noteRequest(journey.service, now);
+  return place(state, journey, context);
+}
+
+/** The caller hung up: nothing more is done for it. */
+export function handleCallerLeft(
+  state: BalancerState,
+  event: CallerLeft,
+  context: BalancerContext,
+): BalancerEffect[] {
+  const journey = state.journeys.get(event.request);
+  if (journey === undefined) return [];
+  const tookMs = Math.round(context.now - journey.arrivedAt);
+  const tried = [...journey.tried];
+  return [
+    ...endJourney(state, journey),
+    {
+      kind: 'log',
+      event: 'request.callerLeft',
+      fields: { request: event.request, route: journey.route.name, tookMs, tried },
+    },
+  ];
+}
+
+/** Whether a sending left nothing at the target that could run. */
+const HAS_NOT_RUN: Readonly<Record<AttemptEnd['kind'], boolean>> = {
+  answered: false,
+  rejected: true,
+  misdirected: true,
+  unsent: true,
+  broken: false,
+  spoilt: false,
+};
+
+/**
+ * Leaves a target alone that takes no connection.
+ * @param record - The target.
+ * @param now - Monotonic milliseconds.
+ */
+export function markDead(record: TargetRecord, now: number): BalancerEffect[] {
+  const forMs = Math.min(DEAD_MOST_MS, DEAD_MS * 2 ** record.deadTimes);
+  record.deadTimes += 1;
+  record.deadUntil = now + forMs;
+  record.reading = undefined;
+  return [
+    {
+      kind: 'log',
+      event: 'target.dead',
+      fields: {
+        target: record.entry.id,
+        service: record.entry.service,
+        times: record.deadTimes,
+        forMs,
+      },
+    },
+  ];
+}
+
+function learn(
+  state: BalancerState,
+  journey: Journey,
+  sending: Sending,
+  end: AttemptEnd,
+  now: number,
+): BalancerEffect[] {
+  const { target } = sending;
+  if (end.kind === 'unsent' || end.kind === 'misdirected') return markDead(target, now);
+  if ((end.kind === 'answered' || end.kind === 'rejected') && end.reading !== undefined) {
+    target.reading = end.reading;
+    target.sentSinceReading = 0;
+  }
+  const isSuccess = end.kind === 'answered' && end.status < FIRST_FAILURE;
+  noteOutcome(target, !isSuccess, now);
+  if (isSuccess) {
+    const ratio = (now - sending.sentAt) / Math.max(1, sending.expectedMs);
+    noteSlowness(target, ratio, now);
+    state.work.note(journey.route, ratio);
+  }
+  return [];
+}
+
+function deliver(
+  state: BalancerState,
+  journey: Journey,
+  sending: Sending,
+  status: number,
+  now: number,
+): BalancerEffect[] {
+  const { request, route, arrivedAt } = journey;
+  return [
+    { kind: 'deliver', request, attempt: sending.attempt },
+    ...endJourney(state, journey),
+    {
+      kind: 'log',
+      event: 'request.answered',
+      fields: {
+        request,
+        status,
+        route: route.name,
+        target: sending.target.entry.id,
+        tookMs: Math.round(now - arrivedAt),
+        targetMs: Math.round(now - sending.sentAt),
+        expectedMs: Math.round(sending.expectedMs),
+        sendings: journey.tried.size,
+      },
+    },
+  ];
+}
+
+/** Whether a request whose sending failed may be sent once more; takes it from the budget if so. */
+function mayRepeat(
+  state: BalancerState,
+  journey: Journey,
+  hasNotRun: boolean,
+  now: number,
+): boolean {
+  if (!hasNotRun && !journey.route.isIdempotent) return false;
+  if (journey.tried.size >= journey.route.maxTargets) return false;
+  return state.retries.take(journey.service, state.vms.length, now);
+}
+
+/** A sending is over: its answer is delivered, it is sent again, or the caller is told. */
+export function handleAttemptEnded(
+  state: BalancerState,
+  event: AttemptEnded,
+  context: BalancerContext,
+): BalancerEffect[] {
+  const { now } = context;
+  const { end } = event;
+  const sending = state.sendings.get(event.attempt);
+  const journey = sending && state.journeys.get(sending.request);
+  if (sending === undefined || journey === undefined) return [];
+  forgetSending(state, sending);
+  const effects = learn(state, journey, sending, end, now);
+  const hasNotRun = HAS_NOT_RUN[end.kind];
+  if (!hasNotRun) journey.mayHaveRun = true;
+  if (end.kind === 'unsent') journey.tried.delete(sending.target.entry.id);
+  const isFailure = end.kind !== 'answered' || end.status >= FIRST_FAILURE;
+  if (!isFailure) return [...effects, ...deliver(state, journey, sending, end.status, now)];
+  effects.push({
+    kind: 'log',
+    event: 'attempt.failed',
+    fields: {
+      request: journey.request,
+      attempt: event.attempt,
+      target: sending.target.entry.id,
+      end: end.kind,
+      status: end.kind === 'answered' ? end.status : undefined,
+      tookMs: Math.round(now - sending.sentAt),
+    },
+  });
+  // The other sending of a hedged request may still bring the answer.
+  if (journey.sendings.size > 0) return effects;
+  if (end.kind === 'unsent' || mayRepeat(state, journey, hasNotRun, now)) {
+    journey.nextRoundAt = now;
+    return [...effects, ...place(state, journey, context)];
+  }
+  if (end.kind === 'answered') {
+    return [...effects, ...deliver(state, journey, sending, end.status, now)];
+  }
+  return [...effects, ...answerRefused(state, journey, 'rejected', context)];
+}
+
+function endInTime(
+  state: BalancerState,
+  journey: Journey,
+  context: BalancerContext,
+): BalancerEffect[] {
+  const isOut = journey.sendings.size > 0;
+  for (const { target } of journey.sendings) noteOutcome(target, true, context.now);
+  if (isOut || journey.mayHaveRun) return answerOwn(state, journey, 'timedOut', context);
+  return answerOwn(state, journey, 'overloaded', context);
+}
+
+/**
+ * Starts a second sending of an idempotent request beside one that takes too long.
+ *
+ * A target that hangs or has turned slow gives no sign but the time that passes; seen as requests
+ * that miss their objective while other targets stand idle.
+ */
+function hedge(state: BalancerState, journey: Journey, context: BalancerContext): BalancerEffect[] {
+  const { route, tried, service } = journey;
+  const { now } = context;
+  if (!route.isIdempotent || tried.size >= route.maxTargets) return [];
+  if (!journey.isHedged) {
+    if (!state.retries.take(service, state.vms.length, now, HEDGE_BUDGET_SHARE)) return [];
+    journey.isHedged = true;
+  }
+  return place(state, journey, context);
+}
+
+/** A time that was asked for has come: a round is over, a sending is late, or time has run out. */
+export function handleWake(
+  state: BalancerState,
+  event: WakeDue,
+  context: BalancerContext,
+): BalancerEffect[] {
+  const { now } = context;
+  const journey = state.journeys.get(event.request);
+  if (journey === undefined) return [];
+  if (now >= journey.deadlineAt) return endInTime(state, journey, context);
+  if (journey.sendings.size === 0) return place(state, journey, context);
+  let isLate = false;
+  for (const sending of journey.sendings) {
+    if (sending.isOverdue || now < sending.overdueAt) continue;
+    sending.isOverdue = true;
+    isLate = true;
+    noteSlowness(sending.target, (now - sending.sentAt) / Math.max(1, sending.expectedMs), now);
+  }
+  const wake: BalancerEffect = { kind: 'wake', request: journey.request, at: getNextWake(journey) };
+  if (journey.sendings.size > 1 || !(isLate || journey.round !== undefined)) return [wake];
+  const effects = hedge(state, journey, context);
+  return effects.some(({ kind }) => kind === 'wake') ? effects : [...effects, wake];
+}
--- /dev/null
+++ b/src/config/gatewaySettingsKeys.ts
@@ -0,0 +1,74 @@
+import { required, withDefault } from './keyTable.js';
+import {
+  ADDRESS,
+  ADDRESS_LIST,
+  decimal,
+  duration,
+  integer,
+  LISTEN_ADDRESS,
+  VM_NAME,
+} from './valueTypes.js';
+
+const SECOND = 1_000;
+const DAY = 86_400 * SECOND;
+const span = duration({ min: 0, max: DAY });
+
+/** Keys of a gateway's settings file. */
+export const GATEWAY_SETTINGS_KEYS = {
+  process: {
+    vm: required(VM_NAME, 'Name of the VM.'),
+    zone: required(VM_NAME, 'Availability zone that the VM is in.'),
+    region: required(VM_NAME, 'Region that the availability zone is in.'),
+  },
+  listen: {
+    callers: required(LISTEN_ADDRESS, 'Where callers connect.'),
+    readiness: required(LISTEN_ADDRESS, 'Where the platform asks whether callers are taken.'),
+    addresses: required(LISTEN_ADDRESS, 'Where callers ask which entry VMs to use.'),
+    peers: required(LISTEN_ADDRESS, 'Where the other entry VMs connect, over TCP and UDP.'),
+    metrics: required(LISTEN_ADDRESS, 'Where counters and histograms are read.'),
+  },
+  store: {
+    address: required(ADDRESS, 'The platform’s object store.'),
+  },
+  peers: {
+    seeds: withDefault(
+      ADDRESS_LIST,
+      '',
+      'Addresses on other entry VMs, to ask while the store is away; only their IP numbers count.',
+    ),
+  },
+  bounds: {
+    'retry-ratio': withDefault(
+      decimal({ min: 0, max: 1 }),
+      '0.2',
+      'Repeats per request and service.',
+    ),
+    'retry-window': withDefault(span, '10s', 'Sliding window in which repeats are counted.'),
+    'retry-slack': withDefault(
+      integer({ min: 0, max: 1_000_000 }),
+      '20',
+      'Repeats in a window on top, all entry VMs together.',
+    ),
+    'cold-overage': withDefault(
+      decimal({ min: 1, max: 100 }),
+      '1.5',
+      'Times the rate that a cold target bears which all entry VMs together may send.',
+    ),
+    'cold-slack': withDefault(
+      integer({ min: 0, max: 10_000 }),
+      '5',
+      'Requests on top to a cold target in any second.',
+    ),
+    'probes-per-second': withDefault(
+      integer({ min: 1, max: 10_000 }),
+      '60',
+      'Probes that one target may get in a second from all entry VMs together.',
+    ),
+    grace: withDefault(span, '6s', 'Time from SIGTERM until the process is killed.'),
+    'address-ttl-most': withDefault(
+      span,
+      '5s',
+      'Longest that callers keep the addresses they are told.',
+    ),
+  },
+};
--- a/src/config/index.ts
+++ b/src/config/index.ts
@@ -1,11 +1,14 @@
 export type { EntrySettings, ListenAddress, LogSettings, RequestBounds } from './EntrySettings.js';
 export { ConfigError, ConfigProblemsError } from './errors.js';
+export type { GatewaySettings } from './GatewaySettings.js';
+export { GATEWAY_SETTINGS_KEYS } from './gatewaySettingsKeys.js';
 export type { KeySpec, KeyTable, SectionSpec } from './keyTable.js';
 export type { ConfigProblem } from './problems.js';
 export { formatProblem } from './problems.js';
 export type { ConfigurationDir } from './readConfigurationDir.js';
 export { readConfigurationDir, SERVICE_FILE_ENDING, ZONES_FILE } from './readConfigurationDir.js';
 export { parseEntrySettings, readEntrySettings } from './readEntrySettings.js';
+export { parseGatewaySettings, readGatewaySettings } from './readGatewaySettings.js';
 export { parseServiceFile, readServiceFile } from './readServiceFile.js';
 export { parseZonesFile, readZonesFile } from './readZonesFile.js';
 export { SERVICE_KEYS, TARGETS_PREFIX } from './serviceKeys.js';
--- /dev/null
+++ b/src/config/readGatewaySettings.ts
@@ -0,0 +1,64 @@
+import type { ListenAddress } from './EntrySettings.js';
+import type { GatewaySettings } from './GatewaySettings.js';
+import { GATEWAY_SETTINGS_KEYS } from './gatewaySettingsKeys.js';
+import { IniFile } from './IniFile.js';
+import type { TableValues } from './keyTable.js';
+import { readTable } from './keyTable.js';
+import { getOrThrow, readText } from './readText.js';
+
+function formatAddress({ host, port }: ListenAddress): string {
+  return `${host}:${port}`;
+}
+
+function createSettings(values: TableValues<typeof GATEWAY_SETTINGS_KEYS>): GatewaySettings {
+  const { process, listen, store, peers, bounds } = values;
+  return {
+    self: {
+      name: process.vm,
+      zone: process.zone,
+      callers: formatAddress(listen.callers),
+      peers: formatAddress(listen.peers),
+    },
+    listen,
+    storeAddress: store.address,
+    seeds: peers.seeds
+      .map((address) => address.replace(/:\d+$/, ''))
+      .filter((host) => host !== listen.peers.host)
+      .map((host) => formatAddress({ host, port: listen.peers.port })),
+    balancing: {
+      vm: process.vm,
+      retries: {
+        ratio: bounds['retry-ratio'],
+        windowMs: bounds['retry-window'],
+        slack: bounds['retry-slack'],
+      },
+      cold: { perSecond: bounds['cold-overage'], slack: bounds['cold-slack'] },
+      probesPerTargetAndSecond: bounds['probes-per-second'],
+    },
+    graceMs: bounds.grace,
+    addressTtlMostMs: bounds['address-ttl-most'],
+  };
+}
+
+/**
+ * Reads and checks the text of a gateway's settings file.
+ * @param file - Name for messages.
+ * @param text - Content.
+ * @throws ConfigProblemsError naming every problem with its line.
+ */
+export function parseGatewaySettings(file: string, text: string): GatewaySettings {
+  const ini = new IniFile(file, text);
+  const values = readTable(ini, GATEWAY_SETTINGS_KEYS);
+  return getOrThrow(ini.problems.length === 0 ? createSettings(values) : undefined, ini.problems);
+}
+
+/**
+ * Reads and checks a gateway's settings file.
+ * @param path - INI file.
+ * @throws ConfigProblemsError naming every problem with its line.
+ * @example
+ * const settings = readGatewaySettings('/etc/masticlink/node.ini');
+ */
+export function readGatewaySettings(path: string): GatewaySettings {
+  return parseGatewaySettings(path, readText(path));
+}
--- a/src/config/valueTypes.ts
+++ b/src/config/valueTypes.ts
@@ -94,6 +94,18 @@
   };
 }
 
+/**
+ * A number that may have a fraction, such as `0.2`.
+ * @param range - Bounds.
+ */
+export function decimal(range: Range): ValueType<number> {
+  return {
+    name: 'decimal',
+    expected: `a number from ${range.min} to ${range.max}`,
+    parse: (text) => (/^\d+(?:\.\d+)?$/.test(text) ? withinOrNone(Number(text), range) : undefined),
+  };
+}
+
 function matching(name: string, expected: string, pattern: RegExp): ValueType<string> {
   return { name, expected, parse: (text) => (pattern.test(text) ? text : undefined) };
 }
@@ -205,3 +217,10 @@
   'statuses from 400 to 599 separated by commas, such as 429, 503',
   (text) => (/^[45]\d\d$/.test(text) ? Number(text) : undefined),
 );
+
+/** IP numbers and ports, separated by commas. */
+export const ADDRESS_LIST = list(
+  'addresses',
+  'IP numbers and ports separated by commas, such as 10.0.0.7:8080, 10.0.0.8:8080',
+  ADDRESS.parse,
+);
--- a/src/entry/api/CallerServer.ts
+++ b/src/entry/api/CallerServer.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import { Server as NetServer } from 'node:net';
 
 import type { ListenAddress } from '../../config/index.js';
@@ -52,6 +52,9 @@
   /** @internal */
   private readonly server: Server;
 
+  /** Connections on which no request is being answered. @internal */
+  private readonly idleSockets = new Set<Socket>();
+
   /** @internal */
   private isStopping = false;
 
@@ -72,6 +75,9 @@
     this.server.on('checkContinue', (req: IncomingMessage, res: ServerResponse) => {
       this.take(req, res, true);
     });
+    this.server.on('connection', (socket: Socket) => {
+      socket.once('close', () => this.idleSockets.delete(socket));
+    });
     this.server.on('clientError', answerClientError);
     this.server.on('connect', answerConnect);
   }
@@ -105,6 +111,16 @@
     this.isStopping = true;
   }
 
+  /**
+   * Changes how long connections may be idle, those that are open included.
+   * @param idleMs - Milliseconds.
+   */
+  setIdleTimeout(idleMs: number): void {
+    if (this.server.keepAliveTimeout === idleMs) return;
+    this.server.keepAliveTimeout = idleMs;
+    for (const socket of this.idleSockets) socket.setTimeout(idleMs);
+  }
+
   /** Takes no new connections; those that are there go on. */
   stopListening(): void {
     // The HTTP server's own `close` also ends idle connections, in which a request may lie unread.
@@ -120,6 +136,11 @@
   /** @internal */
   private take(req: IncomingMessage, res: ServerResponse, awaitsContinue: boolean): void {
     if (this.isStopping) res.shouldKeepAlive = false;
+    const { socket } = req;
+    this.idleSockets.delete(socket);
+    res.once('close', () => {
+      if (!socket.destroyed) this.idleSockets.add(socket);
+    });
     this.handle(req, res, awaitsContinue);
   }
 }
--- /dev/null
+++ b/src/fleet/FleetStore.ts
@@ -0,0 +1,84 @@
+import type { RoutingTable, TargetEntry, VmEntry } from '../balancing/index.js';
+
+/** What lies in the store, by the part of it that is read and watched as a whole. */
+export interface SectionValues {
+  readonly configuration: RoutingTable;
+  readonly targets: TargetEntry;
+  /** Availability zones that operators have taken out; the name says it all. */
+  readonly zonesOut: true;
+  readonly vms: VmEntry;
+}
+
+/** Parts of the store. */
+export type Section = keyof SectionValues;
+
+export const SECTIONS: readonly Section[] = ['configuration', 'targets', 'zonesOut', 'vms'];
+
+/** One object of a section. */
+export interface StoredItem<S extends Section> {
+  readonly name: string;
+  /** Undefined if the object is gone, or says nothing that can be used. */
+  readonly value: SectionValues[S] | undefined;
+}
+
+/** Objects of a section, as of a revision of the store. */
+export interface SectionItems<S extends Section> {
+  readonly items: readonly StoredItem<S>[];
+  readonly revision: number;
+}
+
+/** What a watch gave: changes since a revision, or that the store no longer knows them. */
+export type WatchAnswer<S extends Section> = SectionItems<S> | 'historyGone';
+
+/** The store that all entry VMs share. Its calls reject with `StoreCallError`. */
+export interface FleetStore {
+  /**
+   * Reads a section as it is now.
+   * @param section - Which part.
+   */
+  list<S extends Section>(section: S): Promise<SectionItems<S>>;
+  /**
+   * Waits for changes of a section.
+   * @param section - Which part.
+   * @param revision - Changes after this one are wanted.
+   * @param waitMs - How long to wait for one, in milliseconds.
+   */
+  watch<S extends Section>(section: S, revision: number, waitMs: number): Promise<WatchAnswer<S>>;
+  /**
+   * Announces an entry VM, or brings what it announced up to date.
+   * @param vm - The VM.
+   */
+  announce(vm: VmEntry): Promise<void>;
+  /**
+   * Takes an entry VM's announcement away; nothing happens if there is none.
+   * @param name - The VM's name.
+   */
+  withdraw(name: string): Promise<void>;
+}
+
+/** Why a call to the store gave nothing. */
+export type StoreFailure =
+  /** The store takes no more calls now. */
+  | 'throttled'
+  /** It said that it does nothing now. */
+  | 'unavailable'
+  /** No answer; a write may have taken effect, or may do so later. */
+  | 'unknown'
+  /** It answered something that is no answer to the call. */
+  | 'protocol';
+
+/** A call to the store gave nothing. */
+export class StoreCallError extends Error {
+  override readonly name = 'StoreCallError';
+
+  /**
+   * @param failure - Why.
+   * @param message - What was called, and what came.
+   */
+  constructor(
+    readonly failure: StoreFailure,
+    message: string,
+  ) {
+    super(message);
+  }
+}
--- /dev/null
+++ b/src/gateway/GatewayMetrics.ts
@@ -0,0 +1,118 @@
+import type { Counter, Histogram, Registry } from 'prom-client';
+
+import type { LogEffect } from '../balancing/index.js';
+
+/** Observations kept until the library is loaded; later ones push out the oldest. */
+const MOST_EARLY = 2_000;
+
+/** Bounds of the latency histogram, in seconds: from a fast answer to the longest time allowed. */
+const BUCKETS_S = [0.01, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10];
+
+const MS_PER_SECOND = 1_000;
+
+interface Loaded {
+  readonly registry: Registry;
+  readonly events: Counter;
+  readonly answers: Histogram;
+  readonly storeCalls: Counter;
+  readonly probes: Counter;
+}
+
+interface Observation {
+  readonly seconds: number;
+  readonly route: string;
+}
+
+/** Totals that other parts count themselves. */
+export interface MetricSources {
+  getStoreCalls(): ReadonlyMap<string, number>;
+  getProbes(): number;
+}
+
+async function loadMetrics(): Promise<Loaded> {
+  const prom = await import('prom-client');
+  const registry = new prom.Registry();
+  const registers = [registry];
+  return {
+    registry,
+    events: new prom.Counter({
+      name: 'masticlink_gateway_events_total',
+      help: 'Decisions on requests, targets and the fleet, by event and reason.',
+      labelNames: ['event', 'reason'],
+      registers,
+    }),
+    answers: new prom.Histogram({
+      name: 'masticlink_gateway_answer_seconds',
+      help: 'Time from a request’s head to a target’s answer.',
+      labelNames: ['route'],
+      buckets: BUCKETS_S,
+      registers,
+    }),
+    storeCalls: new prom.Counter({
+      name: 'masticlink_gateway_store_calls_total',
+      help: 'Calls to the platform’s store.',
+      labelNames: ['method', 'section'],
+      registers,
+    }),
+    probes: new prom.Counter({
+      name: 'masticlink_gateway_probes_total',
+      help: 'Probes of targets.',
+      registers,
+    }),
+  };
+}
+
+/**
+ * Counters and histograms. The library takes some 20 ms to load, which a restart on half a core
+ * can't spare, so it is loaded when metrics are first asked for; what was counted before is kept.
+ */
+export class GatewayMetrics {
+  /** @internal */
+  private readonly counts = new Map<string, number>();
+
+  /** @internal */
+  private early: Observation[] = [];
+
+  /** @internal */
+  private loaded: Promise<Loaded> | undefined;
+
+  /** @param sources - Totals that other parts count. */
+  constructor(private readonly sources: MetricSources) {}
+
+  /**
+   * Counts a decision, and the time of an answered request.
+   * @param effect - The decision's log line.
+   */
+  note({ event, fields }: LogEffect): void {
+    const reason = typeof fields.reason === 'string' ? fields.reason : '';
+    const key = `${event} ${reason}`;
+    this.counts.set(key, (this.counts.get(key) ?? 0) + 1);
+    if (event !== 'request.answered') return;
+    this.early.push({
+      seconds: Number(fields.tookMs) / MS_PER_SECOND,
+      route: String(fields.route),
+    });
+    if (this.early.length > MOST_EARLY) this.early.shift();
+  }
+
+  /** All metrics as text, and the type of that text. */
+  async read(): Promise<{ readonly type: string; readonly text: string }> {
+    this.loaded ??= loadMetrics();
+    const { registry, events, answers, storeCalls, probes } = await this.loaded;
+    for (const { seconds, route } of this.early) answers.observe({ route }, seconds);
+    this.early = [];
+    events.reset();
+    for (const [key, count] of this.counts) {
+      const [event, reason] = key.split(' ');
+      events.inc({ event, reason }, count);
+    }
+    storeCalls.reset();
+    for (const [key, count] of this.sources.getStoreCalls()) {
+      const [method, section] = key.split(' ');
+      storeCalls.inc({ method, section }, count);
+    }
+    probes.reset();
+    probes.inc(this.sources.getProbes());
+    return { type: registry.contentType, text: await registry.metrics() };
+  }
+}
--- /dev/null
+++ b/src/gateway/GatewayProcess.ts
@@ -0,0 +1,350 @@
+import type { Server } from 'node:http';
+
+import type { BalancerEffect, BalancerState } from '../balancing/index.js';
+import { createBalancerState } from '../balancing/index.js';
+import type { GatewaySettings } from '../config/index.js';
+import { CallerServer } from '../entry/api/CallerServer.js';
+import { FleetView } from '../fleet/FleetView.js';
+import { Neighbours } from '../fleet/Neighbours.js';
+import { StoreMirror } from '../fleet/StoreMirror.js';
+import type { EventLog } from '../logging/EventLog.js';
+import { ADDRESSES_PATH, ObjectStore, READY_PATH, writeAddresses } from '../platform/index.js';
+import type { CancelTimer, Clock } from '../timing/index.js';
+import { TimerService } from '../timing/index.js';
+import { BalancerLoop } from './BalancerLoop.js';
+import { CallerDoor } from './CallerDoor.js';
+import { GatewayMetrics } from './GatewayMetrics.js';
+import { servePages } from './Pages.js';
+import { Prober } from './Prober.js';
+import { Sendings } from './Sendings.js';
+import { TargetAgents } from './TargetAgents.js';
+
+/** How long callers keep the addresses they are told, in milliseconds, if they may keep them so long. */
+const ADDRESS_TTL_MS = 2_000;
+
+/** Addresses in one answer at the most. */
+const MOST_ADDRESSES = 64;
+
+/** Largest head of a request, in bytes; no configuration so far allows more. */
+const HEADER_BYTES = 32 * 1024;
+
+const MOST_CONNECTIONS = 2_000;
+
+/** Before the end of the grace period, the process ends by itself so much earlier, in ms. */
+const END_MARGIN_MS = 150;
+
+/** After a planned stop began the process stays at least so long, for callers who know it yet. */
+const STOP_LEAST_MS = 3_300;
+
+const POLL_MS = 20;
+
+/** Idle connections live longer than the configured time, in ms: a request may be on its way. */
+const IDLE_MARGIN_MS = 500;
+
+const OK = 200;
+const UNAVAILABLE = 503;
+
+/** What a test may put in place of the process's own. */
+export interface GatewayParts {
+  readonly settings: GatewaySettings;
+  readonly clock: Clock;
+  readonly log: EventLog;
+  random(): number;
+}
+
+/** What every entry VM runs on the platform. */
+export class GatewayProcess {
+  /** What the process knows; for tests and reports, read only. */
+  readonly state: BalancerState;
+
+  /** @internal */
+  private readonly timers: TimerService;
+
+  /** @internal */
+  private readonly view = new FleetView();
+
+  /** @internal */
+  private readonly store: ObjectStore;
+
+  /** @internal */
+  private readonly mirror: StoreMirror;
+
+  /** @internal */
+  private readonly neighbours: Neighbours;
+
+  /** @internal */
+  private readonly loop: BalancerLoop;
+
+  /** @internal */
+  private readonly agents = new TargetAgents();
+
+  /** @internal */
+  private readonly prober: Prober;
+
+  /** @internal */
+  private readonly sendings: Sendings;
+
+  /** @internal */
+  private readonly metrics: GatewayMetrics;
+
+  /** @internal */
+  private readonly wakes = new Map<number, CancelTimer>();
+
+  /** @internal */
+  private readonly pages: Server[] = [];
+
+  /** @internal */
+  private callers: CallerServer | undefined;
+
+  /** @internal */
+  private isStopping = false;
+
+  /** @param parts - Settings, clock, log and chance. */
+  constructor(private readonly parts: GatewayParts) {
+    const { settings, clock, log, random } = parts;
+    this.state = createBalancerState(settings.balancing);
+    this.timers = new TimerService(clock);
+    this.store = new ObjectStore(settings.storeAddress, (section, name, reason) =>
+      log.write('store.unreadable', { section, name, reason }),
+    );
+    this.mirror = new StoreMirror({ store: this.store, view: this.view, clock, log, random });
+    const context = {
+      get now() {
+        return clock.now();
+      },
+      random,
+    };
+    this.loop = new BalancerLoop(this.state, context, (effect) => this.run(effect));
+    const { dispatch } = this.loop;
+    this.prober = new Prober(this.agents, clock, ({ target, bornAt }, end) =>
+      dispatch({ kind: 'probeEnded', target, bornAt, end }),
+    );
+    this.sendings = new Sendings(this.agents, clock, dispatch);
+    this.metrics = new GatewayMetrics({
+      getStoreCalls: () => this.store.calls,
+      getProbes: () => this.prober.sent,
+    });
+    this.neighbours = new Neighbours({
+      self: settings.self,
+      listen: settings.listen.peers,
+      clock,
+      log,
+      isReady: () => this.isReady,
+      onChange: () => this.tellVms(),
+    });
+  }
+
+  /** Starts to listen and to follow the store; resolves once callers can connect. */
+  async start(): Promise<void> {
+    const { settings, log, clock } = this.parts;
+    this.view.onChange((section) => this.takeSection(section));
+    this.mirror.start();
+    await this.listen();
+    this.neighbours.start(this.timers);
+    this.announce();
+    const { self } = settings;
+    log.write('process.started', { ...self, storeAddress: settings.storeAddress, at: clock.now() });
+  }
+
+  /** Whether this VM takes callers. */
+  get isReady(): boolean {
+    return !this.isStopping && this.view.table !== undefined && this.view.targets.size > 0;
+  }
+
+  /** A planned stop: callers are told of other VMs, what is here is ended. Resolves at the end. */
+  async stop(): Promise<void> {
+    if (this.isStopping) return;
+    const { clock, log, settings } = this.parts;
+    const startedAt = clock.now();
+    this.isStopping = true;
+    log.write('process.stopping', { requests: this.sendings.size });
+    this.loop.dispatch({ kind: 'stopAsked' });
+    this.callers?.endKeepAlive();
+    this.neighbours.leave();
+    this.store
+      .withdraw(settings.self.name)
+      .catch((err: Error) =>
+        log.write('store.callFailed', { section: 'vms', message: err.message }),
+      );
+    const endsAt = startedAt + settings.graceMs - END_MARGIN_MS;
+    const leastAt = Math.min(startedAt + STOP_LEAST_MS, endsAt);
+    while (clock.now() < leastAt || (this.sendings.size > 0 && clock.now() < endsAt)) {
+      await new Promise<void>((resolve) => {
+        clock.after(POLL_MS, resolve);
+      });
+    }
+    log.write('process.stopped', { requests: this.sendings.size });
+  }
+
+  /** Ends everything at once. */
+  close(): void {
+    this.timers.stop();
+    this.mirror.stop();
+    this.neighbours.stop();
+    for (const cancel of this.wakes.values()) cancel();
+    for (const server of this.pages) server.close();
+    this.callers?.destroy();
+    this.agents.destroy();
+    this.store.close();
+  }
+
+  /**
+   * Takes settings that have changed.
+   * @param settings - The new ones.
+   */
+  reload(settings: GatewaySettings): void {
+    this.store.moveTo(settings.storeAddress);
+    this.parts.log.write('process.reloaded', { storeAddress: settings.storeAddress });
+  }
+
+  /** @internal */
+  private async listen(): Promise<void> {
+    const { listen } = this.parts.settings;
+    const { clock, sendings } = { clock: this.parts.clock, sendings: this.sendings };
+    const door = new CallerDoor({
+      clock,
+      sendings,
+      dispatch: this.loop.dispatch,
+      isStopping: () => this.isStopping,
+      getLimits: () => this.view.table?.limits,
+    });
+    this.callers = await CallerServer.listen({
+      listen: listen.callers,
+      headerBytes: HEADER_BYTES,
+      maxConnections: MOST_CONNECTIONS,
+    });
+    this.callers.handle = (req, res, awaitsContinue) => door.accept(req, res, awaitsContinue);
+    this.pages.push(
+      await servePages(listen.readiness, {
+        [READY_PATH]: (_req, res) => res.writeHead(this.isReady ? OK : UNAVAILABLE).end(),
+      }),
+      await servePages(listen.addresses, {
+        [ADDRESSES_PATH]: (_req, res) => {
+          res.writeHead(OK, { 'Content-Type': 'application/json' });
+          res.end(this.writeAddresses());
+        },
+      }),
+      await servePages(listen.metrics, {
+        '/metrics': (_req, res) => {
+          this.metrics
+            .read()
+            .then(({ type, text }) => res.writeHead(OK, { 'Content-Type': type }).end(text))
+            .catch((err: Error) => {
+              this.parts.log.write('metrics.failed', { message: err.message });
+              res.writeHead(UNAVAILABLE).end();
+            });
+        },
+      }),
+    );
+  }
+
+  /** @internal */
+  private writeAddresses(): string {
+    const { self, addressTtlMostMs } = this.parts.settings;
+    const others = this.neighbours.getReady().map(({ callers }) => callers);
+    // A VM that is stopping names itself only if it knows of no other.
+    const own = this.isStopping && others.length > 0 ? [] : [self.callers];
+    const ttlMs = Math.min(ADDRESS_TTL_MS, addressTtlMostMs);
+    return writeAddresses([...own, ...others].slice(0, MOST_ADDRESSES), ttlMs);
+  }
+
+  /** @internal */
+  private announce(): void {
+    const { settings, clock, log } = this.parts;
+    const { self } = settings;
+    this.store.announce(self).catch((err: Error) => {
+      log.write('store.callFailed', { section: 'vms', message: err.message });
+      if (!this.isStopping) clock.after(500 + 500 * this.parts.random(), () => this.announce());
+    });
+  }
+
+  /** @internal */
+  private takeSection(section: 'configuration' | 'targets' | 'zonesOut' | 'vms'): void {
+    const { dispatch } = this.loop;
+    const { view } = this;
+    switch (section) {
+      case 'configuration':
+        if (view.table !== undefined) {
+          dispatch({ kind: 'tableRead', table: view.table });
+          this.applyLimits();
+        }
+        break;
+      case 'targets':
+        dispatch({ kind: 'targetsRead', targets: [...view.targets.values()] });
+        this.agents.keepOnly(new Set(view.targets.keys()));
+        break;
+      case 'zonesOut':
+        dispatch({ kind: 'zonesOutRead', zones: [...view.zonesOut] });
+        break;
+      default:
+        this.neighbours.update(view.vms.values());
+        this.tellVms();
+    }
+  }
+
+  /** @internal */
+  private applyLimits(): void {
+    const { table, vms } = this.view;
+    if (table === undefined) return;
+    this.callers?.setIdleTimeout(table.limits.idleTimeoutMs + IDLE_MARGIN_MS);
+    const connections = table.services.map(({ maxConnections }) => maxConnections);
+    this.agents.limits = { maxConnections: Math.min(...connections), vms: Math.max(1, vms.size) };
+  }
+
+  /** @internal */
+  private tellVms(): void {
+    const down = new Set(this.neighbours.getDown());
+    const { self } = this.parts.settings;
+    const names = new Set([...this.view.vms.keys(), self.name]);
+    const vms = [...names].filter((name) => !down.has(name)).sort();
+    this.loop.dispatch({ kind: 'vmsChanged', vms });
+    this.applyLimits();
+  }
+
+  /** @internal */
+  private run(effect: BalancerEffect): void {
+    const { sendings } = this;
+    switch (effect.kind) {
+      case 'probe':
+        this.prober.probe(effect.to, effect.path);
+        break;
+      case 'sendAttempt':
+        sendings.send(effect);
+        break;
+      case 'cancelAttempt':
+        sendings.cancel(effect.attempt);
+        break;
+      case 'deliver':
+        this.cancelWake(effect.request);
+        sendings.deliver(effect.request, effect.attempt);
+        break;
+      case 'answer':
+        this.cancelWake(effect.request);
+        sendings.answer(effect.request, effect.status, effect.reason, effect.retryAfterMs);
+        break;
+      case 'wake':
+        this.wakeAt(effect.request, effect.at);
+        break;
+      default:
+        this.metrics.note(effect);
+        this.parts.log.write(effect.event, effect.fields);
+    }
+  }
+
+  /** @internal */
+  private wakeAt(request: number, at: number): void {
+    this.cancelWake(request);
+    const delayMs = Math.max(0, at - this.parts.clock.now());
+    const cancel = this.parts.clock.after(delayMs, () => {
+      this.wakes.delete(request);
+      this.loop.dispatch({ kind: 'wakeDue', request });
+    });
+    this.wakes.set(request, cancel);
+  }
+
+  /** @internal */
+  private cancelWake(request: number): void {
+    this.wakes.get(request)?.();
+    this.wakes.delete(request);
+  }
+}
--- /dev/null
+++ b/src/platform/ObjectStore.ts
@@ -0,0 +1,223 @@
+import type { IncomingMessage } from 'node:http';
+import { Agent, request } from 'node:http';
+
+import type { VmEntry } from '../balancing/index.js';
+import type {
+  FleetStore,
+  Section,
+  SectionItems,
+  SectionValues,
+  StoredItem,
+  WatchAnswer,
+} from '../fleet/FleetStore.js';
+import { StoreCallError } from '../fleet/FleetStore.js';
+import { DecodeError, decodeRoutingTable, decodeTarget, decodeVm } from './decode.js';
+
+const PATH = '/masticlink/objects';
+
+/** A call is given up after this time, on top of what a watch waits, in milliseconds. */
+const CALL_TIMEOUT_MS = 800;
+
+const CREATED = 201;
+const OK = 200;
+const NOT_FOUND = 404;
+const CONFLICT = 409;
+const GONE = 410;
+const TOO_MANY = 429;
+const UNAVAILABLE = 503;
+
+/** A stored object as it comes. */
+interface StoredObject {
+  readonly metadata: { readonly name: string; readonly deleting?: boolean };
+  readonly spec?: unknown;
+  readonly status?: unknown;
+}
+
+type Method = 'GET' | 'POST' | 'PUT' | 'DELETE';
+
+interface Answer {
+  readonly status: number;
+  readonly body: Readonly<Record<string, unknown>>;
+}
+
+/** Where a section lies, and how its objects are read. */
+interface SectionCodec<S extends Section> {
+  readonly kind: string;
+  /** Undefined for objects of the kind that are not meant. */
+  decode(object: StoredObject): SectionValues[S] | undefined;
+}
+
+/** What a target writes lies at the top level, in the content or in the status of its object. */
+function joinTarget({ spec, status, ...rest }: StoredObject): unknown {
+  const content = typeof spec === 'object' && spec !== null ? spec : {};
+  return { ...rest, ...content, status: status ?? (content as { status?: unknown }).status };
+}
+
+const CODECS: { readonly [S in Section]: SectionCodec<S> } = {
+  configuration: {
+    kind: 'config',
+    decode: ({ metadata, spec }) =>
+      metadata.name === 'main' ? decodeRoutingTable(spec) : undefined,
+  },
+  targets: {
+    kind: 'servers',
+    decode: (object) => decodeTarget(object.metadata.name, joinTarget(object)),
+  },
+  zonesOut: {
+    kind: 'evacuations',
+    decode: ({ metadata }) => (metadata.deleting === true ? undefined : true),
+  },
+  vms: { kind: 'entry-vms', decode: ({ metadata, spec }) => decodeVm(metadata.name, spec) },
+};
+
+/** Told of each stored object that can't be read. */
+export type UnreadableHandler = (section: Section, name: string, reason: string) => void;
+
+function unexpected(call: string, section: Section, status: number): StoreCallError {
+  return new StoreCallError('protocol', `${call} of ${section} was answered with ${status}`);
+}
+
+async function readAnswer(res: IncomingMessage, call: string): Promise<Answer> {
+  const chunks: Buffer[] = [];
+  try {
+    for await (const chunk of res) chunks.push(chunk as Buffer);
+  } catch (err) {
+    throw new StoreCallError('unknown', `${call}: ${(err as Error).message}`);
+  }
+  const status = res.statusCode ?? 0;
+  if (status === TOO_MANY) throw new StoreCallError('throttled', `${call}: too many calls`);
+  if (status === UNAVAILABLE) throw new StoreCallError('unavailable', `${call}: unavailable`);
+  const text = Buffer.concat(chunks).toString();
+  try {
+    return { status, body: text === '' ? {} : (JSON.parse(text) as Answer['body']) };
+  } catch {
+    throw new StoreCallError('protocol', `${call}: the answer is no JSON`);
+  }
+}
+
+/** The platform's object store over HTTP/1.1. */
+export class ObjectStore implements FleetStore {
+  /** @internal */
+  private readonly agent = new Agent({ keepAlive: true, maxFreeSockets: 4 });
+
+  /** Calls made so far, by method and section. */
+  readonly calls = new Map<string, number>();
+
+  /**
+   * @param address - IP number and port.
+   * @param onUnreadable - Told of each object that can't be read.
+   */
+  constructor(
+    private address: string,
+    private readonly onUnreadable: UnreadableHandler,
+  ) {}
+
+  /**
+   * Goes on with another address.
+   * @param address - IP number and port.
+   */
+  moveTo(address: string): void {
+    this.address = address;
+  }
+
+  async list<S extends Section>(section: S): Promise<SectionItems<S>> {
+    const items: StoredItem<S>[] = [];
+    let after = '';
+    for (;;) {
+      const query = after === '' ? '' : `?after=${encodeURIComponent(after)}`;
+      const { kind } = CODECS[section];
+      const { status, body } = await this.call('GET', `${PATH}/${kind}${query}`, section);
+      if (status !== OK || !Array.isArray(body.items)) throw unexpected('list', section, status);
+      const objects = body.items as StoredObject[];
+      items.push(...objects.map((object) => this.decode(section, object, false)));
+      if (body.has_more !== true) return { items, revision: Number(body.store_revision) };
+      after = objects[objects.length - 1].metadata.name;
+    }
+  }
+
+  async watch<S extends Section>(
+    section: S,
+    revision: number,
+    waitMs: number,
+  ): Promise<WatchAnswer<S>> {
+    const { kind } = CODECS[section];
+    const path = `${PATH}/${kind}?watch=${revision}&wait_ms=${waitMs}`;
+    const { status, body } = await this.call('GET', path, section, undefined, waitMs);
+    if (status === GONE) return 'historyGone';
+    if (status !== OK || !Array.isArray(body.events)) throw unexpected('watch', section, status);
+    const events = body.events as { object: StoredObject; deleted: boolean }[];
+    const items = events.map(({ object, deleted }) => this.decode(section, object, deleted));
+    return { items, revision: Number(body.store_revision) };
+  }
+
+  async announce(vm: VmEntry): Promise<void> {
+    const { name, ...spec } = vm;
+    const { kind } = CODECS.vms;
+    const object = { metadata: { name }, spec };
+    const created = await this.call('POST', `${PATH}/${kind}`, 'vms', object);
+    if (created.status === OK || created.status === CREATED) return;
+    if (created.status !== CONFLICT) throw unexpected('announce', 'vms', created.status);
+    const replaced = await this.call('PUT', `${PATH}/${kind}/${name}`, 'vms', object);
+    if (replaced.status !== OK) throw unexpected('announce', 'vms', replaced.status);
+  }
+
+  async withdraw(name: string): Promise<void> {
+    const { kind } = CODECS.vms;
+    const { status } = await this.call('DELETE', `${PATH}/${kind}/${name}`, 'vms');
+    if (status !== OK && status !== NOT_FOUND) throw unexpected('withdraw', 'vms', status);
+  }
+
+  /** Ends the connections. */
+  close(): void {
+    this.agent.destroy();
+  }
+
+  /** @internal */
+  private decode<S extends Section>(
+    section: S,
+    object: StoredObject,
+    isGone: boolean,
+  ): StoredItem<S> {
+    const { name } = object.metadata;
+    if (isGone) return { name, value: undefined };
+    try {
+      return { name, value: CODECS[section].decode(object) };
+    } catch (err) {
+      if (!(err instanceof DecodeError)) throw err;
+      this.onUnreadable(section, name, err.message);
+      return { name, value: undefined };
+    }
+  }
+
+  /** @internal */
+  private call(
+    method: Method,
+    path: string,
+    section: Section,
+    body?: unknown,
+    waitMs = 0,
+  ): Promise<Answer> {
+    const counter = `${method} ${section}`;
+    this.calls.set(counter, (this.calls.get(counter) ?? 0) + 1);
+    const [host, port] = this.address.split(':');
+    const text = body === undefined ? undefined : JSON.stringify(body);
+    return new Promise((resolve, reject) => {
+      const fail = (message: string): void =>
+        reject(new StoreCallError('unknown', `${method} ${path}: ${message}`));
+      const headers =
+        text === undefined
+          ? {}
+          : { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(text) };
+      const req = request({ host, port, method, path, headers, agent: this.agent }, (res) => {
+        readAnswer(res, `${method} ${path}`).then(resolve, reject);
+      });
+      const timer = setTimeout(() => {
+        fail('no answer in time');
+        req.destroy();
+      }, waitMs + CALL_TIMEOUT_MS);
+      req.once('error', (err) => fail(err.message));
+      req.once('close', () => clearTimeout(timer));
+      req.end(text);
+    });
+  }
+}
--- /dev/null
+++ b/src/platform/index.ts
@@ -0,0 +1,4 @@
+export { ObjectStore } from './ObjectStore.js';
+export { ADDRESSES_PATH, READY_PATH, writeAddresses } from './pages.js';
+export type { CallerHead, TargetHead } from './requests.js';
+export { readCallerHead, readTargetHead, writeTargetHeaders } from './requests.js';
