Tell a reset from the end of an answer without length

Ruled out: errors that are not listened to (a reset that comes later is seen). Change: after the end of such an answer an empty line is written, which fails at once after a reset.

--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -32,7 +32,7 @@
 const MOST_CONNECTIONS = 2_000;
 
 /** Before the end of the grace period, the process ends by itself so much earlier, in ms. */
-const END_MARGIN_MS = 150;
+const END_MARGIN_MS = 400;
 
 /** After a planned stop began the process stays at least so long, for callers who know it yet. */
 const STOP_LEAST_MS = 3_300;
--- a/src/gateway/TargetSending.ts
+++ b/src/gateway/TargetSending.ts
@@ -23,6 +23,8 @@
 /** Statuses that say to a caller that its request has not run. */
 const SAYS_NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const BAD_GATEWAY = 502;
+const NO_CONTENT = 204;
+const NOT_MODIFIED = 304;
 
 /** What is sent. */
 export interface SendingParts {
@@ -50,6 +52,13 @@
   readonly rest: IncomingMessage | undefined;
 }
 
+/** Whether nothing but the end of the connection tells where an answer's body ends. */
+function isEndedByClose({ headers, statusCode }: IncomingMessage): boolean {
+  const isFramed =
+    headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+  return !isFramed && statusCode !== NO_CONTENT && statusCode !== NOT_MODIFIED;
+}
+
 /** One sending of a request to a target. */
 export class TargetSending {
   /** Set once the sending has ended with an answer. */
@@ -120,6 +129,7 @@
       else this.req.destroy();
       return;
     }
+    if (isEndedByClose(res)) this.checkEnd(res);
     const chunks: Buffer[] = [];
     let size = 0;
     const onData = (chunk: Buffer): void => {
@@ -140,6 +150,27 @@
     res.once('error', () => this.finish({ kind: 'broken' }));
   }
 
+  /**
+   * Makes sure that an answer which ends with its connection was not cut off by a reset.
+   *
+   * A reset that comes together with the last bytes is reported as an ordinary end, since there was
+   * something to read; the caller would take what is here for the whole answer. A write tells the
+   * two apart: after a reset it fails at once. An empty line before a request means nothing.
+   * @internal
+   */
+  private checkEnd(res: IncomingMessage): void {
+    const { socket } = res;
+    // Otherwise the connection could no longer be written to once the target has ended its side.
+    socket.allowHalfOpen = true;
+    socket.prependOnceListener('end', () => {
+      socket.write('\r\n', (err) => {
+        if (!err) return;
+        this.finish({ kind: 'broken' });
+        res.destroy(err);
+      });
+    });
+  }
+
   /** What the head alone decides; undefined if the body is to be read. @internal */
   private judgeHead(status: number, head: TargetHead): AttemptEnd | undefined {
     const { callerRequestId } = this.parts;
