Leave slots to requests that can still meet their objective

Cause: callers who came back late took the same slots as those still in time. Change: late requests fill half of the undisturbed slots, and are refused sooner.

--- a/src/balancing/admission.ts
+++ b/src/balancing/admission.ts
@@ -31,13 +31,13 @@
   workMs: number,
   now: number,
 ): boolean {
-  const { place, likelyMs, gainsByLast } = expected;
+  const { place, likelyMs, gainsByLast, isRoomy } = expected;
   if (place === 'queued') return false;
   const lateMs = now - getLateAt(journey, workMs);
   const isOpen = place === 'free' || gainsByLast;
   if (lateMs < 0) return isOpen && now + likelyMs <= journey.dueAt;
-  if (lateMs > LATE_PICKY_MS) return isOpen;
-  return place === 'free' && (record.reading?.slowdown ?? 1) <= GOOD_SLOWDOWN;
+  if (!isRoomy) return false;
+  return lateMs > LATE_PICKY_MS || (record.reading?.slowdown ?? 1) <= GOOD_SLOWDOWN;
 }
 
 /**
--- a/src/balancing/expectedTime.ts
+++ b/src/balancing/expectedTime.ts
@@ -4,6 +4,7 @@
   FAILURE_COST_OBJECTIVES,
   KNEE_SHARE,
   KNEE_SLOWDOWN,
+  LATE_SLOT_SHARE,
   SLOWDOWN_WEIGHT,
 } from './settings.js';
 import type { TargetRecord } from './TargetRecord.js';
@@ -27,6 +28,8 @@
   /** The same with what its failures cost the caller. */
   readonly costMs: number;
   readonly place: Place;
+  /** Whether the target leaves enough slots to those that can still meet their objective. */
+  readonly isRoomy: boolean;
   /** Whether the target gets more done with its last slots filled than without. */
   readonly gainsByLast: boolean;
 }
@@ -69,6 +72,7 @@
     likelyMs,
     costMs: likelyMs + failureMs,
     place,
+    isRoomy: busy <= Math.max(1, Math.floor(freeSlots * LATE_SLOT_SHARE)),
     gainsByLast: slots / KNEE_SLOWDOWN > freeSlots,
   };
 }
--- a/src/balancing/settings.ts
+++ b/src/balancing/settings.ts
@@ -34,14 +34,20 @@
 /** The same for a request that misses its objective anyway, in milliseconds. */
 export const LATE_ROUND_PAUSE_MS = 80;
 
+/**
+ * Part of the slots on which work is not slowed down that requests which miss their objective anyway
+ * may fill; the rest is kept for those that can still meet it.
+ */
+export const LATE_SLOT_SHARE = 0.5;
+
 /**
  * A request that misses its objective anyway waits so long for a target that is neither slow nor
  * nearly full, in milliseconds; after that any target with a free slot will do.
  */
-export const LATE_PICKY_MS = 300;
+export const LATE_PICKY_MS = 150;
 
 /** It is refused if it has found none after so long, in milliseconds. */
-export const LATE_HOLD_MS = 600;
+export const LATE_HOLD_MS = 300;
 
 /**
  * Part of a target's slots beyond which work that starts there takes longer, and how much. Measured:
