--- a/src/balancing/settings.ts
+++ b/src/balancing/settings.ts
@@ -34,6 +34,12 @@
 /** The same for a request that misses its objective anyway, in milliseconds. */
 export const LATE_ROUND_PAUSE_MS = 80;
 
+/**
+ * A request takes a target's last slots after it has waited so long for others, in milliseconds, if
+ * it meets its objective there: to look on would cost more probes than the slots are worth.
+ */
+export const LAST_SLOTS_AFTER_MS = 40;
+
 /**
  * Part of the slots on which work is not slowed down that requests which miss their objective anyway
  * may fill; the rest is kept for those that can still meet it.
