--- a/src/balancing/candidates.ts
+++ b/src/balancing/candidates.ts
@@ -1,3 +1,4 @@
+import type { ZoneName } from '../core/model/index.js';
 import type { BalancerContext, BalancerState } from './BalancerState.js';
 import { isAdmitted } from './admission.js';
 import { getColdOwners } from './ColdAllowance.js';
@@ -8,6 +9,15 @@
 import type { TargetRecord } from './TargetRecord.js';
 import { getScores } from './TargetRecord.js';
 
+/**
+ * A target of this VM's own availability zone is drawn so many times as often as another: bytes
+ * between zones are paid for, and the way is shorter.
+ */
+const OWN_ZONE_WEIGHT = 3;
+
+/** A target that failed always is drawn so many times less often, and once more, than one that did not. */
+const FAILURE_AVERSION = 8;
+
 /** A target that a request may go to now. */
 export interface Candidate {
   readonly record: TargetRecord;
@@ -86,18 +96,21 @@
  * Draws targets to probe: any of the usable ones, those that failed or were slow lately less often.
  * @param usable - Targets that may be sent to.
  * @param count - How many to draw.
+ * @param zone - Availability zone of this VM; its targets are drawn more often.
  * @param context - Time and chance.
  */
 export function drawTargets(
   usable: readonly TargetRecord[],
   count: number,
+  zone: ZoneName,
   context: BalancerContext,
 ): TargetRecord[] {
   if (usable.length <= count) return [...usable];
   return usable
     .map((record) => {
       const { failures, slowness } = getScores(record, context.now);
-      const weight = 1 / ((1 + 8 * failures) * Math.max(1, slowness));
+      const near = record.entry.zone === zone ? OWN_ZONE_WEIGHT : 1;
+      const weight = near / ((1 + FAILURE_AVERSION * failures) * Math.max(1, slowness));
       return { record, key: context.random() ** (1 / weight) };
     })
     .sort((a, b) => b.key - a.key)
--- a/src/balancing/placing.ts
+++ b/src/balancing/placing.ts
@@ -44,7 +44,7 @@
   const round = { startedAt: now, waitingFor: new Set<string>() };
   journey.round = round;
   const effects: BalancerEffect[] = [];
-  const drawn = drawTargets(usable, PROBES_PER_ROUND, context);
+  const drawn = drawTargets(usable, PROBES_PER_ROUND, state.settings.zone, context);
   const stale = drawn.filter(
     ({ reading, probeSentAt }) =>
       probeSentAt === undefined && (reading === undefined || now - reading.at > READING_FRESH_MS),
--- a/src/balancing/settings.ts
+++ b/src/balancing/settings.ts
@@ -1,9 +1,12 @@
+import type { ZoneName } from '../core/model/index.js';
 import type { ColdBound } from './ColdAllowance.js';
 import type { RetryBudgetOptions } from './RetryBudget.js';
 
 /** Bounds that hold for all entry VMs together, from the settings file. */
 export interface BalancingSettings {
   readonly vm: string;
+  /** Availability zone of this VM. */
+  readonly zone: ZoneName;
   readonly retries: RetryBudgetOptions;
   readonly cold: ColdBound;
   /** Probes a second that one target may get from all entry VMs together. */
--- a/src/config/readGatewaySettings.ts
+++ b/src/config/readGatewaySettings.ts
@@ -27,6 +27,7 @@
       .map((host) => formatAddress({ host, port: listen.peers.port })),
     balancing: {
       vm: process.vm,
+      zone: process.zone,
       retries: {
         ratio: bounds['retry-ratio'],
         windowMs: bounds['retry-window'],
--- a/src/gateway/TargetAgent.ts
+++ b/src/gateway/TargetAgent.ts
@@ -4,7 +4,7 @@
 import type { Duplex } from 'node:stream';
 
 /** A connection idle for longer is not used again, in milliseconds: targets close theirs soon. */
-const IDLE_MOST_MS = 4_000;
+const IDLE_MOST_MS = 8_000;
 
 /** Idle connections that are kept to one target. */
 const IDLE_MOST = 8;
--- a/src/tests/balancing/scene.ts
+++ b/src/tests/balancing/scene.ts
@@ -61,6 +61,7 @@
   constructor(targets: readonly TargetEntry[], routes: readonly Route[] = [ROUTE], vm = 'vm-1') {
     this.state = createBalancerState({
       vm,
+      zone: 'quai',
       retries: { ratio: 0.2, windowMs: 10_000, slack: 60 },
       cold: { perSecond: 1.5, slack: 5 },
       probesPerTargetAndSecond: 60,
