Probe three preferred targets first, more if none is good

Cause: probes and bytes between zones are paid for, and each VM kept connections to all targets, which at the grown sizes is 142 times 181 of them. Change: a target with few requests is as good as an idle one (work takes no longer up to the last slots, measured), so the first good of three ends the search. The test of a cold target's owners looks three rounds on, since the first round no longer takes what is not good; its check is the same.

--- a/src/balancing/BalancerState.ts
+++ b/src/balancing/BalancerState.ts
@@ -23,7 +23,7 @@
   table: RoutingTable | undefined;
   services: ReadonlyMap<ServiceName, ServiceRules>;
   readonly targets: Map<TargetId, TargetRecord>;
-  /** The same records by service. */
+  /** The same records by service, those that this VM prefers first. */
   byService: ReadonlyMap<ServiceName, readonly TargetRecord[]>;
   zonesOut: ReadonlySet<ZoneName>;
   /** Entry VMs that are up, this one among them. */
--- a/src/balancing/Journey.ts
+++ b/src/balancing/Journey.ts
@@ -37,6 +37,8 @@
   /** When the caller gives up by itself; monotonic milliseconds. */
   readonly callerLeavesAt: number;
   round: ProbeRound | undefined;
+  /** Rounds of probes begun so far. */
+  rounds: number;
   /** No further round before this time, unless a probe answers. */
   nextRoundAt: number;
   readonly sendings: Set<Sending>;
--- a/src/balancing/candidates.ts
+++ b/src/balancing/candidates.ts
@@ -1,4 +1,3 @@
-import type { ZoneName } from '../core/model/index.js';
 import type { BalancerContext, BalancerState } from './BalancerState.js';
 import { isAdmitted } from './admission.js';
 import { getColdOwners } from './ColdAllowance.js';
@@ -9,11 +8,8 @@
 import type { TargetRecord } from './TargetRecord.js';
 import { getScores } from './TargetRecord.js';
 
-/**
- * A target of this VM's own availability zone is drawn so many times as often as another: bytes
- * between zones are paid for, and the way is shorter.
- */
-const OWN_ZONE_WEIGHT = 3;
+/** A target whose moving average of failures is below this one counts as sound. */
+const SOUND_FAILURES = 0.1;
 
 /** A target that failed always is drawn so many times less often, and once more, than one that did not. */
 const FAILURE_AVERSION = 8;
@@ -51,13 +47,13 @@
   return !state.cold.has(id, perSecond, now);
 }
 
+/** Work takes no longer on a target with some requests than on an idle one, up to the last slots. */
 function isGood(record: TargetRecord, expected: Expectation, now: number): boolean {
   const { reading } = record;
   if (expected.place !== 'free' || reading === undefined || record.coldUntil > now) return false;
   const { failures, slowness } = getScores(record, now);
-  const busy = reading.running + record.sentSinceReading;
-  const isSound = reading.isHealthy && failures < 0.1 && slowness < GOOD_SLOWDOWN;
-  return isSound && busy === 0 && reading.slowdown <= GOOD_SLOWDOWN;
+  const isSound = reading.isHealthy && failures < SOUND_FAILURES && slowness < GOOD_SLOWDOWN;
+  return isSound && expected.isRoomy && reading.slowdown <= GOOD_SLOWDOWN;
 }
 
 /**
@@ -93,24 +89,21 @@
 }
 
 /**
- * Draws targets to probe: any of the usable ones, those that failed or were slow lately less often.
- * @param usable - Targets that may be sent to.
+ * Draws targets to probe, those that failed or were slow lately less often.
+ * @param pool - Targets that may be sent to.
  * @param count - How many to draw.
- * @param zone - Availability zone of this VM; its targets are drawn more often.
  * @param context - Time and chance.
  */
 export function drawTargets(
-  usable: readonly TargetRecord[],
+  pool: readonly TargetRecord[],
   count: number,
-  zone: ZoneName,
   context: BalancerContext,
 ): TargetRecord[] {
-  if (usable.length <= count) return [...usable];
-  return usable
+  if (pool.length <= count) return [...pool];
+  return pool
     .map((record) => {
       const { failures, slowness } = getScores(record, context.now);
-      const near = record.entry.zone === zone ? OWN_ZONE_WEIGHT : 1;
-      const weight = near / ((1 + FAILURE_AVERSION * failures) * Math.max(1, slowness));
+      const weight = 1 / ((1 + FAILURE_AVERSION * failures) * Math.max(1, slowness));
       return { record, key: context.random() ** (1 / weight) };
     })
     .sort((a, b) => b.key - a.key)
--- a/src/balancing/fleetHandlers.ts
+++ b/src/balancing/fleetHandlers.ts
@@ -4,6 +4,7 @@
 import type { ProbeEnded, TableRead, TargetsRead, VmsChanged, ZonesOutRead } from './events.js';
 import type { TargetEntry } from './model.js';
 import { place } from './placing.js';
+import { sortByPreference } from './preference.js';
 import { markDead } from './requestHandlers.js';
 import type { TargetRecord } from './TargetRecord.js';
 import { createTargetRecord, noteOutcome } from './TargetRecord.js';
@@ -78,7 +79,11 @@
     effects.push(logTarget('target.removed', record.entry));
   }
   for (const entry of targets) effects.push(...takeEntry(state, entry, context.now));
-  state.byService = groupByService(state.targets.values());
+  const { vm, zone } = state.settings;
+  const groups = groupByService(state.targets.values());
+  state.byService = new Map(
+    [...groups].map(([service, group]) => [service, sortByPreference(group, vm, zone)]),
+  );
   state.cold.keepOnly(state.targets);
   return effects;
 }
--- a/src/balancing/placing.ts
+++ b/src/balancing/placing.ts
@@ -6,13 +6,16 @@
 import { answerRefused, endRound } from './endings.js';
 import type { Journey, ProbeRound, Sending } from './Journey.js';
 import {
+  FIRST_PROBES,
+  FURTHER_PROBES,
   HEDGE_AFTER,
   HEDGE_GAIN,
   HEDGE_MIN_MS,
   LATE_ROUND_PAUSE_MS,
   PROBE_ROUND_MS,
   PROBE_TIMEOUT_MS,
-  PROBES_PER_ROUND,
+  PREFERRED_ROUNDS,
+  PREFERRED_TARGETS,
   READING_FRESH_MS,
   READING_USABLE_MS,
   ROUND_PAUSE_MS,
@@ -44,7 +47,10 @@
   const round = { startedAt: now, waitingFor: new Set<string>() };
   journey.round = round;
   const effects: BalancerEffect[] = [];
-  const drawn = drawTargets(usable, PROBES_PER_ROUND, state.settings.zone, context);
+  const isFirst = journey.rounds === 0;
+  const pool = journey.rounds < PREFERRED_ROUNDS ? usable.slice(0, PREFERRED_TARGETS) : usable;
+  journey.rounds += 1;
+  const drawn = drawTargets(pool, isFirst ? FIRST_PROBES : FURTHER_PROBES, context);
   const stale = drawn.filter(
     ({ reading, probeSentAt }) =>
       probeSentAt === undefined && (reading === undefined || now - reading.at > READING_FRESH_MS),
@@ -162,6 +168,8 @@
 ): Candidate | undefined {
   const best = findBest(state, journey, context);
   if (best?.isGood === true) return best;
+  // What the first few targets have is taken only if it could not be better.
+  if (journey.rounds < 2 && journey.sendings.size === 0) return undefined;
   return isRoundEnded ? (best ?? chooseBlindly(state, journey, context)) : undefined;
 }
 
@@ -203,6 +211,13 @@
   return startRound(state, journey, usable, context);
 }
 
+/** Time until the next look for a target, in milliseconds; the second follows the first at once. */
+function getPause(state: BalancerState, journey: Journey, now: number): number {
+  if (journey.rounds < 2) return 0;
+  const isLate = now >= getLateAt(journey, state.work.get(journey.route));
+  return isLate ? LATE_ROUND_PAUSE_MS : ROUND_PAUSE_MS;
+}
+
 /**
  * Looks for a target for a request that is at none, or for its second sending.
  * @param state - What is known.
@@ -228,8 +243,7 @@
     if (journey.sendings.size > 0) {
       return [{ kind: 'wake', request: journey.request, at: getNextWake(journey) }];
     }
-    const isLate = now >= getLateAt(journey, state.work.get(journey.route));
-    journey.nextRoundAt = now + (isLate ? LATE_ROUND_PAUSE_MS : ROUND_PAUSE_MS);
+    journey.nextRoundAt = now + getPause(state, journey, now);
   }
   if (now < journey.nextRoundAt) {
     return [{ kind: 'wake', request: journey.request, at: journey.nextRoundAt }];
--- a/src/balancing/requestHandlers.ts
+++ b/src/balancing/requestHandlers.ts
@@ -61,6 +61,7 @@
     deadlineAt: event.arrivedAt + allowedMs,
     callerLeavesAt: event.arrivedAt + (event.allowedMs ?? route.timeoutMs),
     round: undefined,
+    rounds: 0,
     nextRoundAt: 0,
     sendings: new Set(),
     tried: new Set(),
--- a/src/balancing/settings.ts
+++ b/src/balancing/settings.ts
@@ -28,8 +28,16 @@
 /** A target that has not answered a probe for so long is taken for silent, in milliseconds. */
 export const PROBE_TIMEOUT_MS = 300;
 
-/** Targets probed for one request. */
-export const PROBES_PER_ROUND = 6;
+/**
+ * Targets probed for one request at first, and in each further round. Where load is calm one of
+ * three is nearly always as good as idle; each probe is paid for, and takes a connection.
+ */
+export const FIRST_PROBES = 3;
+export const FURTHER_PROBES = 5;
+
+/** The first two rounds look among so many targets that this VM prefers, later ones among all. */
+export const PREFERRED_TARGETS = 8;
+export const PREFERRED_ROUNDS = 2;
 
 /** Time between two rounds for one request that found no free slot, in milliseconds. */
 export const ROUND_PAUSE_MS = 25;
--- a/src/tests/balancing/bounds.test.ts
+++ b/src/tests/balancing/bounds.test.ts
@@ -81,8 +81,10 @@
     const scene = new Scene([makeTarget('t-1')], [ROUTE], vm);
     scene.dispatch({ kind: 'vmsChanged', vms });
     scene.arrive();
-    scene.answerProbes(() => 0, 2_000);
-    scene.wait(15, 1);
+    for (let round = 0; round < 3; round++) {
+      scene.answerProbes(() => 0, 2_000);
+      scene.wait(15, 1);
+    }
     t.is(scene.all('sendAttempt').length, owners.includes(vm) ? 1 : 0, vm);
   }
 });
