--- a/src/balancing/placing.ts
+++ b/src/balancing/placing.ts
@@ -23,6 +23,9 @@
 import type { TargetRecord } from './TargetRecord.js';
 import { getScores } from './TargetRecord.js';
 
+/** Least time between two looks where nothing was asked, in milliseconds. */
+const LEAST_PAUSE_MS = 5;
+
 /** Least time that a target is given, in milliseconds; with less the answer can't come back. */
 const LEAST_ALLOWED_MS = 10;
 
@@ -193,6 +196,32 @@
   );
 }
 
+/** Time until the next look for a target, in milliseconds; the second follows the first at once. */
+function getPause(state: BalancerState, journey: Journey, now: number): number {
+  if (journey.rounds < 2) return 0;
+  const isLate = now >= getLateAt(journey, state.work.get(journey.route));
+  return isLate ? LATE_ROUND_PAUSE_MS : ROUND_PAUSE_MS;
+}
+
+/** Places a request by what is known without a further probe, or has it look again later. */
+function placeKnown(
+  state: BalancerState,
+  journey: Journey,
+  context: BalancerContext,
+): BalancerEffect[] {
+  const { now } = context;
+  const best = chooseNow(state, journey, context, true);
+  if (best !== undefined && isWorthSending(journey, best, now)) {
+    return send(state, journey, best, context);
+  }
+  endRound(state, journey);
+  if (journey.sendings.size > 0) {
+    return [{ kind: 'wake', request: journey.request, at: getNextWake(journey) }];
+  }
+  journey.nextRoundAt = now + Math.max(LEAST_PAUSE_MS, getPause(state, journey, now));
+  return [{ kind: 'wake', request: journey.request, at: journey.nextRoundAt }];
+}
+
 function lookAgain(
   state: BalancerState,
   journey: Journey,
@@ -208,14 +237,10 @@
   ) {
     return answerRefused(state, journey, hopeless ? 'noTarget' : 'overloaded', context);
   }
-  return startRound(state, journey, usable, context);
-}
-
-/** Time until the next look for a target, in milliseconds; the second follows the first at once. */
-function getPause(state: BalancerState, journey: Journey, now: number): number {
-  if (journey.rounds < 2) return 0;
-  const isLate = now >= getLateAt(journey, state.work.get(journey.route));
-  return isLate ? LATE_ROUND_PAUSE_MS : ROUND_PAUSE_MS;
+  const effects = startRound(state, journey, usable, context);
+  // All that would be asked was asked a moment ago, for this request or another.
+  const isKnown = journey.round?.waitingFor.size === 0;
+  return isKnown ? [...effects, ...placeKnown(state, journey, context)] : effects;
 }
 
 /**
