--- a/src/balancing/Journey.ts
+++ b/src/balancing/Journey.ts
@@ -25,6 +25,8 @@
 /** A request's way from its arrival to its answer. */
 export interface Journey {
   readonly request: RequestId;
+  /** Id that the caller gave it. */
+  readonly callerRequestId: string | undefined;
   readonly route: Route;
   readonly service: ServiceName;
   readonly arrivedAt: number;
--- a/src/balancing/events.ts
+++ b/src/balancing/events.ts
@@ -5,6 +5,8 @@
 export interface RequestArrived {
   readonly kind: 'requestArrived';
   readonly request: RequestId;
+  /** Id that the caller gave it, by which it is found in the log; undefined if it gave none. */
+  readonly callerRequestId: string | undefined;
   readonly host: string;
   /** Path with its query. */
   readonly path: string;
--- a/src/balancing/placing.ts
+++ b/src/balancing/placing.ts
@@ -125,7 +125,7 @@
       kind: 'log',
       event: 'request.sent',
       fields: {
-        request: journey.request,
+        id: journey.callerRequestId,
         attempt: sending.attempt,
         target: id,
         expectedMs: Math.round(expected.readMs),
--- a/src/balancing/requestHandlers.ts
+++ b/src/balancing/requestHandlers.ts
@@ -18,13 +18,13 @@
   reason: 'notConfigured' | 'noRoute' | 'stopping',
   retryAfterMs?: number,
 ): BalancerEffect[] {
-  const { request, host, path } = event;
+  const { request, callerRequestId: id, host, path } = event;
   return [
     { kind: 'answer', request, status, reason, retryAfterMs },
     {
       kind: 'log',
       event: 'request.refused',
-      fields: { request, status, reason, host, path, retryAfterMs },
+      fields: { id, status, reason, host, path, retryAfterMs },
     },
   ];
 }
@@ -53,6 +53,7 @@
     event.allowedMs === undefined ? 0 : state.callerTimes.note(route.name, event.allowedMs);
   const journey: Journey = {
     request: event.request,
+    callerRequestId: event.callerRequestId,
     route,
     service: pickService(route.services, context.random()),
     arrivedAt: event.arrivedAt,
@@ -89,7 +90,7 @@
     {
       kind: 'log',
       event: 'request.callerLeft',
-      fields: { request: event.request, route: journey.route.name, tookMs, tried },
+      fields: { id: journey.callerRequestId, route: journey.route.name, tookMs, tried },
     },
   ];
 }
@@ -166,7 +167,7 @@
       kind: 'log',
       event: 'request.answered',
       fields: {
-        request,
+        id: journey.callerRequestId,
         status,
         route: route.name,
         target: sending.target.entry.id,
@@ -213,7 +214,7 @@
     kind: 'log',
     event: 'attempt.failed',
     fields: {
-      request: journey.request,
+      id: journey.callerRequestId,
       attempt: event.attempt,
       target: sending.target.entry.id,
       end: end.kind,
--- a/src/gateway/CallerDoor.ts
+++ b/src/gateway/CallerDoor.ts
@@ -90,6 +90,7 @@
     dispatch({
       kind: 'requestArrived',
       request,
+      callerRequestId: exchange.callerRequestId,
       host: req.headers.host ?? '',
       path: req.url ?? '/',
       allowedMs,
--- a/src/tests/balancing/scene.ts
+++ b/src/tests/balancing/scene.ts
@@ -85,6 +85,7 @@
     this.dispatch({
       kind: 'requestArrived',
       request: this.lastRequest,
+      callerRequestId: `r-${this.lastRequest}`,
       host: 'door.example',
       path,
       allowedMs,
--- /dev/null
+++ b/src/tests/report/explainRequest.test.ts
@@ -0,0 +1,103 @@
+import test from 'ava';
+
+import { explainRequest } from '../../report/explainRequest.js';
+
+function line(vm: string, at: number, event: string, fields: Record<string, unknown>): string {
+  const time = new Date(Date.UTC(2026, 0, 1) + at).toISOString();
+  return JSON.stringify({ time, vm, event, ...fields });
+}
+
+const SENT = {
+  running: 1,
+  waiting: 0,
+  slowdown: 1,
+  readingAgeMs: 2,
+  expectedMs: 230,
+  costMs: 230,
+};
+
+test('a request that broke off is followed from its sending to its answer', (t) => {
+  // The target died under a booking. The caller was told 502 and asks why.
+  t.snapshot(
+    explainRequest(
+      [
+        line('vm-1', 0, 'config.adopted', { version: 7, routes: 19 }),
+        line('vm-1', 900, 'target.dead', { target: 't-9', times: 1 }),
+        line('vm-1', 1_000, 'request.sent', { id: 'r-1', attempt: 4, target: 't-2', ...SENT }),
+        line('vm-1', 1_010, 'request.sent', { id: 'r-2', attempt: 5, target: 't-2', ...SENT }),
+        line('vm-1', 1_120, 'target.dead', { target: 't-2', times: 1 }),
+        line('vm-1', 1_130, 'attempt.failed', {
+          id: 'r-1',
+          target: 't-2',
+          end: 'broken',
+          tookMs: 130,
+        }),
+        line('vm-1', 1_130, 'request.failed', {
+          id: 'r-1',
+          status: 502,
+          reason: 'targetFailed',
+          tookMs: 134,
+          rounds: 1,
+          sinceFirstMs: 0,
+        }),
+      ],
+      'r-1',
+    ),
+  );
+});
+
+test('a refusal names what was looked at, how often, and when the caller may come back', (t) => {
+  t.snapshot(
+    explainRequest(
+      [
+        line('vm-3', 0, 'fleet.sourceLost', {
+          source: '10.0.0.1:7200',
+          reason: 'stale',
+          ageMs: 1_300,
+        }),
+        line('vm-3', 500, 'request.refused', {
+          id: 'r-1',
+          status: 503,
+          reason: 'overloaded',
+          tookMs: 410,
+          rounds: 9,
+          sinceFirstMs: 0,
+          retryAfterMs: 700,
+        }),
+      ],
+      'r-1',
+    ),
+  );
+});
+
+test('lines of VMs whose clocks differ are told apart, not mixed', (t) => {
+  // One VM's clock is a day behind. Sorted by time, what it did last would seem to come first.
+  const lines = explainRequest(
+    [
+      line('vm-1', 5_000, 'request.callerLeft', { id: 'r-1', tookMs: 70 }),
+      line('vm-2', -86_400_000, 'request.sent', { id: 'r-1', target: 't-1', ...SENT }),
+      line('vm-2', -86_399_000, 'request.answered', {
+        id: 'r-1',
+        status: 200,
+        target: 't-1',
+        tookMs: 100,
+        expectedMs: 90,
+      }),
+    ],
+    'r-1',
+  );
+  t.deepEqual(
+    lines.map((text) => text.slice(0, 21)),
+    [
+      'request r-1 at vm-1',
+      '  request  2026-01-01',
+      'request r-1 at vm-2',
+      '  request  2025-12-31',
+      '  request  2025-12-31',
+    ],
+  );
+});
+
+test('lines that are not of a gateway are passed over', (t) => {
+  t.deepEqual(explainRequest(['', 'hello', '{"half', '{"time":1}', '12.3 vm-1 {}'], 'r-1'), []);
+});
