Tell a follower only what it does not know

Change: a follower says what it knows; while one source after the other is stale it stays longer with each. Tests on real sockets.

--- a/src/fleet/FeedClient.ts
+++ b/src/fleet/FeedClient.ts
@@ -3,7 +3,8 @@
 
 import type { Clock } from '../timing/index.js';
 import type { FeedMessage } from './feedMessages.js';
-import { FeedReader } from './feedMessages.js';
+import { FeedReader, writeFeedMessage } from './feedMessages.js';
+import { SECTIONS } from './FleetStore.js';
 import type { FleetView } from './FleetView.js';
 import { FRESH_SECTIONS } from './FleetView.js';
 
@@ -22,7 +23,7 @@
   private readonly socket: Socket;
 
   /** @internal */
-  private readonly reader = new FeedReader();
+  private readonly reader = new FeedReader<FeedMessage>();
 
   /** @internal */
   private heardAt: number;
@@ -47,6 +48,8 @@
     const [host, port] = address.split(':');
     this.socket = connect({ host, port: Number(port), noDelay: true });
     this.socket.setEncoding('utf8');
+    const known = SECTIONS.map((section) => [section, view.getRevision(section)]);
+    this.socket.write(writeFeedMessage(Object.fromEntries(known)));
     this.socket.on('data', (text: string) => this.hear(text));
     this.socket.once('error', (err) => this.end(err.message));
     this.socket.once('close', () => this.end('closed'));
--- a/src/fleet/FeedServer.ts
+++ b/src/fleet/FeedServer.ts
@@ -4,7 +4,8 @@
 import type { ListenAddress } from '../config/index.js';
 import type { EventLog } from '../logging/EventLog.js';
 import type { TimerService } from '../timing/index.js';
-import { writeFeedMessage } from './feedMessages.js';
+import type { KnownRevisions } from './feedMessages.js';
+import { FeedReader, writeFeedMessage } from './feedMessages.js';
 import { SECTIONS } from './FleetStore.js';
 import type { FleetView } from './FleetView.js';
 
@@ -64,18 +65,35 @@
 
   /** @internal */
   private accept(socket: Socket): void {
-    this.followers.add(socket);
     socket.on('error', (err) => this.log.write('feed.followerLost', { message: err.message }));
     socket.once('close', () => {
       this.followers.delete(socket);
       this.onFollowers();
     });
-    // Followers say nothing; what comes all the same is thrown away.
-    socket.resume();
+    const reader = new FeedReader<KnownRevisions>();
+    socket.setEncoding('utf8');
+    socket.on('data', (text: string) => {
+      try {
+        for (const known of reader.read(text)) this.greet(socket, known);
+      } catch (err) {
+        this.log.write('feed.followerLost', { message: (err as Error).message });
+        socket.destroy();
+      }
+    });
+  }
+
+  /**
+   * Tells a new follower what it does not know. While the store is away all VMs look for one that
+   * knows more; the whole content with each new connection would cost as much as all callers' bytes.
+   * @internal
+   */
+  private greet(socket: Socket, known: KnownRevisions): void {
     for (const section of SECTIONS) {
-      if (this.view.getRevision(section) === undefined) continue;
+      const revision = this.view.getRevision(section);
+      if (revision === undefined || revision <= (known[section] ?? -1)) continue;
       socket.write(writeFeedMessage({ kind: 'change', ...this.view.getWhole(section) }));
     }
+    this.followers.add(socket);
     this.onFollowers();
     this.tellAge();
   }
--- a/src/fleet/FleetSync.ts
+++ b/src/fleet/FleetSync.ts
@@ -20,6 +20,7 @@
 
 /** How long a VM that was just asked may take to have fresh word, in milliseconds. */
 const WARM_MS = 400;
+const WARM_MOST_MS = 2_000;
 
 /** A VM whose word was stale or that was silent is not asked again for so long, in milliseconds. */
 const BAD_MS = 3_000;
@@ -68,6 +69,9 @@
   /** @internal */
   private directUntil = 0;
 
+  /** VMs in a row whose word was stale. @internal */
+  private staleInRow = 0;
+
   /** @internal */
   private isDecided = false;
 
@@ -165,7 +169,14 @@
    */
   private checkClient(now: number): void {
     const { client } = this;
-    if (client === undefined || now - client.startedAt < WARM_MS || this.isClientFresh()) return;
+    if (client === undefined) return;
+    if (this.isClientFresh()) {
+      this.staleInRow = 0;
+      return;
+    }
+    // The more VMs in a row knew no better, the likelier is the store away for all of them.
+    const warmMs = Math.min(WARM_MOST_MS, WARM_MS * (1 + this.staleInRow));
+    if (now - client.startedAt < warmMs) return;
     if (client.isSilent) this.leave(client, 'silent', true);
     else if ((this.badUntil.get(client.address) ?? 0) <= now) this.markBad(client, 'stale', true);
   }
@@ -180,6 +191,7 @@
   /** @internal */
   private markBad({ address }: FeedClient, reason: string, isDirect: boolean): void {
     const now = this.parts.clock.now();
+    this.staleInRow += 1;
     this.badUntil.set(address, now + BAD_MS);
     if (isDirect && this.directUntil <= now) this.directUntil = now + DIRECT_MS;
     this.parts.log.write('fleet.sourceLost', { source: address, reason, ageMs: this.getAge() });
--- /dev/null
+++ b/src/tests/fleet/feed.test.ts
@@ -0,0 +1,120 @@
+import type { AddressInfo } from 'node:net';
+import { createServer } from 'node:net';
+
+import test from 'ava';
+
+import { FeedClient } from '../../fleet/FeedClient.js';
+import { FeedServer } from '../../fleet/FeedServer.js';
+import { FleetView } from '../../fleet/FleetView.js';
+import { EventLog } from '../../logging/EventLog.js';
+import { SystemClock, TimerService } from '../../timing/index.js';
+import { makeTarget, TABLE } from '../balancing/scene.js';
+
+const LOG = new EventLog('vm', { write: (_text, done) => done(), now: () => 0, wallNow: () => 0 });
+
+async function getFreePort(): Promise<number> {
+  const probe = createServer();
+  await new Promise<void>((resolve) => {
+    probe.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = probe.address() as AddressInfo;
+  await new Promise<void>((resolve) => {
+    probe.close(() => resolve());
+  });
+  return port;
+}
+
+async function waitUntil(isSo: () => boolean): Promise<void> {
+  while (!isSo()) {
+    await new Promise((resolve) => {
+      setTimeout(resolve, 5);
+    });
+  }
+}
+
+/** A VM that knows a configuration and a target, and serves it. */
+async function makeServer() {
+  const clock = new SystemClock();
+  const timers = new TimerService(clock);
+  const view = new FleetView(clock);
+  view.confirm('configuration', clock.now());
+  view.confirm('targets', clock.now());
+  view.apply({
+    section: 'configuration',
+    items: [{ name: 'main', value: TABLE }],
+    revision: 3,
+    isWhole: true,
+  });
+  view.apply({
+    section: 'targets',
+    items: [{ name: 't-1', value: makeTarget('t-1') }],
+    revision: 4,
+    isWhole: true,
+  });
+  const server = new FeedServer(view, LOG, () => {});
+  const port = await getFreePort();
+  server.start({ host: '127.0.0.1', port }, timers);
+  return {
+    view,
+    address: `127.0.0.1:${port}`,
+    stop(): void {
+      timers.stop();
+      server.stop();
+    },
+  };
+}
+
+test('a VM that follows another knows what that one knows, and each change', async (t) => {
+  const server = await makeServer();
+  const clock = new SystemClock();
+  const view = new FleetView(clock);
+  const client = new FeedClient(server.address, view, clock, () => {});
+  await waitUntil(() => view.targets.has('t-1') && view.table !== undefined);
+  server.view.apply({
+    section: 'targets',
+    items: [{ name: 't-1', value: undefined }],
+    revision: 5,
+    isWhole: false,
+  });
+  await waitUntil(() => !view.targets.has('t-1'));
+  t.is(view.getRevision('targets'), 5);
+  t.true(client.getAgeMs() < 10_000);
+  client.stop();
+  server.stop();
+});
+
+test('a VM that knows as much is told nothing again', async (t) => {
+  // The store is away and every VM looks for another that knows more. If each told all it knows to
+  // each that asks, the bytes between zones would cost more than all callers’ requests.
+  const server = await makeServer();
+  const clock = new SystemClock();
+  const view = new FleetView(clock);
+  const first = new FeedClient(server.address, view, clock, () => {});
+  await waitUntil(() => view.targets.has('t-1') && view.table !== undefined);
+  let changes = 0;
+  const apply = view.apply.bind(view);
+  view.apply = (change) => {
+    changes += 1;
+    apply(change);
+  };
+  const again = new FeedClient(server.address, view, clock, () => {});
+  await waitUntil(() => Number.isFinite(again.getAgeMs()));
+  t.is(changes, 0);
+  first.stop();
+  again.stop();
+  server.stop();
+});
+
+test('the end of the process that is followed is told at once', async (t) => {
+  const server = await makeServer();
+  const clock = new SystemClock();
+  const view = new FleetView(clock);
+  let reason = '';
+  const client = new FeedClient(server.address, view, clock, (why) => {
+    reason = why;
+  });
+  await waitUntil(() => Number.isFinite(client.getAgeMs()));
+  server.stop();
+  await waitUntil(() => reason !== '');
+  t.true(client.isEnded);
+});
