--- a/src/balancing/candidates.ts
+++ b/src/balancing/candidates.ts
@@ -1,3 +1,4 @@
+import type { ZoneName } from '../core/model/index.js';
 import type { BalancerContext, BalancerState } from './BalancerState.js';
 import { isAdmitted } from './admission.js';
 import { getColdOwners } from './ColdAllowance.js';
@@ -8,6 +9,12 @@
 import type { TargetRecord } from './TargetRecord.js';
 import { getScores } from './TargetRecord.js';
 
+/**
+ * A target of this VM's own availability zone is probed so many times as often as another of those
+ * it prefers: bytes between zones are paid for, and the way is shorter.
+ */
+const OWN_ZONE_WEIGHT = 3;
+
 /** A target whose moving average of failures is below this one counts as sound. */
 const SOUND_FAILURES = 0.1;
 
@@ -92,18 +99,21 @@
  * Draws targets to probe, those that failed or were slow lately less often.
  * @param pool - Targets that may be sent to.
  * @param count - How many to draw.
+ * @param zone - Availability zone of this VM.
  * @param context - Time and chance.
  */
 export function drawTargets(
   pool: readonly TargetRecord[],
   count: number,
+  zone: ZoneName,
   context: BalancerContext,
 ): TargetRecord[] {
   if (pool.length <= count) return [...pool];
   return pool
     .map((record) => {
       const { failures, slowness } = getScores(record, context.now);
-      const weight = 1 / ((1 + FAILURE_AVERSION * failures) * Math.max(1, slowness));
+      const near = record.entry.zone === zone ? OWN_ZONE_WEIGHT : 1;
+      const weight = near / ((1 + FAILURE_AVERSION * failures) * Math.max(1, slowness));
       return { record, key: context.random() ** (1 / weight) };
     })
     .sort((a, b) => b.key - a.key)
--- a/src/balancing/placing.ts
+++ b/src/balancing/placing.ts
@@ -53,7 +53,12 @@
   const isFirst = journey.rounds === 0;
   const pool = journey.rounds < PREFERRED_ROUNDS ? usable.slice(0, PREFERRED_TARGETS) : usable;
   journey.rounds += 1;
-  const drawn = drawTargets(pool, isFirst ? FIRST_PROBES : FURTHER_PROBES, context);
+  const drawn = drawTargets(
+    pool,
+    isFirst ? FIRST_PROBES : FURTHER_PROBES,
+    state.settings.zone,
+    context,
+  );
   const stale = drawn.filter(
     ({ reading, probeSentAt }) =>
       probeSentAt === undefined && (reading === undefined || now - reading.at > READING_FRESH_MS),
