Soak real processes with faults from outside

Change: src/soak runs gateways as processes of their own against stand-ins of the platform (src/platform/standIn), with links that are delayed, reset, silenced or cut one way, and processes that are killed, paused, stopped and reloaded; what callers and targets see is held against the promises. npm run soak.

--- /dev/null
+++ b/src/platform/standIn/writeStored.ts
@@ -0,0 +1,77 @@
+import type { RoutingTable, TargetEntry } from '../../balancing/index.js';
+import { DEADLINE_MS, REQUEST_ID, SIGNATURE } from '../headers.js';
+import type { PlatformStore } from './PlatformStore.js';
+
+function writeMs(ms: number): string {
+  return `${ms}ms`;
+}
+
+/**
+ * Puts a configuration into a stand-in store, as operators do.
+ * @param store - The store.
+ * @param table - The configuration.
+ */
+export function putConfiguration(store: PlatformStore, table: RoutingTable): void {
+  const hosts = new Set(table.routes.map(({ host }) => host));
+  const listeners = [...hosts].map((host) => ({
+    host,
+    routing_rules: table.routes
+      .filter((route) => route.host === host)
+      .map((route) => ({
+        name: route.name,
+        kind: route.isIdempotent ? 'idempotent' : 'non_idempotent',
+        target_latency: writeMs(route.objectiveMs),
+        priority: route.priority,
+        match: { path_prefix: route.pathPrefix },
+        action: {
+          traffic_split: route.services,
+          timeout: writeMs(route.timeoutMs),
+          max_attempts: route.maxTargets,
+        },
+      })),
+  }));
+  const clusters = table.services.map((rules) => ({
+    name: rules.name,
+    health_check_path: rules.healthPath,
+    max_connections: rules.maxConnections,
+    warmup_per_s: rules.coldRequestsPerSecond,
+  }));
+  const limits = {
+    max_body_bytes: table.limits.bodyBytes,
+    header_timeout: writeMs(table.limits.headerTimeoutMs),
+    idle_timeout: writeMs(table.limits.idleTimeoutMs),
+  };
+  store.put('config', 'main', { version: `r${table.version}`, listeners, clusters, limits });
+}
+
+/**
+ * Registers a target in a stand-in store, as targets do themselves.
+ * @param store - The store.
+ * @param entry - What it says of itself.
+ */
+export function putTarget(store: PlatformStore, entry: TargetEntry): void {
+  const { id, service, address, zone, bornAt, slots, isDraining, coldMs } = entry;
+  const info = { service, version: 'v1', zone, max_concurrency: slots };
+  const state = isDraining ? 'draining' : 'ready';
+  const status = { state, sequence: 1, warmup_left: writeMs(coldMs) };
+  store.put('servers', id, { address, born: bornAt, info }, status);
+}
+
+/** Takes a target out of a stand-in store. */
+export function removeTarget(store: PlatformStore, id: string): void {
+  store.remove('servers', id);
+}
+
+/** Takes an availability zone out, or back, as operators do. */
+export function setZoneOut(store: PlatformStore, zone: string, isOut: boolean): void {
+  if (isOut) store.put('evacuations', zone, {});
+  else store.remove('evacuations', zone);
+}
+
+/** Headers of a caller's request. */
+export function writeCallerHeaders(requestId: string, allowedMs: number): Record<string, string> {
+  return { [REQUEST_ID]: requestId, [DEADLINE_MS]: String(allowedMs) };
+}
+
+/** Name of the header that proves that a target made an answer. */
+export const SIGNATURE_HEADER = SIGNATURE;
--- /dev/null
+++ b/src/soak/main.ts
@@ -0,0 +1,40 @@
+import { runSoak } from './runSoak.js';
+
+/** Reads a number that follows a flag. */
+function readNumber(flag: string, fallback: number): number {
+  const at = process.argv.indexOf(`--${flag}`);
+  const value = at < 0 ? fallback : Number(process.argv[at + 1]);
+  if (Number.isInteger(value) && value > 0) return value;
+  throw new RangeError(`--${flag} needs a whole number above 0`);
+}
+
+/** Soaks with a few seeds, one after the other. */
+async function main(): Promise<void> {
+  const first = readNumber('seed', 1);
+  const seeds = readNumber('seeds', 1);
+  const faultsMs = readNumber('seconds', 15) * 1_000;
+  const isVerbose = process.argv.includes('--verbose');
+  let failed = 0;
+  for (let seed = first; seed < first + seeds; seed++) {
+    const { broken, requests, served, faults, dir } = await runSoak({
+      seed,
+      faultsMs,
+      onFault: (name, atMs) => {
+        if (isVerbose) process.stdout.write(`  ${(atMs / 1_000).toFixed(2)} s ${name}\n`);
+      },
+    });
+    const verdict = broken.length === 0 ? 'kept' : `BROKEN, logs in ${dir}`;
+    process.stdout.write(
+      `seed ${seed}: ${faults.length} faults, ${served} of ${requests} requests served: ${verdict}\n`,
+    );
+    for (const sentence of broken.slice(0, 10)) process.stdout.write(`  ${sentence}\n`);
+    if (broken.length > 0) failed += 1;
+  }
+  process.stdout.write(`${seeds - failed} seeds kept every promise, ${failed} did not\n`);
+  process.exit(failed === 0 ? 0 : 1);
+}
+
+main().catch((err: Error) => {
+  process.stderr.write(`${err.message}\n`);
+  process.exit(2);
+});
