Name the store's confirmations, so that word can't stay fresh in a ring

Found from the logs: fleet.following without fleet.sourceLost, in rings. Ruled out: whole contents told again (the earlier finding; followers say what they know). Change: an age names the confirmation that it counts from; one that is known confirms nothing.

--- a/src/fleet/FeedClient.ts
+++ b/src/fleet/FeedClient.ts
@@ -6,7 +6,6 @@
 import { FeedReader, writeFeedMessage } from './feedMessages.js';
 import { SECTIONS } from './FleetStore.js';
 import type { FleetView } from './FleetView.js';
-import { FRESH_SECTIONS } from './FleetView.js';
 
 /** Without a line for so long a connection counts as silent, in ms: three ages that are missing. */
 const SILENT_MS = 850;
@@ -99,7 +98,8 @@
       this.view.apply(message);
       return;
     }
-    this.ageMs = message.ageMs;
-    for (const section of FRESH_SECTIONS) this.view.confirm(section, this.heardAt - this.ageMs);
+    const { ageMs, origin, count } = message;
+    this.ageMs = ageMs;
+    this.view.confirmBy({ origin, count }, this.heardAt - ageMs);
   }
 }
--- a/src/fleet/FeedServer.ts
+++ b/src/fleet/FeedServer.ts
@@ -50,8 +50,9 @@
   tellAge(): void {
     if (this.followers.size === 0) return;
     const ageMs = this.view.getAgeMs();
-    if (!Number.isFinite(ageMs)) return;
-    this.tell(writeFeedMessage({ kind: 'age', ageMs: Math.round(ageMs) }));
+    const confirmation = this.view.getConfirmation();
+    if (!Number.isFinite(ageMs) || confirmation === undefined) return;
+    this.tell(writeFeedMessage({ kind: 'age', ageMs: Math.ceil(ageMs), ...confirmation }));
   }
 
   /** @internal */
--- a/src/fleet/FleetSync.ts
+++ b/src/fleet/FleetSync.ts
@@ -121,10 +121,7 @@
   start(timers: TimerService): void {
     this.server.start(this.parts.listen);
     timers.subscribe(CHECK_MS, () => this.decide());
-    timers.subscribe(FEED_AGE_MS, () => {
-      // Others pass on the age that they are told as they hear it, so that hops add no time.
-      if (this.mirror.isActive) this.server.tellAge();
-    });
+    timers.subscribe(FEED_AGE_MS, () => this.server.tellAge());
   }
 
   /**
--- a/src/fleet/FleetView.ts
+++ b/src/fleet/FleetView.ts
@@ -21,6 +21,16 @@
   readonly isWhole: boolean;
 }
 
+/**
+ * Names one confirmation by the store: the VM that had it, and its number there. A VM takes another's
+ * word for fresh only by a confirmation that it has not heard of yet. By ages alone two VMs that
+ * follow each other would never find their word old, since each hop adds the time on the way.
+ */
+export interface Confirmation {
+  readonly origin: string;
+  readonly count: number;
+}
+
 /** Sections whose word has to be fresh for a VM to count as up to date. */
 export const FRESH_SECTIONS: readonly Section[] = ['configuration', 'targets'];
 
@@ -53,8 +63,25 @@
   /** @internal */
   private readonly confirmListeners: (() => void)[] = [];
 
-  /** @param clock - Time to go by. */
-  constructor(private readonly clock: Clock) {}
+  /** The latest confirmation, and the latest number of each origin. @internal */
+  private confirmation: Confirmation | undefined;
+
+  /** @internal */
+  private readonly heard = new Map<string, number>();
+
+  /**
+   * @param clock - Time to go by.
+   * @param origin - Names this run of this VM's process.
+   */
+  constructor(
+    private readonly clock: Clock,
+    private readonly origin = 'self',
+  ) {}
+
+  /** The latest confirmation that is known of; undefined if there was none. */
+  getConfirmation(): Confirmation | undefined {
+    return this.confirmation;
+  }
 
   /**
    * Tells of each change from now on, after it was taken in.
@@ -88,18 +115,42 @@
   }
 
   /**
-   * Notes that a section is as the store had it a moment ago.
+   * Notes that the store itself has just confirmed a section.
    * @param section - The section.
-   * @param at - The moment; monotonic milliseconds.
    */
-  confirm(section: Section, at: number): void {
+  confirm(section: Section): void {
+    this.noteConfirmed(section, this.clock.now());
+    if (section === 'targets') {
+      this.accept({ origin: this.origin, count: (this.heard.get(this.origin) ?? 0) + 1 });
+    }
+  }
+
+  /**
+   * Notes that another VM told of a confirmation.
+   * @param confirmation - Which one.
+   * @param at - When the store gave it, as far as can be told; monotonic milliseconds.
+   */
+  confirmBy(confirmation: Confirmation, at: number): void {
+    if (confirmation.count <= (this.heard.get(confirmation.origin) ?? 0)) return;
+    for (const section of FRESH_SECTIONS) this.noteConfirmed(section, at);
+    this.accept(confirmation);
+  }
+
+  /** @internal */
+  private accept(confirmation: Confirmation): void {
+    this.heard.set(confirmation.origin, confirmation.count);
+    this.confirmation = confirmation;
+    for (const listener of this.confirmListeners) listener();
+  }
+
+  /** @internal */
+  private noteConfirmed(section: Section, at: number): void {
     const before = this.confirmed.get(section);
     if (before !== undefined && at <= before) return;
     this.confirmed.set(section, at);
     if (section === 'targets' && before !== undefined && at - before > AWAY_MS) {
       this.returnedAt = at;
     }
-    if (section === 'targets') for (const listener of this.confirmListeners) listener();
   }
 
   /**
--- a/src/fleet/StoreMirror.ts
+++ b/src/fleet/StoreMirror.ts
@@ -100,13 +100,13 @@
 
   /** One call to the store. @internal */
   private async step(section: Section, run: number): Promise<void> {
-    const { store, view, clock } = this.parts;
+    const { store, view } = this.parts;
     const known = this.revisions.get(section);
     if (known === undefined) {
       const { items, revision } = await store.list(section);
       if (this.run !== run) return;
       this.noteAnswer(section);
-      view.confirm(section, clock.now());
+      view.confirm(section);
       view.apply({ section, items, revision, isWhole: true });
       this.revisions.set(section, revision);
       return;
@@ -119,7 +119,7 @@
       this.parts.log.write('store.historyGone', { section, revision: known });
       return;
     }
-    view.confirm(section, clock.now());
+    view.confirm(section);
     this.revisions.set(section, answer.revision);
     view.apply({ section, items: answer.items, revision: answer.revision, isWhole: false });
   }
--- a/src/fleet/feedMessages.ts
+++ b/src/fleet/feedMessages.ts
@@ -1,5 +1,5 @@
 import type { Section } from './FleetStore.js';
-import type { SectionChange } from './FleetView.js';
+import type { Confirmation, SectionChange } from './FleetView.js';
 
 /** Revisions that a follower knows each section up to, said once as it connects. */
 export type KnownRevisions = Readonly<Partial<Record<Section, number>>>;
@@ -8,8 +8,8 @@
 export type FeedMessage =
   /** Changes, or a section as a whole. */
   | ({ readonly kind: 'change' } & SectionChange<Section>)
-  /** How old the word of the store is that the sender goes by, in milliseconds. */
-  | { readonly kind: 'age'; readonly ageMs: number };
+  /** Which confirmation by the store the sender goes by, and how old its word is, in milliseconds. */
+  | ({ readonly kind: 'age'; readonly ageMs: number } & Confirmation);
 
 /** Longest line that is taken, in characters; a whole section of the largest fleet fits well. */
 const MOST_LINE = 16 * 1024 * 1024;
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -111,7 +111,7 @@
     this.store = new ObjectStore(settings.storeAddress, (section, name, reason) =>
       log.write('store.unreadable', { section, name, reason }),
     );
-    this.view = new FleetView(clock);
+    this.view = new FleetView(clock, `${settings.self.name}/${random()}`);
     const { self, listen, seeds } = settings;
     const { store, view } = this;
     const fleetParts = { self, store, view, clock, log, random };
--- a/src/tests/fleet/FleetView.test.ts
+++ b/src/tests/fleet/FleetView.test.ts
@@ -12,7 +12,7 @@
 function makeView() {
   const clock = new VirtualClock();
   const view = new FleetView(clock);
-  view.confirm('targets', clock.now());
+  view.confirm('targets');
   view.apply({ section: 'targets', items: [put('t-1'), put('t-2')], revision: 5, isWhole: true });
   return { clock, view };
 }
@@ -42,7 +42,7 @@
   // after its return the store names none, and every request would be refused.
   const { clock, view } = makeView();
   clock.runUntil(clock.now() + 8_000);
-  view.confirm('targets', clock.now());
+  view.confirm('targets');
   view.apply({ section: 'targets', items: [], revision: 20, isWhole: true });
   t.is(view.targets.size, 2);
   clock.runUntil(clock.now() + 1_000);
@@ -54,7 +54,7 @@
 test('a target that goes while the store is well is gone at once', (t) => {
   const { clock, view } = makeView();
   clock.runUntil(clock.now() + 700);
-  view.confirm('targets', clock.now());
+  view.confirm('targets');
   view.apply({
     section: 'targets',
     items: [{ name: 't-1', value: undefined }],
@@ -81,9 +81,9 @@
 test('what is known is as old as the oldest of what matters most', (t) => {
   const { clock, view } = makeView();
   t.is(view.getAgeMs(), Number.POSITIVE_INFINITY);
-  view.confirm('configuration', clock.now());
+  view.confirm('configuration');
   clock.runUntil(clock.now() + 400);
-  view.confirm('targets', clock.now());
+  view.confirm('targets');
   t.is(view.getAgeMs(), 400);
 });
 
--- a/src/tests/fleet/feed.test.ts
+++ b/src/tests/fleet/feed.test.ts
@@ -36,8 +36,8 @@
 async function makeServer() {
   const clock = new SystemClock();
   const view = new FleetView(clock);
-  view.confirm('configuration', clock.now());
-  view.confirm('targets', clock.now());
+  view.confirm('configuration');
+  view.confirm('targets');
   view.apply({
     section: 'configuration',
     items: [{ name: 'main', value: TABLE }],
@@ -51,11 +51,13 @@
     isWhole: true,
   });
   const server = new FeedServer(view, LOG);
+  view.onConfirm(() => server.tellAge());
   const port = await getFreePort();
   server.start({ host: '127.0.0.1', port });
   return {
     view,
     address: `127.0.0.1:${port}`,
+    tellAge: () => server.tellAge(),
     stop(): void {
       server.stop();
     },
@@ -116,3 +118,34 @@
   await waitUntil(() => reason !== '');
   t.true(client.isEnded);
 });
+
+test('two VMs that follow each other don’t tell each other the same age for ever', async (t) => {
+  // The store is away, and two VMs that look for one that knows more follow each other. If each took
+  // the other's word for fresher than its own by what was rounded off, they would tell each other as
+  // fast as the link allows.
+  const one = await makeServer();
+  const other = await makeServer();
+  const clock = new SystemClock();
+  let confirmed = 0;
+  const count = (): void => {
+    confirmed += 1;
+  };
+  one.view.onConfirm(count);
+  other.view.onConfirm(count);
+  const clients = [
+    new FeedClient(one.address, other.view, clock, () => {}),
+    new FeedClient(other.address, one.view, clock, () => {}),
+  ];
+  await waitUntil(() => clients.every((client) => Number.isFinite(client.getAgeMs())));
+  for (let round = 0; round < 50; round++) {
+    one.tellAge();
+    other.tellAge();
+    await new Promise((resolve) => {
+      setTimeout(resolve, 3.7);
+    });
+  }
+  t.true(confirmed <= 4, `confirmed ${confirmed} times`);
+  for (const client of clients) client.stop();
+  one.stop();
+  other.stop();
+});
