Watch the store until it is seen whether missing targets return

A VM that had watched the store itself as entries were missing followed another before they were back, and was never told of their return. Change: it stays with the store until then.

--- a/src/fleet/FleetSync.ts
+++ b/src/fleet/FleetSync.ts
@@ -61,6 +61,19 @@
   readonly peers: string;
 }
 
+/**
+ * Whether a VM that watches the store itself may leave that to the one that it follows.
+ *
+ * Targets that it saw missing as the store came back may return within two seconds. To the other VM,
+ * which may never have seen them missing, their return is no change and not told on; so this VM would
+ * drop them for good. It stays until it has seen for itself whether they return.
+ * @param view - What is known.
+ * @param isSourceFresh - Whether the word of the VM that it follows is fresh.
+ */
+export function mayLeaveStore(view: Pick<FleetView, 'hasHeld'>, isSourceFresh: boolean): boolean {
+  return isSourceFresh && !view.hasHeld;
+}
+
 /** Rank of the VM that the one of a rank follows. */
 function getParent(rank: number): number {
   return Math.floor((rank - WATCHERS) / FOLLOWERS);
@@ -170,7 +183,8 @@
 
   /** @internal */
   private stopWatching(): void {
-    if (!this.mirror.isActive || this.client === undefined || !this.isClientFresh()) return;
+    if (!this.mirror.isActive || this.client === undefined) return;
+    if (!mayLeaveStore(this.parts.view, this.isClientFresh())) return;
     this.mirror.stop();
     this.parts.log.write('fleet.watchEnded', { follows: this.client.address });
   }
--- a/src/fleet/FleetView.ts
+++ b/src/fleet/FleetView.ts
@@ -78,6 +78,11 @@
     private readonly origin = 'self',
   ) {}
 
+  /** Whether targets are kept that were missing when the store came back, and may yet return. */
+  get hasHeld(): boolean {
+    return this.missing.size > 0;
+  }
+
   /** The latest confirmation that is known of; undefined if there was none. */
   getConfirmation(): Confirmation | undefined {
     return this.confirmation;
--- a/src/tests/fleet/FleetView.test.ts
+++ b/src/tests/fleet/FleetView.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 
 import type { StoredItem } from '../../fleet/FleetStore.js';
+import { mayLeaveStore } from '../../fleet/FleetSync.js';
 import { FleetView } from '../../fleet/FleetView.js';
 import { VirtualClock } from '../../proof/VirtualClock.js';
 import { makeTarget, TABLE } from '../balancing/scene.js';
@@ -104,3 +105,21 @@
   t.is(told, 2);
   t.deepEqual([...other.targets.keys()], ['t-2', 't-3']);
 });
+
+test('a VM goes on watching the store until it has seen whether missing targets return', (t) => {
+  // The store comes back without the entries that lapsed. A VM that watched it itself sees them
+  // missing, then follows another VM that never did: to that one their return is no change, and the
+  // first one drops them for good. Its callers are refused while the targets stand idle.
+  const { clock, view } = makeView();
+  t.true(mayLeaveStore(view, true));
+  clock.runUntil(clock.now() + 8_000);
+  view.confirm('targets');
+  view.apply({ section: 'targets', items: [], revision: 20, isWhole: true });
+  t.false(mayLeaveStore(view, true));
+  clock.runUntil(clock.now() + 1_000);
+  view.apply({ section: 'targets', items: [put('t-1'), put('t-2')], revision: 21, isWhole: false });
+  t.true(mayLeaveStore(view, true));
+  t.false(mayLeaveStore(view, false));
+  clock.runUntil(clock.now() + 5_000);
+  t.is(view.targets.size, 2);
+});
