--- a/src/platform/standIn/index.ts
+++ b/src/platform/standIn/index.ts
@@ -4,8 +4,10 @@
 export {
   putConfiguration,
   putTarget,
+  readAddresses,
   removeTarget,
   setZoneOut,
   SIGNATURE_HEADER,
+  writeAddressesPath,
   writeCallerHeaders,
 } from './writeStored.js';
--- a/src/platform/standIn/writeStored.ts
+++ b/src/platform/standIn/writeStored.ts
@@ -1,5 +1,6 @@
 import type { RoutingTable, TargetEntry } from '../../balancing/index.js';
 import { DEADLINE_MS, REQUEST_ID, SIGNATURE } from '../headers.js';
+import { ADDRESSES_PATH } from '../pages.js';
 import type { PlatformStore } from './PlatformStore.js';
 
 function writeMs(ms: number): string {
@@ -75,3 +76,21 @@
 
 /** Name of the header that proves that a target made an answer. */
 export const SIGNATURE_HEADER = SIGNATURE;
+
+/**
+ * Where a caller asks which entry VMs to use.
+ * @param host - Host that it wants to reach.
+ * @param zone - Availability zone that it is in.
+ */
+export function writeAddressesPath(host: string, zone: string): string {
+  return `${ADDRESSES_PATH}?name=${host}&region=here&zone=${zone}`;
+}
+
+/**
+ * Reads the answer to that question.
+ * @param text - The answer's body.
+ * @returns IP numbers and ports.
+ */
+export function readAddresses(text: string): readonly string[] {
+  return (JSON.parse(text) as { addresses: readonly string[] }).addresses;
+}
--- a/src/soak/SoakCallers.ts
+++ b/src/soak/SoakCallers.ts
@@ -1,6 +1,12 @@
 import { Agent, get, request } from 'node:http';
 
-import { makeBody, SIGNATURE_HEADER, writeCallerHeaders } from '../platform/standIn/index.js';
+import {
+  makeBody,
+  readAddresses,
+  SIGNATURE_HEADER,
+  writeAddressesPath,
+  writeCallerHeaders,
+} from '../platform/standIn/index.js';
 import type { GatewayPorts } from './SoakGateway.js';
 
 /** What a caller saw of one request. */
@@ -20,6 +26,8 @@
 /** Time that callers allow, in milliseconds. */
 const ALLOWED_MS = 3_000;
 
+const HOST = 'soak.example';
+
 /** Requests a second of all callers together. */
 const PER_SECOND = 40;
 
@@ -83,7 +91,7 @@
         path,
         method: isIdempotent ? 'GET' : 'POST',
         agent: this.agent,
-        headers: { Host: 'soak.example', ...writeCallerHeaders(id, ALLOWED_MS) },
+        headers: { Host: HOST, ...writeCallerHeaders(id, ALLOWED_MS) },
       });
       req.setTimeout(ALLOWED_MS, () => req.destroy());
       req.on('error', () => finish(0, false));
@@ -114,7 +122,7 @@
   private ask(): void {
     this.askedAt = Date.now();
     const { addresses } = this.gateways[Math.floor(this.random() * this.gateways.length)];
-    const path = '/masticlink/resolution?name=soak.example&region=here&zone=z-1';
+    const path = writeAddressesPath(HOST, 'z-1');
     const req = get({ host: '127.0.0.1', port: addresses, path, timeout: 500 }, (res) => {
       const chunks: Buffer[] = [];
       res.on('data', (chunk: Buffer) => chunks.push(chunk));
@@ -129,7 +137,6 @@
 
   /** @internal */
   private keep(text: string): void {
-    const { addresses } = JSON.parse(text) as { addresses: readonly string[] };
-    this.ports = addresses.map((address) => Number(address.split(':')[1]));
+    this.ports = readAddresses(text).map((address) => Number(address.split(':')[1]));
   }
 }
