--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -10,6 +10,7 @@
 import { Neighbours } from '../fleet/Neighbours.js';
 import type { EventLog } from '../logging/EventLog.js';
 import { ADDRESSES_PATH, ObjectStore, READY_PATH, writeAddresses } from '../platform/index.js';
+import type { Section } from '../fleet/FleetStore.js';
 import type { CancelTimer, Clock } from '../timing/index.js';
 import { TimerService } from '../timing/index.js';
 import { BalancerLoop } from './BalancerLoop.js';
@@ -209,10 +210,9 @@
   /** @internal */
   private async listen(): Promise<void> {
     const { listen } = this.parts.settings;
-    const { clock, sendings } = { clock: this.parts.clock, sendings: this.sendings };
     const door = new CallerDoor({
-      clock,
-      sendings,
+      clock: this.parts.clock,
+      sendings: this.sendings,
       dispatch: this.loop.dispatch,
       isStopping: () => this.isStopping,
       getLimits: () => this.view.table?.limits,
@@ -258,7 +258,7 @@
   }
 
   /** @internal */
-  private takeSection(section: 'configuration' | 'targets' | 'zonesOut' | 'vms'): void {
+  private takeSection(section: Section): void {
     const { dispatch } = this.loop;
     const { view } = this;
     switch (section) {
