Ask the next VM before the store, and a store that is away once

Cause: a VM whose source was silent, stale or refused the connection watched the store itself for three seconds at once: four lists and four watches a second, and two calls a second while the store failed. Where a third of the VMs is cut off, restarts or the store is away, nearly all VMs did so together; calls that fail are paid for too.

Change: StoreFallback decides when the store is asked. The VM that stands next in turn comes first; the store only once the second in a row has no fresh word, one section before the others, and after a failure not again for 0.5 to 4.5 s, longer the more VMs there are. It ends as soon as another VM tells fresh word.

--- a/src/fleet/FleetSync.ts
+++ b/src/fleet/FleetSync.ts
@@ -7,6 +7,7 @@
 import { FEED_AGE_MS, FeedServer } from './FeedServer.js';
 import type { FleetStore } from './FleetStore.js';
 import type { FleetView } from './FleetView.js';
+import { StoreFallback, WARM_MS } from './StoreFallback.js';
 import { StoreMirror } from './StoreMirror.js';
 
 /**
@@ -30,16 +31,9 @@
  */
 const STALE_PER_HOP_MS = 200;
 
-/** How long a VM that was just asked may take to have fresh word, in milliseconds. */
-const WARM_MS = 400;
-const WARM_MOST_MS = 2_000;
-
 /** A VM whose word was stale or that was silent is not asked again for so long, in milliseconds. */
 const BAD_MS = 3_000;
 
-/** How long the store is watched directly after another VM's word was stale, in milliseconds. */
-const DIRECT_MS = 3_000;
-
 const CHECK_MS = 120;
 
 /** What the synchronisation works with. */
@@ -102,7 +96,10 @@
   private readonly badUntil = new Map<string, number>();
 
   /** @internal */
-  private directUntil = 0;
+  private readonly fallback = new StoreFallback();
+
+  /** Whether this VM is one of those that watch for all others. @internal */
+  private isWatcher = false;
 
   /** All VMs in their order; undefined once they have changed. @internal */
   private sorted: readonly Candidate[] | undefined;
@@ -110,9 +107,6 @@
   /** VMs between the one that is followed and a watcher. @internal */
   private hops = 0;
 
-  /** VMs in a row whose word was stale. @internal */
-  private staleInRow = 0;
-
   /** @internal */
   private isDecided = false;
 
@@ -122,7 +116,14 @@
   /** @param parts - What the synchronisation works with. */
   constructor(private readonly parts: FleetSyncParts) {
     const { view, log, store, clock, random } = parts;
-    this.mirror = new StoreMirror({ store, view, clock, log, random });
+    this.mirror = new StoreMirror({
+      store,
+      view,
+      clock,
+      log,
+      random,
+      onFailure: () => this.noteStoreFailure(),
+    });
     this.server = new FeedServer(view, log);
     view.onChange(({ section }) => {
       if (section === 'vms') this.sorted = undefined;
@@ -164,7 +165,8 @@
     const order = this.getOrder(now);
     const rank = order.findIndex(({ name }) => name === this.parts.self.name);
     const isWatcher = rank < WATCHERS;
-    if (isWatcher || now < this.directUntil || order.length === 1) this.watch(now);
+    this.isWatcher = isWatcher || order.length === 1;
+    if (this.isWatcher || this.fallback.isOpen(now)) this.watch(now);
     else this.stopWatching();
     const isOwnStale = now - this.mirrorSince > WARM_MS && this.parts.view.getAgeMs() > STALE_MS;
     this.hops = isWatcher ? 0 : getDepth(getParent(rank));
@@ -177,10 +179,18 @@
   private watch(now: number): void {
     if (this.mirror.isActive) return;
     this.mirrorSince = now;
-    this.mirror.start();
+    this.mirror.start(this.isWatcher ? 'all' : 'canaryFirst');
     this.parts.log.write('fleet.watching', { ageMs: this.getAge() });
   }
 
+  /** @internal */
+  private noteStoreFailure(): void {
+    if (this.isWatcher || this.parts.view.hasHeld) return;
+    const { clock, random, view } = this.parts;
+    this.fallback.noteFailure(clock.now(), view.vms.size, random());
+    this.mirror.stop();
+  }
+
   /** @internal */
   private stopWatching(): void {
     if (!this.mirror.isActive || this.client === undefined) return;
@@ -234,29 +244,28 @@
     const { client } = this;
     if (client === undefined) return;
     if (this.isClientFresh()) {
-      this.staleInRow = 0;
+      this.fallback.noteFresh();
       return;
     }
-    // The more VMs in a row knew no better, the likelier is the store away for all of them.
-    const warmMs = Math.min(WARM_MOST_MS, WARM_MS * (1 + this.staleInRow));
-    if (now - client.startedAt < warmMs) return;
-    if (client.isSilent) this.leave(client, 'silent', true);
-    else if ((this.badUntil.get(client.address) ?? 0) <= now) this.markBad(client, 'stale', true);
+    const askedMs = now - client.startedAt;
+    this.fallback.noteWaiting(now, askedMs);
+    if (askedMs < this.fallback.warmMs) return;
+    if (client.isSilent) this.leave(client, 'silent');
+    else if ((this.badUntil.get(client.address) ?? 0) <= now) this.markBad(client, 'stale');
   }
 
   /** @internal */
-  private leave(client: FeedClient, reason: string, isDirect: boolean): void {
+  private leave(client: FeedClient, reason: string): void {
     client.stop();
     this.client = undefined;
-    this.markBad(client, reason, isDirect);
+    this.markBad(client, reason);
   }
 
   /** @internal */
-  private markBad({ address }: FeedClient, reason: string, isDirect: boolean): void {
+  private markBad({ address }: FeedClient, reason: string): void {
     const now = this.parts.clock.now();
-    this.staleInRow += 1;
+    this.fallback.noteLost(now);
     this.badUntil.set(address, now + BAD_MS);
-    if (isDirect && this.directUntil <= now) this.directUntil = now + DIRECT_MS;
     this.parts.log.write('fleet.sourceLost', { source: address, reason, ageMs: this.getAge() });
   }
 
@@ -270,9 +279,7 @@
     this.unfollow();
     const client: FeedClient = new FeedClient(peers, view, clock, (reason) => {
       if (this.client !== client) return;
-      // A process that ended told so at once; the next VM in turn is as good as the store.
-      const wasWarm = clock.now() - client.startedAt > WARM_MS;
-      this.leave(client, reason, !wasWarm);
+      this.leave(client, reason);
       this.decide();
     });
     this.client = client;
--- a/src/fleet/StoreMirror.ts
+++ b/src/fleet/StoreMirror.ts
@@ -30,8 +30,13 @@
   readonly clock: Clock;
   readonly log: EventLog;
   random(): number;
+  /** Told of each call that gave nothing. */
+  onFailure?(): void;
 }
 
+/** Which sections are read at once: all, or one until the store has answered. */
+export type MirrorStart = 'all' | 'canaryFirst';
+
 /** Age of what is known, for the log; undefined if nothing is. */
 function getAge(view: FleetView): number | undefined {
   const ageMs = view.getAgeMs();
@@ -63,13 +68,16 @@
     return this.isRunning;
   }
 
-  /** Begins to watch; nothing happens if it does already. */
-  start(): void {
+  /**
+   * Begins to watch; nothing happens if it does already.
+   * @param how - Whether one section alone finds out first that the store answers.
+   */
+  start(how: MirrorStart = 'all'): void {
     if (this.isRunning) return;
     this.isRunning = true;
     this.run += 1;
     this.revisions.clear();
-    for (const section of SECTIONS) this.follow(section, this.run);
+    for (const section of SECTIONS) this.begin(section, this.run, how);
   }
 
   /** Ends all watches once they return. */
@@ -79,6 +87,12 @@
     this.resume();
   }
 
+  /** @internal */
+  private async begin(section: Section, run: number, how: MirrorStart): Promise<void> {
+    if (how === 'canaryFirst' && section !== CANARY) await this.waitForStore();
+    await this.follow(section, run);
+  }
+
   /** @internal */
   private async follow(section: Section, run: number): Promise<void> {
     let pauseMs = PAUSE_LEAST_MS;
@@ -140,6 +154,7 @@
     const failure = err instanceof StoreCallError ? err.failure : 'unexpected';
     const { log, view } = this.parts;
     log.write('store.callFailed', { section, failure, message: err.message, ageMs: getAge(view) });
+    this.parts.onFailure?.();
   }
 
   /** @internal */
