--- /dev/null
+++ b/src/balancing/countTargets.ts
@@ -0,0 +1,48 @@
+import type { ServiceName } from '../core/model/index.js';
+import type { BalancerState } from './BalancerState.js';
+import type { TargetRecord } from './TargetRecord.js';
+
+/** How a target stands; the first that fits, in this order. */
+export type TargetStanding = 'draining' | 'zoneOut' | 'dead' | 'cold' | 'usable';
+
+/** All standings, in the order in which they are looked for. */
+export const TARGET_STANDINGS: readonly TargetStanding[] = [
+  'draining',
+  'zoneOut',
+  'dead',
+  'cold',
+  'usable',
+];
+
+function getStanding(state: BalancerState, record: TargetRecord, now: number): TargetStanding {
+  if (record.entry.isDraining) return 'draining';
+  if (state.zonesOut.has(record.entry.zone)) return 'zoneOut';
+  if (record.deadUntil > now) return 'dead';
+  return record.coldUntil > now ? 'cold' : 'usable';
+}
+
+/**
+ * Counts each service's targets by how they stand for this entry VM.
+ *
+ * A VM that has lost its targets refuses its callers while all others serve theirs. One sees it at
+ * once by comparing these figures between VMs.
+ * @param state - What is known.
+ * @param now - Monotonic milliseconds.
+ * @example
+ * countTargets(state, clock.now()).get('horaires')?.usable;
+ */
+export function countTargets(
+  state: BalancerState,
+  now: number,
+): ReadonlyMap<ServiceName, Readonly<Record<TargetStanding, number>>> {
+  const counts = new Map<ServiceName, Record<TargetStanding, number>>();
+  // A service without any target has to show as zero, not be missing.
+  for (const service of [...state.services.keys(), ...state.byService.keys()]) {
+    counts.set(service, { draining: 0, zoneOut: 0, dead: 0, cold: 0, usable: 0 });
+  }
+  for (const record of state.targets.values()) {
+    const count = counts.get(record.entry.service);
+    if (count !== undefined) count[getStanding(state, record, now)] += 1;
+  }
+  return counts;
+}
--- a/src/balancing/index.ts
+++ b/src/balancing/index.ts
@@ -1,4 +1,5 @@
 export * from './BalancerState.js';
+export * from './countTargets.js';
 export * from './effects.js';
 export * from './events.js';
 export * from './model.js';
--- a/src/fleet/FeedServer.ts
+++ b/src/fleet/FeedServer.ts
@@ -16,6 +16,9 @@
 
 /** Tells other entry VMs what is known of the store, and each change as it comes. */
 export class FeedServer {
+  /** Messages sent so far, to all followers. */
+  sent = 0;
+
   /** @internal */
   private readonly followers = new Set<Socket>();
 
@@ -81,6 +84,7 @@
       const revision = this.view.getRevision(section);
       if (revision === undefined || revision <= (known[section] ?? -1)) continue;
       socket.write(writeFeedMessage({ kind: 'change', ...this.view.getWhole(section) }));
+      this.sent += 1;
     }
     this.followers.add(socket);
     this.tellAge();
@@ -90,6 +94,7 @@
   private tell(line: string): void {
     for (const socket of this.followers) {
       socket.write(line);
+      this.sent += 1;
       if (socket.writableLength > MOST_WAITING) socket.destroy();
     }
   }
--- a/src/fleet/FleetSync.ts
+++ b/src/fleet/FleetSync.ts
@@ -131,6 +131,11 @@
     view.onConfirm(() => this.server.tellAge());
   }
 
+  /** Messages sent so far to VMs that follow this one. */
+  get sentMessages(): number {
+    return this.server.sent;
+  }
+
   /** Begins to listen and to follow. */
   start(timers: TimerService): void {
     this.server.start(this.parts.listen);
--- a/src/gateway/GatewayMetrics.ts
+++ b/src/gateway/GatewayMetrics.ts
@@ -1,6 +1,7 @@
-import type { Counter, Histogram, Registry } from 'prom-client';
+import type { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
-import type { LogEffect } from '../balancing/index.js';
+import type { LogEffect, TargetStanding } from '../balancing/index.js';
+import { TARGET_STANDINGS } from '../balancing/index.js';
 
 /** Observations kept until the library is loaded; later ones push out the oldest. */
 const MOST_EARLY = 2_000;
@@ -16,6 +17,10 @@
   readonly answers: Histogram;
   readonly storeCalls: Counter;
   readonly probes: Counter;
+  readonly targets: Gauge;
+  readonly storeAge: Gauge;
+  readonly requests: Gauge;
+  readonly feedMessages: Counter;
 }
 
 interface Observation {
@@ -23,10 +28,18 @@
   readonly route: string;
 }
 
-/** Totals that other parts count themselves. */
+/** What other parts count themselves. */
 export interface MetricSources {
   getStoreCalls(): ReadonlyMap<string, number>;
   getProbes(): number;
+  /** Targets of each service by how they stand. */
+  getTargets(): ReadonlyMap<string, Readonly<Record<TargetStanding, number>>>;
+  /** Time since the store's word was last confirmed, in milliseconds. */
+  getStoreAgeMs(): number;
+  /** Requests that have no answer yet. */
+  getRequests(): number;
+  /** Messages that other VMs that follow this one were sent. */
+  getFeedMessages(): number;
 }
 
 async function loadMetrics(): Promise<Loaded> {
@@ -59,6 +72,27 @@
       help: 'Probes of targets.',
       registers,
     }),
+    targets: new prom.Gauge({
+      name: 'masticlink_gateway_targets',
+      help: 'Targets of a service by how they stand for this VM.',
+      labelNames: ['service', 'standing'],
+      registers,
+    }),
+    storeAge: new prom.Gauge({
+      name: 'masticlink_gateway_store_age_seconds',
+      help: 'Time since the store’s word on configuration and targets was last confirmed.',
+      registers,
+    }),
+    requests: new prom.Gauge({
+      name: 'masticlink_gateway_requests',
+      help: 'Requests that have no answer yet.',
+      registers,
+    }),
+    feedMessages: new prom.Counter({
+      name: 'masticlink_gateway_feed_messages_total',
+      help: 'Messages sent to VMs that follow this one.',
+      registers,
+    }),
   };
 }
 
@@ -98,7 +132,15 @@
   /** All metrics as text, and the type of that text. */
   async read(): Promise<{ readonly type: string; readonly text: string }> {
     this.loaded ??= loadMetrics();
-    const { registry, events, answers, storeCalls, probes } = await this.loaded;
+    const loaded = await this.loaded;
+    this.takeCounts(loaded);
+    this.takeStandings(loaded);
+    const { registry } = loaded;
+    return { type: registry.contentType, text: await registry.metrics() };
+  }
+
+  /** @internal */
+  private takeCounts({ answers, events, storeCalls, probes, feedMessages }: Loaded): void {
     for (const { seconds, route } of this.early) answers.observe({ route }, seconds);
     this.early = [];
     events.reset();
@@ -113,6 +155,19 @@
     }
     probes.reset();
     probes.inc(this.sources.getProbes());
-    return { type: registry.contentType, text: await registry.metrics() };
+    feedMessages.reset();
+    feedMessages.inc(this.sources.getFeedMessages());
+  }
+
+  /** @internal */
+  private takeStandings({ targets, storeAge, requests }: Loaded): void {
+    targets.reset();
+    for (const [service, counts] of this.sources.getTargets()) {
+      for (const standing of TARGET_STANDINGS) {
+        targets.set({ service, standing }, counts[standing]);
+      }
+    }
+    storeAge.set(this.sources.getStoreAgeMs() / MS_PER_SECOND);
+    requests.set(this.sources.getRequests());
   }
 }
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -1,7 +1,7 @@
 import type { Server } from 'node:http';
 
 import type { BalancerEffect, BalancerState } from '../balancing/index.js';
-import { createBalancerState } from '../balancing/index.js';
+import { countTargets, createBalancerState } from '../balancing/index.js';
 import type { GatewaySettings } from '../config/index.js';
 import { CallerServer } from '../entry/api/CallerServer.js';
 import { FleetMembership } from '../fleet/FleetMembership.js';
@@ -137,6 +137,10 @@
     this.metrics = new GatewayMetrics({
       getStoreCalls: () => this.store.calls,
       getProbes: () => this.prober.sent,
+      getTargets: () => countTargets(this.state, clock.now()),
+      getStoreAgeMs: () => view.getAgeMs(),
+      getRequests: () => this.sendings.size,
+      getFeedMessages: () => this.sync.sentMessages,
     });
     this.neighbours = new Neighbours({
       self: settings.self,
--- /dev/null
+++ b/src/tests/balancing/countTargets.test.ts
@@ -0,0 +1,25 @@
+import test from 'ava';
+
+import { countTargets } from '../../balancing/index.js';
+import { makeTarget, Scene } from './scene.js';
+
+test('targets are counted by how they stand', (t) => {
+  const scene = new Scene([
+    makeTarget('t-1'),
+    makeTarget('t-2', { isDraining: true }),
+    makeTarget('t-3', { zone: 'phare' }),
+    makeTarget('t-4', { coldMs: 3_000 }),
+    makeTarget('t-5'),
+  ]);
+  scene.dispatch({ kind: 'zonesOutRead', zones: ['phare'] });
+  scene.dispatch({ kind: 'probeEnded', target: 't-5', bornAt: 1, end: { kind: 'refused' } });
+  t.snapshot([...countTargets(scene.state, scene.now)]);
+});
+
+test('a service that has lost all targets shows as none, not as missing', (t) => {
+  // A VM hears that all targets lapsed and never that they are back. Its callers are refused while all
+  // other VMs serve; an alarm on a figure that is missing would never go off.
+  const scene = new Scene([makeTarget('t-1')]);
+  scene.dispatch({ kind: 'targetsRead', targets: [] });
+  t.is(countTargets(scene.state, scene.now).get('horaires')?.usable, 0);
+});
