--- a/src/fleet/FleetSync.ts
+++ b/src/fleet/FleetSync.ts
@@ -1,27 +1,16 @@
 import type { VmEntry } from '../balancing/index.js';
 import type { ListenAddress } from '../config/index.js';
-import { hashText } from '../core/hash.js';
 import type { EventLog } from '../logging/EventLog.js';
 import type { Clock, TimerService } from '../timing/index.js';
 import { FeedClient } from './FeedClient.js';
 import { FEED_AGE_MS, FeedServer } from './FeedServer.js';
 import type { FleetStore } from './FleetStore.js';
 import type { FleetView } from './FleetView.js';
+import type { FollowedVm } from './FollowTree.js';
+import { findTreePlace, sortForTree } from './FollowTree.js';
 import { StoreFallback, WARM_MS } from './StoreFallback.js';
 import { StoreMirror } from './StoreMirror.js';
 
-/**
- * VMs that watch the store for all others. Calls to the store are paid for one by one: with all 15
- * VMs watching, they cost 0.23 of what a calm day earns, measured on Marée Boréale's deployment.
- */
-const WATCHERS = 2;
-
-/**
- * VMs that follow one VM. All of 142 VMs following two choked those two's links of 7 Mbit/s, so that
- * everyone found their word stale and watched the store directly: 56,372 calls in a calm day.
- */
-const FOLLOWERS = 8;
-
 /** Word of the store that is older than this is not gone by if there is another way, in ms. */
 const STALE_MS = 1_200;
 
@@ -49,12 +38,6 @@
   random(): number;
 }
 
-/** Another VM that may be followed. */
-interface Candidate {
-  readonly name: string;
-  readonly peers: string;
-}
-
 /**
  * Whether a VM that watches the store itself may leave that to the one that it follows.
  *
@@ -68,16 +51,6 @@
   return isSourceFresh && !view.hasHeld;
 }
 
-/** Rank of the VM that the one of a rank follows. */
-function getParent(rank: number): number {
-  return Math.floor((rank - WATCHERS) / FOLLOWERS);
-}
-
-/** VMs between the one of a rank and the store. */
-function getDepth(rank: number): number {
-  return rank < WATCHERS ? 0 : 1 + getDepth(getParent(rank));
-}
-
 /**
  * Keeps what is known of the store up to date: a few VMs watch it, all others follow one of them,
  * and each falls back to the store itself when what it is told gets stale.
@@ -102,7 +75,7 @@
   private isWatcher = false;
 
   /** All VMs in their order; undefined once they have changed. @internal */
-  private sorted: readonly Candidate[] | undefined;
+  private sorted: readonly FollowedVm[] | undefined;
 
   /** VMs between the one that is followed and a watcher. @internal */
   private hops = 0;
@@ -167,19 +140,20 @@
     if (!this.isDecided) return;
     const now = this.parts.clock.now();
     this.checkClient(now);
-    const order = this.getOrder(now);
-    const rank = order.findIndex(({ name }) => name === this.parts.self.name);
-    const isWatcher = rank < WATCHERS;
-    this.isWatcher = isWatcher || order.length === 1;
-    if (this.isWatcher || this.fallback.isOpen(now)) this.watch(now);
+    const { isWatcher, source, hops } = findTreePlace(this.getOrder(now), this.parts.self.name);
+    this.isWatcher = isWatcher;
+    if (isWatcher || this.fallback.isOpen(now)) this.watch(now);
     else this.stopWatching();
-    const isOwnStale = now - this.mirrorSince > WARM_MS && this.parts.view.getAgeMs() > STALE_MS;
-    this.hops = isWatcher ? 0 : getDepth(getParent(rank));
-    if (!isWatcher) this.follow(order[getParent(rank)]);
-    else if (isOwnStale && order.length > 1) this.follow(order[rank === 0 ? 1 : 0]);
+    this.hops = hops;
+    if (source !== undefined && (!isWatcher || this.isOwnStale(now))) this.follow(source);
     else this.unfollow();
   }
 
+  /** Whether what this VM's own watches say is old. @internal */
+  private isOwnStale(now: number): boolean {
+    return now - this.mirrorSince > WARM_MS && this.parts.view.getAgeMs() > STALE_MS;
+  }
+
   /** @internal */
   private watch(now: number): void {
     if (this.mirror.isActive) return;
@@ -204,13 +178,8 @@
     this.parts.log.write('fleet.watchEnded', { follows: this.client.address });
   }
 
-  /**
-   * All VMs but those that were bad lately, in an order that is the same everywhere. The first ones
-   * watch the store; each other one follows the one that stands above it in the tree that the order
-   * makes, `FOLLOWERS` to each.
-   * @internal
-   */
-  private getOrder(now: number): readonly Candidate[] {
+  /** All VMs but those that were bad lately, in their order. @internal */
+  private getOrder(now: number): readonly FollowedVm[] {
     const { self } = this.parts;
     const sorted = this.getSorted();
     const good = sorted.filter(
@@ -221,15 +190,12 @@
   }
 
   /** @internal */
-  private getSorted(): readonly Candidate[] {
+  private getSorted(): readonly FollowedVm[] {
     if (this.sorted !== undefined) return this.sorted;
     const { view, seeds, self } = this.parts;
-    const known: Candidate[] = [...view.vms.values()].filter(({ name }) => name !== self.name);
+    const known: FollowedVm[] = [...view.vms.values()].filter(({ name }) => name !== self.name);
     const others = known.length > 0 ? known : seeds.map((peers) => ({ name: peers, peers }));
-    this.sorted = [...others, self]
-      .map((candidate) => ({ candidate, hash: hashText(candidate.name) }))
-      .sort((a, b) => a.hash - b.hash)
-      .map(({ candidate }) => candidate);
+    this.sorted = sortForTree([...others, self]);
     return this.sorted;
   }
 
@@ -275,7 +241,7 @@
   }
 
   /** Follows a VM, unless the one that is followed now has fresh word. @internal */
-  private follow(source: Candidate): void {
+  private follow(source: FollowedVm): void {
     const { view, clock, log, self } = this.parts;
     const { peers } = source;
     if (source.name === self.name || this.client?.address === peers) return;
--- /dev/null
+++ b/src/fleet/FollowTree.ts
@@ -0,0 +1,67 @@
+import { hashText } from '../core/hash.js';
+
+/**
+ * VMs that watch the store for all others. Calls to the store are paid for one by one: with all 15
+ * VMs watching, they cost 0.23 of what a calm day earns, measured on Marée Boréale's deployment.
+ */
+const WATCHERS = 2;
+
+/**
+ * VMs that follow one VM. All of 142 VMs following two choked those two's links of 7 Mbit/s, so that
+ * everyone found their word stale and watched the store directly: 56,372 calls in a calm day.
+ */
+const FOLLOWERS = 8;
+
+/** A VM that may be followed. */
+export interface FollowedVm {
+  readonly name: string;
+  /** Where other entry VMs connect: IP number and port. */
+  readonly peers: string;
+}
+
+/** Where a VM stands, and whom it follows. */
+export interface TreePlace {
+  /** Whether it watches the store for others. */
+  readonly isWatcher: boolean;
+  /** The VM that it follows, or may turn to if it is a watcher; undefined if it is the only one. */
+  readonly source: FollowedVm | undefined;
+  /** VMs between the one that it follows and the store's watchers. */
+  readonly hops: number;
+}
+
+/** Rank of the VM that the one of a rank follows. */
+function getParent(rank: number): number {
+  return Math.floor((rank - WATCHERS) / FOLLOWERS);
+}
+
+/** VMs between the one of a rank and the store. */
+function getDepth(rank: number): number {
+  return rank < WATCHERS ? 0 : 1 + getDepth(getParent(rank));
+}
+
+/**
+ * Puts VMs into an order that is the same everywhere.
+ * @param vms - The VMs.
+ */
+export function sortForTree(vms: readonly FollowedVm[]): readonly FollowedVm[] {
+  return vms
+    .map((vm) => ({ vm, hash: hashText(vm.name) }))
+    .sort((a, b) => a.hash - b.hash)
+    .map(({ vm }) => vm);
+}
+
+/**
+ * Finds a VM's place in the tree that an order makes: the first ones watch the store, each other one
+ * follows the one that stands above it, `FOLLOWERS` to each.
+ * @param order - VMs in their order, without those that are left alone.
+ * @param name - The VM; it is in the order.
+ * @example
+ * findTreePlace(sortForTree(vms), 'vm-7').source?.peers;
+ */
+export function findTreePlace(order: readonly FollowedVm[], name: string): TreePlace {
+  const rank = order.findIndex((vm) => vm.name === name);
+  if (order.length === 1) return { isWatcher: true, source: undefined, hops: 0 };
+  if (rank < WATCHERS) return { isWatcher: true, source: order[rank === 0 ? 1 : 0], hops: 0 };
+  const parent = getParent(rank);
+  return { isWatcher: false, source: order[parent], hops: getDepth(parent) };
+}
--- /dev/null
+++ b/src/tests/fleet/FollowTree.test.ts
@@ -0,0 +1,45 @@
+import test from 'ava';
+
+import { findTreePlace, sortForTree } from '../../fleet/FollowTree.js';
+
+function makeVms(count: number) {
+  return Array.from({ length: count }, (_, i) => ({ name: `vm-${i}`, peers: `10.0.0.${i}:7000` }));
+}
+
+function getPlaces(count: number) {
+  const order = sortForTree(makeVms(count));
+  return order.map(({ name }) => findTreePlace(order, name));
+}
+
+test('two VMs watch, nobody is followed by more than eight, and the tree stays flat', (t) => {
+  for (const count of [2, 3, 15, 19, 94, 142]) {
+    const places = getPlaces(count);
+    t.is(places.filter(({ isWatcher }) => isWatcher).length, 2);
+    const followers = new Map<string, number>();
+    for (const { isWatcher, source } of places) {
+      if (isWatcher || source === undefined) continue;
+      followers.set(source.name, (followers.get(source.name) ?? 0) + 1);
+    }
+    t.true(Math.max(0, ...followers.values()) <= 8);
+    t.true(Math.max(...places.map(({ hops }) => hops)) <= 2);
+  }
+});
+
+test('all VMs agree on the order, however they came to know one another', (t) => {
+  const vms = makeVms(20);
+  t.deepEqual(sortForTree([...vms].reverse()), sortForTree(vms));
+});
+
+test('a VM without its source finds another one, never itself', (t) => {
+  // A VM that is followed by many is cut off and left alone by them; each needs another at once.
+  const order = sortForTree(makeVms(30));
+  const { source } = findTreePlace(order, order[29].name);
+  const without = order.filter(({ name }) => name !== source?.name);
+  const next = findTreePlace(without, order[29].name);
+  t.not(next.source?.name, source?.name);
+  t.not(next.source?.name, order[29].name);
+});
+
+test('the only VM watches and follows nobody', (t) => {
+  t.deepEqual(getPlaces(1), [{ isWatcher: true, source: undefined, hops: 0 }]);
+});
