--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -1,5 +1,3 @@
-import type { Server } from 'node:http';
-
 import type { BalancerEffect, BalancerState } from '../balancing/index.js';
 import { countTargets, createBalancerState } from '../balancing/index.js';
 import type { GatewaySettings } from '../config/index.js';
@@ -9,17 +7,18 @@
 import { FleetView } from '../fleet/FleetView.js';
 import { Neighbours } from '../fleet/Neighbours.js';
 import type { EventLog } from '../logging/EventLog.js';
-import { ADDRESSES_PATH, ObjectStore, READY_PATH, writeAddresses } from '../platform/index.js';
+import { ObjectStore, writeAddresses } from '../platform/index.js';
 import type { Section } from '../fleet/FleetStore.js';
-import type { CancelTimer, Clock } from '../timing/index.js';
+import type { Clock } from '../timing/index.js';
 import { TimerService } from '../timing/index.js';
 import { BalancerLoop } from './BalancerLoop.js';
 import { CallerDoor } from './CallerDoor.js';
 import { GatewayMetrics } from './GatewayMetrics.js';
-import { servePages } from './Pages.js';
+import { GatewayPages } from './GatewayPages.js';
 import { Prober } from './Prober.js';
 import { Sendings } from './Sendings.js';
 import { TargetAgents } from './TargetAgents.js';
+import { Wakes } from './Wakes.js';
 
 /** How long callers keep the addresses they are told, in milliseconds, if they may keep them so long. */
 const ADDRESS_TTL_MS = 2_000;
@@ -43,9 +42,6 @@
 /** Idle connections live longer than the configured time, in ms: a request may be on its way. */
 const IDLE_MARGIN_MS = 500;
 
-const OK = 200;
-const UNAVAILABLE = 503;
-
 /** What a test may put in place of the process's own. */
 export interface GatewayParts {
   readonly settings: GatewaySettings;
@@ -93,10 +89,10 @@
   private readonly metrics: GatewayMetrics;
 
   /** @internal */
-  private readonly wakes = new Map<number, CancelTimer>();
+  private readonly wakes: Wakes;
 
   /** @internal */
-  private readonly pages: Server[] = [];
+  private readonly pages: GatewayPages;
 
   /** @internal */
   private callers: CallerServer | undefined;
@@ -142,6 +138,14 @@
       getRequests: () => this.sendings.size,
       getFeedMessages: () => this.sync.sentMessages,
     });
+    this.wakes = new Wakes(clock, (request) => dispatch({ kind: 'wakeDue', request }));
+    this.pages = new GatewayPages({
+      listen: settings.listen,
+      metrics: this.metrics,
+      log,
+      isReady: () => this.isReady,
+      writeAddresses: () => this.writeAddresses(),
+    });
     this.neighbours = new Neighbours({
       self: settings.self,
       listen: settings.listen.peers,
@@ -195,8 +199,8 @@
     this.timers.stop();
     this.sync.stop();
     this.neighbours.stop();
-    for (const cancel of this.wakes.values()) cancel();
-    for (const server of this.pages) server.close();
+    this.wakes.stop();
+    this.pages.close();
     this.callers?.destroy();
     this.agents.destroy();
     this.store.close();
@@ -227,28 +231,7 @@
       maxConnections: MOST_CONNECTIONS,
     });
     this.callers.handle = (req, res, awaitsContinue) => door.accept(req, res, awaitsContinue);
-    this.pages.push(
-      await servePages(listen.readiness, {
-        [READY_PATH]: (_req, res) => res.writeHead(this.isReady ? OK : UNAVAILABLE).end(),
-      }),
-      await servePages(listen.addresses, {
-        [ADDRESSES_PATH]: (_req, res) => {
-          res.writeHead(OK, { 'Content-Type': 'application/json' });
-          res.end(this.writeAddresses());
-        },
-      }),
-      await servePages(listen.metrics, {
-        '/metrics': (_req, res) => {
-          this.metrics
-            .read()
-            .then(({ type, text }) => res.writeHead(OK, { 'Content-Type': type }).end(text))
-            .catch((err: Error) => {
-              this.parts.log.write('metrics.failed', { message: err.message });
-              res.writeHead(UNAVAILABLE).end();
-            });
-        },
-      }),
-    );
+    await this.pages.listen();
   }
 
   /** @internal */
@@ -318,36 +301,19 @@
         sendings.cancel(effect.attempt);
         break;
       case 'deliver':
-        this.cancelWake(effect.request);
+        this.wakes.cancel(effect.request);
         sendings.deliver(effect.request, effect.attempt);
         break;
       case 'answer':
-        this.cancelWake(effect.request);
+        this.wakes.cancel(effect.request);
         sendings.answer(effect.request, effect.status, effect.reason, effect.retryAfterMs);
         break;
       case 'wake':
-        this.wakeAt(effect.request, effect.at);
+        this.wakes.set(effect.request, effect.at);
         break;
       default:
         this.metrics.note(effect);
         this.parts.log.write(effect.event, effect.fields);
     }
   }
-
-  /** @internal */
-  private wakeAt(request: number, at: number): void {
-    this.cancelWake(request);
-    const delayMs = Math.max(0, at - this.parts.clock.now());
-    const cancel = this.parts.clock.after(delayMs, () => {
-      this.wakes.delete(request);
-      this.loop.dispatch({ kind: 'wakeDue', request });
-    });
-    this.wakes.set(request, cancel);
-  }
-
-  /** @internal */
-  private cancelWake(request: number): void {
-    this.wakes.get(request)?.();
-    this.wakes.delete(request);
-  }
 }
