Take a list of VMs that may be old at the first start

Change: the list may be old, at a tenth of a call, as long as it names this VM; else it is read as it is now.

--- a/src/fleet/FleetMembership.ts
+++ b/src/fleet/FleetMembership.ts
@@ -74,9 +74,11 @@
 
   /** @internal */
   private async readAgain(): Promise<void> {
-    const { log, view, onKnown } = this.parts;
+    const { self, log, view, onKnown } = this.parts;
     try {
-      await this.readVms('now');
+      // A list that names this VM is later than its announcement, and so than nearly all others'.
+      await this.readVms('mayBeOld');
+      if (!view.vms.has(self.name)) await this.readVms('now');
       log.write('fleet.joined', { vms: view.vms.size, isKnown: false });
     } catch (err) {
       this.noteFailure('vms', err as Error);
