--- a/src/fleet/FeedClient.ts
+++ b/src/fleet/FeedClient.ts
@@ -48,7 +48,8 @@
     this.socket = connect({ host, port: Number(port), noDelay: true });
     this.socket.setEncoding('utf8');
     const known = SECTIONS.map((section) => [section, view.getRevision(section)]);
-    this.socket.write(writeFeedMessage(Object.fromEntries(known)));
+    const version = view.table?.version;
+    this.socket.write(writeFeedMessage({ revisions: Object.fromEntries(known), version }));
     this.socket.on('data', (text: string) => this.hear(text));
     this.socket.once('error', (err) => this.end(err.message));
     this.socket.once('close', () => this.end('closed'));
--- a/src/fleet/FeedServer.ts
+++ b/src/fleet/FeedServer.ts
@@ -3,8 +3,9 @@
 
 import type { ListenAddress } from '../config/index.js';
 import type { EventLog } from '../logging/EventLog.js';
-import type { KnownRevisions } from './feedMessages.js';
+import type { KnownState } from './feedMessages.js';
 import { FeedReader, writeFeedMessage } from './feedMessages.js';
+import type { Section } from './FleetStore.js';
 import { SECTIONS } from './FleetStore.js';
 import type { FleetView } from './FleetView.js';
 
@@ -62,7 +63,7 @@
   private accept(socket: Socket): void {
     socket.on('error', (err) => this.log.write('feed.followerLost', { message: err.message }));
     socket.once('close', () => this.followers.delete(socket));
-    const reader = new FeedReader<KnownRevisions>();
+    const reader = new FeedReader<KnownState>();
     socket.setEncoding('utf8');
     socket.on('data', (text: string) => {
       try {
@@ -79,10 +80,9 @@
    * knows more; the whole content with each new connection would cost as much as all callers' bytes.
    * @internal
    */
-  private greet(socket: Socket, known: KnownRevisions): void {
+  private greet(socket: Socket, known: KnownState): void {
     for (const section of SECTIONS) {
-      const revision = this.view.getRevision(section);
-      if (revision === undefined || revision <= (known[section] ?? -1)) continue;
+      if (!this.isNews(section, known)) continue;
       socket.write(writeFeedMessage({ kind: 'change', ...this.view.getWhole(section) }));
       this.sent += 1;
     }
@@ -90,6 +90,14 @@
     this.tellAge();
   }
 
+  /** @internal */
+  private isNews(section: Section, { revisions, version }: KnownState): boolean {
+    // The store's revision moves on with every change anywhere; the largest section seldom changes.
+    if (section === 'configuration' && version === this.view.table?.version) return false;
+    const revision = this.view.getRevision(section);
+    return revision !== undefined && revision > (revisions[section] ?? -1);
+  }
+
   /** @internal */
   private tell(line: string): void {
     for (const socket of this.followers) {
--- a/src/tests/fleet/feed.test.ts
+++ b/src/tests/fleet/feed.test.ts
@@ -105,6 +105,28 @@
   server.stop();
 });
 
+test('a configuration that is known is not told again because the store has moved on', async (t) => {
+  // The store's revision grows with each change anywhere, the configuration is by far the largest
+  // section. Sent whole with each new connection it chokes the links of small VMs.
+  const server = await makeServer();
+  server.view.apply({ section: 'configuration', items: [], revision: 9, isWhole: false });
+  const clock = new SystemClock();
+  const view = new FleetView(clock);
+  const items = [{ name: 'main', value: TABLE }];
+  view.apply({ section: 'configuration', items, revision: 3, isWhole: true });
+  const told: string[] = [];
+  const apply = view.apply.bind(view);
+  view.apply = (change) => {
+    told.push(change.section);
+    apply(change);
+  };
+  const client = new FeedClient(server.address, view, clock, () => {});
+  await waitUntil(() => Number.isFinite(client.getAgeMs()));
+  t.deepEqual(told, ['targets']);
+  client.stop();
+  server.stop();
+});
+
 test('the end of the process that is followed is told at once', async (t) => {
   const server = await makeServer();
   const clock = new SystemClock();
