Explain a request only by what its own process knew

Change: a line process.started clears what went by before; beliefs are shown in the order in which they came; a refusal without a time of its own is "at once". No gateway code is concerned.

--- a/src/report/explainRequest.ts
+++ b/src/report/explainRequest.ts
@@ -54,7 +54,9 @@
     retryAfterMs === undefined ? '' : `; the caller may come back after ${say(retryAfterMs)} ms`;
   const looks = rounds === undefined ? '' : `; ${say(rounds)} rounds of probes`;
   const first = sinceFirstMs === undefined ? '' : `; first asked ${say(sinceFirstMs)} ms before`;
-  return `answered ${say(status)} after ${say(tookMs)} ms: ${why}${looks}${first}${back}`;
+  // What is refused before its route is known has no time of its own.
+  const after = tookMs === undefined ? 'at once' : `after ${say(tookMs)} ms`;
+  return `answered ${say(status)} ${after}: ${why}${looks}${first}${back}`;
 }
 
 const SENTENCES: Readonly<Record<string, Sentence>> = {
@@ -103,7 +105,11 @@
   const endsAt = Date.parse(own[own.length - 1].time);
   const beliefs = new Map<string, LogLine>();
   for (const line of lines.slice(0, first)) {
-    if (BELIEFS.has(line.event)) beliefs.set(line.event, line);
+    // A process that starts knows nothing of what the one before it went by.
+    if (line.event === 'process.started') beliefs.clear();
+    if (!BELIEFS.has(line.event)) continue;
+    beliefs.delete(line.event);
+    beliefs.set(line.event, line);
   }
   const around = lines.filter((line) => {
     if (!line.event.startsWith('target.') || !targets.has(line.fields.target)) return false;
--- a/src/tests/report/explainRequest.test.ts
+++ b/src/tests/report/explainRequest.test.ts
@@ -98,6 +98,29 @@
   );
 });
 
+test('what a process knew that has ended is not shown as what the next one went by', (t) => {
+  // A VM was killed and started anew, and refused a request since it knew no configuration yet. Shown
+  // with the configuration of its former life, the refusal looks like a fault of the decision.
+  t.snapshot(
+    explainRequest(
+      [
+        line('vm-1', 0, 'process.started', { name: 'vm-1' }),
+        line('vm-1', 100, 'config.adopted', { version: 7, routes: 19 }),
+        line('vm-1', 200, 'fleet.sourceLost', { source: '10.0.0.2:7000', reason: 'stale' }),
+        line('vm-1', 9_000, 'process.started', { name: 'vm-1' }),
+        line('vm-1', 9_010, 'fleet.following', { source: '10.0.0.3:7000' }),
+        line('vm-1', 9_020, 'request.refused', {
+          id: 'r-1',
+          status: 503,
+          reason: 'notConfigured',
+          retryAfterMs: 300,
+        }),
+      ],
+      'r-1',
+    ),
+  );
+});
+
 test('lines that are not of a gateway are passed over', (t) => {
   t.deepEqual(explainRequest(['', 'hello', '{"half', '{"time":1}', '12.3 vm-1 {}'], 'r-1'), []);
 });
