--- a/src/soak/SoakGateway.ts
+++ b/src/soak/SoakGateway.ts
@@ -27,14 +27,6 @@
 
 const MAIN = new URL('../gateway/main.js', import.meta.url).pathname;
 
-/** What ended a process that was asked to stop. */
-export type StopEnd =
-  | 'byItself'
-  /** A fault that killed it meanwhile. */
-  | 'byFault'
-  /** The end of the grace period, or a signal that nobody here sent. */
-  | 'bySignal';
-
 /** One gateway as a process of its own. */
 export class SoakGateway {
   /** Until when what it does may be put down to a fault; Unix milliseconds. */
@@ -46,9 +38,6 @@
   /** @internal */
   private starts = 0;
 
-  /** Whether a fault has killed the process that was started last. @internal */
-  private isKilled = false;
-
   /** @param options - How it is started. */
   constructor(readonly options: SoakGatewayOptions) {
     mkdirSync(options.dir, { recursive: true });
@@ -57,16 +46,12 @@
 
   /** Whether its process runs. */
   get isUp(): boolean {
-    const { child } = this;
-    if (child === undefined || this.isKilled) return false;
-    return child.exitCode === null && child.signalCode === null;
+    return this.child !== undefined && this.child.exitCode === null && !this.child.killed;
   }
 
-  /** Starts the process, unless it runs: faults overlap, and each starts what it ended. */
+  /** Starts the process. */
   start(): void {
-    if (this.isUp) return;
     this.starts += 1;
-    this.isKilled = false;
     const { dir } = this.options;
     const log = createWriteStream(join(dir, `gateway.log`), { flags: 'a' });
     const env = { PATH: process.env.PATH, MASTICLINK_CONFIG: join(dir, 'gateway.ini') };
@@ -80,10 +65,10 @@
     this.child?.kill(signal);
   }
 
-  /** Stops it as planned and waits for its end. */
-  async stop(): Promise<StopEnd> {
+  /** Stops it as planned and waits for its end; gives whether it ended by itself. */
+  async stop(): Promise<boolean> {
     const { child } = this;
-    if (child === undefined || !this.isUp) return 'byItself';
+    if (child === undefined || child.exitCode !== null) return true;
     const ended = new Promise<boolean>((resolve) => {
       child.once('exit', (_code, signal) => resolve(signal === null));
     });
@@ -91,13 +76,11 @@
     const timer = setTimeout(() => child.kill('SIGKILL'), GRACE_MS);
     const isOwn = await ended;
     clearTimeout(timer);
-    if (isOwn) return 'byItself';
-    return this.isKilled ? 'byFault' : 'bySignal';
+    return isOwn;
   }
 
-  /** Ends it at once, as a fault. */
+  /** Ends it at once. */
   kill(): void {
-    this.isKilled = true;
     this.child?.kill('SIGKILL');
   }
 
