--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 
 /** Airbnb's rules; each exception below says why the project needs it. */
 export default [
-  { ignores: ['dist/**', 'build/**', 'node_modules/**', '**/generated/**'] },
+  { ignores: ['dist/**', 'build/**', 'node_modules/**', 'target/**', '**/generated/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.typescriptEslint,
