--- a/src/entry/EntryProcess.ts
+++ b/src/entry/EntryProcess.ts
@@ -155,7 +155,6 @@
       exchanges,
       finder,
       dispatch,
-      isStopping: () => this.state.fleet.stopping,
       onEnded: (exchange, milliseconds) => this.levels.record(exchange, milliseconds),
     });
     this.effectParts = this.createEffectParts();
--- a/src/entry/exchange/CallerGate.ts
+++ b/src/entry/exchange/CallerGate.ts
@@ -3,7 +3,6 @@
 
 import type { CoreEvent, ServiceName } from '../../core/index.js';
 import type { Clock } from '../../timing/index.js';
-import { markServing } from './clientErrors.js';
 import type { Exchanges } from './Exchanges.js';
 import type { CleanHeaders } from './headers.js';
 import { cleanHeaders } from './headers.js';
@@ -24,8 +23,6 @@
   readonly dispatch: (event: CoreEvent) => void;
   /** Told how long each request took, in milliseconds. */
   readonly onEnded: (exchange: HttpExchange, milliseconds: number) => void;
-  /** Whether a planned stop has begun. */
-  readonly isStopping: () => boolean;
 }
 
 const BODY_TOO_LARGE: Omit<Problem, 'outcome'> = {
@@ -39,7 +36,7 @@
   const headers = getProblemHeaders(problem, body.length);
   res.writeHead(problem.status, headers);
   res.end(req.method === 'HEAD' ? undefined : body);
-  linger(req);
+  linger(req, res);
 }
 
 function hasBody({ contentLength, transferEncoding }: CleanHeaders): boolean {
@@ -162,11 +159,9 @@
     const head = { method, path, headers: extend(clean, req) };
     const id = exchanges.takeId();
     const parts = { id, service, caller, fingerprint, key, head, body };
-    const exchange = new HttpExchange(parts, req, res, this.parts.isStopping);
+    const exchange = new HttpExchange(parts, req, res);
     exchanges.add(exchange);
-    const unmark = markServing(req.socket);
     res.on('close', () => {
-      unmark();
       exchanges.remove(id);
       this.parts.onEnded(exchange, this.parts.clock.now() - now);
       // Before the answer is all out, a closed connection is a caller that hung up.
--- a/src/entry/exchange/clientErrors.ts
+++ b/src/entry/exchange/clientErrors.ts
@@ -34,17 +34,15 @@
   ],
 ]);
 
-/** Sockets on which a request is being served; see `markServing`. */
-const SERVING = new WeakMap<Duplex, number>();
+/** Node's parser error. */
+export type ClientError = Error & { readonly code?: string };
 
 /**
- * Notes that a request came on a socket and is not answered yet. An error written there in between
- * would land in the middle of that request's answer, or tell `not-run` of one that may run.
- * @param socket - The caller's connection.
+ * What to tell a caller about bytes that are no request.
+ * @param err - Node's parser error.
  */
-export function markServing(socket: Duplex): () => void {
-  SERVING.set(socket, (SERVING.get(socket) ?? 0) + 1);
-  return () => SERVING.set(socket, (SERVING.get(socket) ?? 1) - 1);
+export function getClientProblem({ code }: ClientError): Problem {
+  return PROBLEMS.get(code ?? '') ?? MALFORMED;
 }
 
 function writeRaw(socket: Duplex, problem: Problem): void {
@@ -56,16 +54,17 @@
 }
 
 /**
- * Answers what is not a request: the caller learns what is wrong, and its connection ends.
- * @param error - Node's parser error.
+ * Answers what is not a request: the caller learns what is wrong, and its connection ends. No answer
+ * may be owed on it, or this one would land in the middle of that.
+ * @param err - Node's parser error.
  * @param socket - The caller's connection.
  */
-export function answerClientError(error: Error & { code?: string }, socket: Duplex): void {
-  if (error.code === 'ECONNRESET' || !socket.writable || (SERVING.get(socket) ?? 0) > 0) {
+export function answerClientError(err: ClientError, socket: Duplex): void {
+  if (err.code === 'ECONNRESET' || !socket.writable) {
     socket.destroy();
     return;
   }
-  writeRaw(socket, PROBLEMS.get(error.code ?? '') ?? MALFORMED);
+  writeRaw(socket, getClientProblem(err));
 }
 
 /**
--- a/src/gateway/CallerDoor.ts
+++ b/src/gateway/CallerDoor.ts
@@ -1,7 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import type { BalancerEvent, CallerLimits } from '../balancing/index.js';
-import { markServing } from '../entry/exchange/clientErrors.js';
 import { cleanHeaders } from '../entry/exchange/headers.js';
 import { RequestBody } from '../entry/exchange/RequestBody.js';
 import { readCallerHead } from '../platform/index.js';
@@ -14,7 +13,6 @@
   readonly clock: Clock;
   readonly sendings: Sendings;
   readonly dispatch: (event: BalancerEvent) => void;
-  isStopping(): boolean;
   getLimits(): CallerLimits | undefined;
 }
 
@@ -43,8 +41,6 @@
   accept(req: IncomingMessage, res: ServerResponse, awaitsContinue: boolean): void {
     const arrivedAt = this.parts.clock.now();
     if (awaitsContinue) res.writeContinue();
-    const serving = markServing(req.socket);
-    res.once('close', serving);
     const bodyBytes = this.parts.getLimits()?.bodyBytes ?? BODY_BYTES;
     const body = new RequestBody(hasBody(req) ? req : undefined, {
       bodyBytes,
@@ -69,7 +65,7 @@
     if (via !== undefined) headers.push('Via', via);
     if (forwardedFor !== undefined) headers.push('X-Forwarded-For', forwardedFor);
     const { callerRequestId } = readCallerHead(req.headers);
-    return new CallerExchange(req, res, headers, body, callerRequestId, this.parts.isStopping);
+    return new CallerExchange(req, res, headers, body, callerRequestId);
   }
 
   /** @internal */
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -222,7 +222,6 @@
       clock: this.parts.clock,
       sendings: this.sendings,
       dispatch: this.loop.dispatch,
-      isStopping: () => this.isStopping,
       getLimits: () => this.view.table?.limits,
     });
     this.callers = await CallerServer.listen({
--- a/src/soak/SoakCallers.ts
+++ b/src/soak/SoakCallers.ts
@@ -7,6 +7,7 @@
   writeAddressesPath,
   writeCallerHeaders,
 } from '../platform/standIn/index.js';
+import { PipelinedCaller } from './PipelinedCaller.js';
 import type { GatewayPorts } from './SoakGateway.js';
 
 /** What a caller saw of one request. */
@@ -21,6 +22,8 @@
   status?: number;
   /** Whether the answer is whole, signed and its own. */
   isSound?: boolean;
+  /** Whether it was sent behind a request whose answer closed the connection. */
+  isBehindClose?: boolean;
 }
 
 /** Time that callers allow, in milliseconds. */
@@ -33,6 +36,10 @@
 /** Requests a second of all callers together. */
 const PER_SECOND = 40;
 
+/** Share of callers that send further requests before the first is answered, and how many. */
+const PIPELINED_SHARE = 0.15;
+const PIPELINED_MOST = 4;
+
 /** How long a caller keeps the addresses it was told, in milliseconds. */
 const KEPT_MS = 2_000;
 
@@ -43,6 +50,9 @@
   /** @internal */
   private readonly agent = new Agent({ keepAlive: true, maxSockets: 200 });
 
+  /** @internal */
+  private readonly pipelines = new Set<PipelinedCaller>();
+
   /** @internal */
   private ports: readonly number[] = [];
 
@@ -73,14 +83,14 @@
 
   /** Ends all connections. */
   close(): void {
+    for (const caller of this.pipelines) caller.destroy();
     this.agent.destroy();
   }
 
   /** Sends one request to a gateway and gives what came of it. */
   send(port: number, path: string, isIdempotent: boolean): Promise<CallerRecord> {
-    const id = Math.floor(this.random() * 2 ** 48).toString(16);
-    const record: CallerRecord = { id, isIdempotent, sentAt: Date.now(), port };
-    this.records.push(record);
+    const record = this.createRecord(port, isIdempotent);
+    const { id } = record;
     return new Promise((resolve) => {
       const finish = (status: number, isSound: boolean): void => {
         if (record.endedAt !== undefined) return;
@@ -111,11 +121,31 @@
     });
   }
 
+  /** Sends a few requests on one connection before the first of them is answered. */
+  sendPipelined(port: number, path: string, count: number): void {
+    const records = Array.from({ length: count }, () => this.createRecord(port, true));
+    const caller = new PipelinedCaller(records, { port, host: HOST, path, allowedMs: ALLOWED_MS });
+    this.pipelines.add(caller);
+    caller.onEnd = () => this.pipelines.delete(caller);
+  }
+
+  /** @internal */
+  private createRecord(port: number, isIdempotent: boolean): CallerRecord {
+    const id = Math.floor(this.random() * 2 ** 48).toString(16);
+    const record: CallerRecord = { id, isIdempotent, sentAt: Date.now(), port };
+    this.records.push(record);
+    return record;
+  }
+
   /** @internal */
   private tick(): void {
     if (Date.now() - this.askedAt > KEPT_MS) this.ask();
     if (this.ports.length === 0) return;
     const port = this.ports[Math.floor(this.random() * this.ports.length)];
+    if (this.random() < PIPELINED_SHARE) {
+      this.sendPipelined(port, '/read/x', 2 + Math.floor(this.random() * (PIPELINED_MOST - 1)));
+      return;
+    }
     const isIdempotent = this.random() < 0.6;
     this.send(port, isIdempotent ? '/read/x' : '/book/x', isIdempotent);
   }
--- a/src/soak/checkSoak.ts
+++ b/src/soak/checkSoak.ts
@@ -46,6 +46,9 @@
   if (status === 200 && isSound !== true) {
     broken.push(`${id} got an answer that is not its own and whole`);
   }
+  if (record.isBehindClose === true && runs > 0) {
+    broken.push(`${id} ran behind an answer that closed its connection`);
+  }
   if (status === 200 && runs === 0) broken.push(`${id} got an answer and never ran`);
   return broken;
 }
--- a/src/soak/faults.ts
+++ b/src/soak/faults.ts
@@ -141,7 +141,8 @@
     if (isUndisturbed && end === 'bySignal') {
       notice(`${gateway.options.name} had to be killed after SIGTERM`);
     }
-    const cut = before.filter(({ status }) => status === 0);
+    // What stands behind an answer that closes the connection counts as not read.
+    const cut = before.filter(({ status, isBehindClose }) => status === 0 && !isBehindClose);
     if (isUndisturbed && end !== 'byFault' && cut.length > 0) {
       notice(`a planned stop cut ${cut.length} requests`);
     }
--- /dev/null
+++ b/src/tests/gateway/GatewayScene.ts
@@ -0,0 +1,191 @@
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { connect } from 'node:net';
+
+import type { CallerLimits } from '../../balancing/index.js';
+import { parseGatewaySettings } from '../../config/readGatewaySettings.js';
+import { GatewayProcess } from '../../gateway/GatewayProcess.js';
+import { EventLog } from '../../logging/EventLog.js';
+import { PlatformStore, putConfiguration, putTarget } from '../../platform/standIn/index.js';
+import { findPorts } from '../../soak/findPorts.js';
+import { SystemClock } from '../../timing/index.js';
+import { ROUTE } from '../balancing/scene.js';
+import { CallerSocket } from './CallerSocket.js';
+
+const TARGET = 't-1';
+const SLOTS = 64;
+const LISTENERS = ['callers', 'readiness', 'addresses', 'peers', 'metrics'] as const;
+
+/** Small bounds, so that tests of them need few bytes. */
+const LIMITS: CallerLimits = {
+  bodyBytes: 4_096,
+  headerTimeoutMs: 3_000,
+  idleTimeoutMs: 10_000,
+};
+
+/** Waits until something holds; throws after five seconds, so that a test can't hang. */
+async function until(holds: () => boolean): Promise<void> {
+  for (let tries = 0; !holds(); tries += 1) {
+    if (tries > 1_000) throw new Error('what was waited for did not come about');
+    await new Promise((resolve) => {
+      setTimeout(resolve, 5);
+    });
+  }
+}
+
+/** A gateway on loopback before a store and a target that holds each request until it is told. */
+export class GatewayScene {
+  /** Ids of requests that the target began to run, in that order. */
+  readonly runs: string[] = [];
+
+  /** Ids of requests that were withdrawn at the target. */
+  readonly withdrawn: string[] = [];
+
+  /** Lines of the gateway's log. */
+  readonly lines: { readonly event: string; readonly id?: string }[] = [];
+
+  /** Bytes of each answer's body. */
+  answerBytes = 4;
+
+  /** @internal */
+  private readonly held = new Map<string, ServerResponse>();
+
+  /** @internal */
+  private stopped: Promise<void> | undefined;
+
+  /** @internal */
+  private constructor(
+    private readonly store: PlatformStore,
+    private readonly target: Server,
+    private readonly callersPort: number,
+    readonly gateway: GatewayProcess,
+  ) {}
+
+  /** Starts all of it; resolves once the gateway serves. */
+  static async start(): Promise<GatewayScene> {
+    const store = new PlatformStore();
+    await store.start();
+    let scene: GatewayScene | undefined;
+    const target = createServer((req, res) => scene?.hold(req, res));
+    await new Promise<void>((resolve) => {
+      target.listen(0, '127.0.0.1', resolve);
+    });
+    const address = `127.0.0.1:${(target.address() as AddressInfo).port}`;
+    GatewayScene.configure(store, address);
+    const ports = await findPorts(LISTENERS.length);
+    const listen = LISTENERS.map((name, i) => `${name} = 127.0.0.1:${ports[i]}`).join('\n');
+    const text =
+      `[process]\nvm = vm-1\nzone = quai\nregion = here\nfirst-start = true\n[listen]\n${listen}\n` +
+      `[store]\naddress = ${store.address}\n[bounds]\nretry-slack = 60\ngrace = 4s\n`;
+    const log = new EventLog('vm-1', {
+      write: (lines, done) => {
+        for (const line of lines.trim().split('\n')) scene?.lines.push(JSON.parse(line));
+        done();
+      },
+      now: () => performance.now(),
+      wallNow: () => Date.now(),
+    });
+    const settings = parseGatewaySettings('gateway.ini', text);
+    const gateway = new GatewayProcess({
+      settings,
+      clock: new SystemClock(),
+      log,
+      random: Math.random,
+    });
+    scene = new GatewayScene(store, target, ports[0], gateway);
+    await gateway.start();
+    await until(() => gateway.isReady);
+    return scene;
+  }
+
+  /** @internal */
+  private static configure(store: PlatformStore, address: string): void {
+    putConfiguration(store, {
+      version: 1,
+      routes: [{ ...ROUTE, timeoutMs: 4_000 }],
+      services: [
+        { name: 'horaires', healthPath: '/health', maxConnections: 220, coldRequestsPerSecond: 2 },
+      ],
+      limits: LIMITS,
+    });
+    putTarget(store, {
+      id: TARGET,
+      service: 'horaires',
+      address,
+      zone: 'quai',
+      bornAt: 1,
+      slots: SLOTS,
+      isDraining: false,
+      coldMs: 0,
+    });
+  }
+
+  /** Opens a caller's connection. */
+  async connect(): Promise<CallerSocket> {
+    const socket = connect(this.callersPort, '127.0.0.1');
+    await new Promise((resolve) => {
+      socket.once('connect', resolve);
+    });
+    return new CallerSocket(socket);
+  }
+
+  /** Has the target answer a request. */
+  release(id: string): void {
+    this.held
+      .get(id)
+      ?.writeHead(200, {
+        'X-Masticlink-Request-Id': id,
+        'X-Masticlink-Response-Signature': `s.${id}`,
+        'Content-Length': this.answerBytes,
+      })
+      .end('x'.repeat(this.answerBytes));
+    this.held.delete(id);
+  }
+
+  /** Begins a planned stop of the gateway. */
+  beginStop(): void {
+    this.stopped = this.gateway.stop();
+  }
+
+  /** Waits until so many requests run, or ran. */
+  async untilRuns(count: number): Promise<void> {
+    await until(() => this.runs.length >= count);
+  }
+
+  /** Waits until something holds. */
+  readonly until = until;
+
+  /** Lets things happen that should not. */
+  async pause(ms: number): Promise<void> {
+    await new Promise((resolve) => {
+      setTimeout(resolve, ms);
+    });
+  }
+
+  /** Ends all of it. */
+  async stop(): Promise<void> {
+    await this.stopped;
+    this.gateway.close();
+    this.target.close();
+    this.target.closeAllConnections();
+    await this.store.stop();
+  }
+
+  /** @internal */
+  private hold(req: IncomingMessage, res: ServerResponse): void {
+    const id = String(req.headers['x-masticlink-request-id']);
+    res.setHeader('X-Masticlink-Server-Load', `${this.held.size},0,${SLOTS},100`);
+    res.setHeader('X-Masticlink-Instance-Id', TARGET);
+    if (req.url === '/health') {
+      res.end();
+      return;
+    }
+    req.resume();
+    this.runs.push(id);
+    this.held.set(id, res);
+    res.once('close', () => {
+      if (!res.writableFinished) this.withdrawn.push(id);
+    });
+  }
+}
--- a/src/tests/soak/soak.test.ts
+++ b/src/tests/soak/soak.test.ts
@@ -33,6 +33,10 @@
       bans: [{ target: 't-1', from: 5, until: 50, reason: 'z-1 was out' }],
     }),
     notRecovered: checkSoak({ ...SOUND, calmFrom: 0 }),
+    behindClose: checkSoak({
+      ...SOUND,
+      callers: [{ ...SOUND.callers[0], isIdempotent: true, status: 0, isBehindClose: true }],
+    }),
     noticed: checkSoak({ ...SOUND, noticed: ['a planned stop cut 1 requests'] }),
   });
 });
