--- /dev/null
+++ b/src/lab/main.ts
@@ -0,0 +1,60 @@
+import { getWorth } from './LabRecord.js';
+import { LAB_PLANS } from './plans.js';
+import { playLab } from './playLab.js';
+
+/** Seeds are so far apart: each run takes the next one too. */
+const SEED_STEP = 7;
+
+function readFlag(flag: string, fallback: string): string {
+  const at = process.argv.indexOf(`--${flag}`);
+  return at < 0 ? fallback : (process.argv[at + 1] ?? fallback);
+}
+
+function getMean(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
+
+/** Plays one plan over some seeds and prints a line. */
+function play(name: string, seeds: number): boolean {
+  const results = Array.from({ length: seeds }, (_, i) =>
+    playLab(LAB_PLANS[name], (i + 1) * SEED_STEP),
+  );
+  const mean = (get: (result: (typeof results)[number]) => number): string =>
+    getMean(results.map(get)).toFixed(3).padStart(6);
+  const broken = results.flatMap((result) => result.broken);
+  process.stdout.write(
+    `${name.padEnd(12)}${mean(({ score }) => getWorth(score))} of ` +
+      `${mean(({ ceiling }) => getWorth(ceiling))}   ${mean(({ score }) => score.payoff)}   ` +
+      `${mean(({ score }) => score.worstPayoff)}   ${mean(({ score }) => score.late)}   ` +
+      `${mean(({ score }) => score.unserved)}   ${mean(({ score }) => score.refusals)}   ` +
+      `${getMean(results.map(({ score }) => score.heldMs))
+        .toFixed(0)
+        .padStart(5)}   ` +
+      `${getMean(results.map(({ probes }) => probes))
+        .toFixed(1)
+        .padStart(5)}  ${broken.join('; ')}\n`,
+  );
+  return broken.length === 0;
+}
+
+/** Plays plans with the product's own decisions and beside a scheduler that knows everything. */
+function main(): void {
+  const seeds = Number(readFlag('seeds', '5'));
+  const all = Object.keys(LAB_PLANS);
+  const chosen = readFlag('plan', all.join()).split(',');
+  const unknown = chosen.filter((name) => !all.includes(name));
+  if (unknown.length > 0 || !Number.isInteger(seeds) || seeds < 1) {
+    process.stderr.write(
+      `--plan takes ${all.join(', ')}, with commas between them; --seeds a number from 1 on\n`,
+    );
+    process.exitCode = 2;
+    return;
+  }
+  process.stdout.write(
+    `plan         worth of ceiling  payoff    worst     late unserved refused  held, ms probes\n`,
+  );
+  const isSound = chosen.map((name) => play(name, seeds)).every(Boolean);
+  process.exitCode = isSound ? 0 : 1;
+}
+
+main();
--- /dev/null
+++ b/src/lab/plans.ts
@@ -0,0 +1,61 @@
+import type { LabPlan } from './LabPlan.js';
+import { makePlan, makeRoute, makeTargets } from './LabPlan.js';
+
+const SURGE_FROM_MS = 4_000;
+const SURGE_UNTIL_MS = 10_000;
+
+function surge(factor: number): LabPlan['surges'] {
+  return [{ fromMs: SURGE_FROM_MS, untilMs: SURGE_UNTIL_MS, factor }];
+}
+
+/** Deployments and loads that differ in what binds. None is that of a user. */
+export const LAB_PLANS: Readonly<Record<string, LabPlan>> = {
+  /** Targets bear the load at ease. */
+  calm: makePlan({ surges: [], untilMs: 8_000 }),
+  /** As much as targets bear if each slot is used at once. */
+  surge: makePlan({ surges: surge(1.6) }),
+  /** More than they bear. */
+  flood: makePlan({ surges: surge(2) }),
+  shortSurge: makePlan({ surges: [{ fromMs: SURGE_FROM_MS, untilMs: 7_000, factor: 1.8 }] }),
+  /** All targets reject half of what they get, whatever their load. */
+  rejecting: makePlan({
+    surges: [],
+    rejecting: [{ service: 'lookup', fromMs: SURGE_FROM_MS, untilMs: SURGE_UNTIL_MS, share: 0.55 }],
+  }),
+  /** Targets with two slots, of which the second is slow. */
+  twoSlots: makePlan({
+    vms: 15,
+    targets: [makeTargets('lookup', { slots: 2, count: 12, queue: 4 })],
+    routes: [
+      makeRoute('lookup', {
+        perSecond: 40,
+        workMs: 220,
+        objectiveMs: 600,
+        allowedMs: 4_000,
+        timeoutMs: 2_000,
+      }),
+    ],
+    surges: surge(1.8),
+  }),
+  /** Targets that slow down from half of their slots on, with long and mild spells. */
+  earlyKnee: makePlan({
+    targets: [
+      makeTargets('lookup', {
+        count: 13,
+        kneeShare: 0.5,
+        kneeSlowdown: 2.2,
+        spellShare: 0.3,
+        spellSlowdown: 2,
+        spellMs: 900,
+      }),
+    ],
+    surges: surge(1.5),
+  }),
+  /** Targets that do not slow down with load. */
+  noKnee: makePlan({
+    targets: [makeTargets('lookup', { kneeShare: 1, kneeSlowdown: 1 })],
+    surges: surge(2.2),
+  }),
+  /** The surge on one VM, which knows all that is sent. */
+  oneVm: makePlan({ vms: 1, surges: surge(1.6) }),
+};
--- /dev/null
+++ b/src/lab/playLab.ts
@@ -0,0 +1,128 @@
+import type { RoutingTable, TargetEntry } from '../balancing/index.js';
+import { VirtualClock } from '../proof/VirtualClock.js';
+import { createRandom } from '../standIns/models/index.js';
+import { drawArrivals, LabCallers } from './LabCallers.js';
+import type { LabPlan } from './LabPlan.js';
+import type { LabRecord, LabScore } from './LabRecord.js';
+import { scoreLab } from './LabRecord.js';
+import { LabTarget } from './LabTarget.js';
+import { LAB_HOST, LabVm } from './LabVm.js';
+import { playCeiling } from './playCeiling.js';
+
+/** What came of one run. */
+export interface LabResult {
+  readonly score: LabScore;
+  /** What a scheduler that knows everything got from the same arrivals. */
+  readonly ceiling: LabScore;
+  readonly records: readonly LabRecord[];
+  readonly vms: readonly LabVm[];
+  /** Probes for each request. */
+  readonly probes: number;
+  /** Sendings to targets for each request. */
+  readonly sendings: number;
+  /** Bounds that did not hold; none if all is well. */
+  readonly broken: readonly string[];
+}
+
+function makeTable(plan: LabPlan): RoutingTable {
+  return {
+    version: 1,
+    routes: plan.routes.map((route, i) => ({
+      name: route.name,
+      host: LAB_HOST,
+      pathPrefix: `/${route.name}/`,
+      isIdempotent: route.isIdempotent,
+      objectiveMs: route.objectiveMs,
+      priority: i,
+      services: [{ service: route.service, weight: 1 }],
+      timeoutMs: route.timeoutMs,
+      maxTargets: 2,
+    })),
+    services: plan.targets.map(({ service }) => ({
+      name: service,
+      healthPath: '/health',
+      maxConnections: 260,
+      coldRequestsPerSecond: 10,
+    })),
+    limits: { bodyBytes: 1_000_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+  };
+}
+
+function makeEntries(plan: LabPlan): TargetEntry[] {
+  return plan.targets.flatMap(({ service, count, slots }, s) =>
+    Array.from({ length: count }, (_, i) => ({
+      id: `${service}-${i + 1}`,
+      service,
+      address: `10.0.${s}.${i + 1}:8080`,
+      zone: 'zone-1',
+      bornAt: 1,
+      slots,
+      isDraining: false,
+      coldMs: 0,
+    })),
+  );
+}
+
+function findBroken(
+  records: readonly LabRecord[],
+  probesPerTarget: number,
+  most: number,
+): string[] {
+  const broken: string[] = [];
+  const twice = records.filter(({ route, runs }) => !route.isIdempotent && runs > 1).length;
+  if (twice > 0) broken.push(`${twice} requests that may run once ran more often`);
+  if (probesPerTarget > most) {
+    broken.push(`${probesPerTarget.toFixed(1)} probes a target and second, allowed are ${most}`);
+  }
+  return broken;
+}
+
+/**
+ * Plays a deployment in virtual time with the product's own decisions on every VM, and the same
+ * arrivals with a scheduler that knows everything.
+ * @param plan - Deployment, load and troubles.
+ * @param seed - Of chance.
+ * @example
+ * const { score, ceiling } = playLab(makePlan(), 1);
+ */
+export function playLab(plan: LabPlan, seed: number): LabResult {
+  const clock = new VirtualClock();
+  const arrivals = drawArrivals(plan, createRandom(seed));
+  const random = createRandom(seed + 1);
+  const entries = makeEntries(plan);
+  const planOf = new Map(plan.targets.map((each) => [each.service, each]));
+  const targets = new Map(
+    entries.map(({ id, service }) => [
+      id,
+      new LabTarget(planOf.get(service) as LabPlan['targets'][number], clock, random),
+    ]),
+  );
+  const names = Array.from({ length: plan.vms }, (_, i) => `vm-${i + 1}`);
+  const vms = names.map((name) => new LabVm({ name, plan, clock, random, targets }));
+  for (const vm of vms) vm.configure(makeTable(plan), entries, names);
+  for (const { service, fromMs, untilMs, share } of plan.rejecting) {
+    const some = entries.filter((each) => each.service === service);
+    const set = (to: number): void =>
+      some.forEach(({ id }) => {
+        (targets.get(id) as LabTarget).rejectShare = to;
+      });
+    clock.after(fromMs, () => set(share));
+    clock.after(untilMs, () => set(0));
+  }
+  const callers = new LabCallers({ plan, clock, random, vms });
+  callers.start(arrivals);
+  const endsAt = plan.untilMs + Math.max(...plan.routes.map(({ allowedMs }) => allowedMs));
+  clock.runUntil(endsAt);
+  const { records } = callers;
+  const probes = vms.reduce((sum, vm) => sum + vm.probes, 0);
+  const sent = vms.reduce((sum, vm) => sum + vm.sent, 0);
+  return {
+    score: scoreLab(records),
+    ceiling: scoreLab(playCeiling(plan, arrivals, createRandom(seed + 1))),
+    records,
+    vms,
+    probes: probes / records.length,
+    sendings: sent / records.length,
+    broken: findBroken(records, (probes / entries.length / endsAt) * 1_000, plan.probesPerSecond),
+  };
+}
