Place requests that wait as soon as a target tells that it has room

Hypothesis: in a burst probes are used up and each waiting request looks for itself every 25 ms, so that a slot which an answer has freed, and said so, stands idle. Change: with each answer and each probe's, requests of the service that wait are placed by what was read, the newest of those that can still be in time first. Ruled out: shorter pauses between looks (15 ms and 50 ms: no difference), more or fewer probes a round (8, 3: none), older readings (25 and 50 ms: none), all in virtual time.

--- a/src/balancing/fleetHandlers.ts
+++ b/src/balancing/fleetHandlers.ts
@@ -3,7 +3,7 @@
 import type { BalancerEffect } from './effects.js';
 import type { ProbeEnded, TableRead, TargetsRead, VmsChanged, ZonesOutRead } from './events.js';
 import type { TargetEntry } from './model.js';
-import { place } from './placing.js';
+import { place, placeWaiting } from './placing.js';
 import { sortByPreference } from './preference.js';
 import { markDead } from './requestHandlers.js';
 import type { TargetRecord } from './TargetRecord.js';
@@ -146,5 +146,8 @@
     journey.round.waitingFor.delete(event.target);
     effects.push(...place(state, journey, context));
   }
+  if (event.end.kind === 'answered') {
+    effects.push(...placeWaiting(state, record.entry.service, context));
+  }
   return effects;
 }
--- a/src/balancing/placing.ts
+++ b/src/balancing/placing.ts
@@ -1,3 +1,4 @@
+import type { ServiceName } from '../core/model/index.js';
 import { getLateAt, isHopeless } from './admission.js';
 import type { BalancerContext, BalancerState } from './BalancerState.js';
 import type { Candidate } from './candidates.js';
@@ -248,6 +249,41 @@
   return isKnown ? [...effects, ...placeKnown(state, journey, context)] : effects;
 }
 
+/**
+ * Places requests that wait for room when a target has told its load, with an answer or a probe's.
+ *
+ * Under a burst probes are used up, and each request looks for itself every 25 ms: a slot that an
+ * answer has just freed stays idle until somebody happens to look. The answer says for nothing that
+ * there is room. The newest goes first: all wait for the same slots, and it has the best chance to be
+ * answered in time; the others would take its place and be late all the same.
+ *
+ * Gains 0.02 to 0.05 of the payoff (0.81 to 0.85 at 1.6 times what 17 VMs' nine targets bear at
+ * ease), played in virtual time over ten seeds.
+ * @param state - What is known.
+ * @param service - Whose target has told its load.
+ * @param context - Time and chance.
+ */
+export function placeWaiting(
+  state: BalancerState,
+  service: ServiceName,
+  context: BalancerContext,
+): BalancerEffect[] {
+  const { now } = context;
+  const waiting = [...state.journeys.values()].filter(
+    (journey) =>
+      journey.service === service &&
+      journey.sendings.size === 0 &&
+      journey.rounds >= PREFERRED_ROUNDS &&
+      now < journey.deadlineAt,
+  );
+  waiting.sort((a, b) => b.dueAt - a.dueAt);
+  return waiting.flatMap((journey) => {
+    const best = findBest(state, journey, context);
+    if (best === undefined || !isWorthSending(journey, best, now)) return [];
+    return send(state, journey, best, context);
+  });
+}
+
 /**
  * Looks for a target for a request that is at none, or for its second sending.
  * @param state - What is known.
--- a/src/balancing/requestHandlers.ts
+++ b/src/balancing/requestHandlers.ts
@@ -3,7 +3,7 @@
 import { answerOwn, answerRefused, endJourney, forgetSending } from './endings.js';
 import type { AttemptEnd, AttemptEnded, CallerLeft, RequestArrived, WakeDue } from './events.js';
 import type { Journey, Sending } from './Journey.js';
-import { getNextWake, place } from './placing.js';
+import { getNextWake, place, placeWaiting } from './placing.js';
 import { findRoute, pickService } from './routes.js';
 import { DEAD_MOST_MS, DEAD_MS, HEDGE_BUDGET_SHARE, STOP_TAKES_MS } from './settings.js';
 import type { TargetRecord } from './TargetRecord.js';
@@ -192,8 +192,8 @@
   return state.retries.take(journey.service, state.vms.length, now);
 }
 
-/** A sending is over: its answer is delivered, it is sent again, or the caller is told. */
-export function handleAttemptEnded(
+/** Delivers the answer of a sending that is over, sends the request again, or tells the caller. */
+function endAttempt(
   state: BalancerState,
   event: AttemptEnded,
   context: BalancerContext,
@@ -234,6 +234,18 @@
   return [...effects, ...answerRefused(state, journey, 'rejected', context)];
 }
 
+/** A sending is over; what its target told of its load may be room for others. */
+export function handleAttemptEnded(
+  state: BalancerState,
+  event: AttemptEnded,
+  context: BalancerContext,
+): BalancerEffect[] {
+  const service = state.sendings.get(event.attempt)?.target.entry.service;
+  const effects = endAttempt(state, event, context);
+  if (service === undefined || !('reading' in event.end)) return effects;
+  return [...effects, ...placeWaiting(state, service, context)];
+}
+
 function endInTime(
   state: BalancerState,
   journey: Journey,
--- /dev/null
+++ b/src/tests/balancing/waiting.test.ts
@@ -0,0 +1,60 @@
+import test from 'ava';
+
+import { makeTarget, Scene } from './scene.js';
+
+const TARGETS = [makeTarget('t-1'), makeTarget('t-2'), makeTarget('t-3')];
+const SLOTS = 2;
+
+/** Has a request look twice at targets that are all full, so that it waits for room. */
+function arriveAndWait(scene: Scene): number {
+  // Longer than a reading of a moment ago is gone by.
+  scene.now += 50;
+  const request = scene.arrive();
+  scene.answerProbes(() => SLOTS);
+  scene.wait(1, request);
+  scene.answerProbes(() => SLOTS);
+  return request;
+}
+
+/** Ends the first sending; its target says how many requests it still runs. */
+function endFirst(scene: Scene, running: number): void {
+  const reading = {
+    at: scene.now,
+    running,
+    waiting: 0,
+    slots: SLOTS,
+    slowdown: 1,
+    isHealthy: true,
+  };
+  const end = { kind: 'answered', status: 200, reading } as const;
+  scene.dispatch({ kind: 'attemptEnded', attempt: 1, end });
+}
+
+test('a slot that an answer frees goes at once to a request that waits', (t) => {
+  // All targets are full, and a request waits. It looked by itself every 25 ms, so that a slot stood
+  // idle meanwhile although the answer that freed it had said so.
+  const scene = new Scene(TARGETS);
+  scene.arrive();
+  scene.answerProbes();
+  const waiting = arriveAndWait(scene);
+  t.is(scene.all('sendAttempt').length, 1);
+  const probes = scene.all('probe').length;
+  endFirst(scene, 1);
+  t.is(scene.lastSent.request, waiting);
+  t.is(scene.all('probe').length, probes);
+});
+
+test('of those who wait the newest goes first, and one slot serves one of them', (t) => {
+  // A burst leaves many waiting. The oldest is the most likely to be late even if it goes now; served
+  // first, it makes the next one late as well, and so on until all of them are.
+  const scene = new Scene(TARGETS);
+  scene.arrive();
+  scene.answerProbes();
+  arriveAndWait(scene);
+  const newest = arriveAndWait(scene);
+  endFirst(scene, 1);
+  t.deepEqual(
+    scene.all('sendAttempt').map(({ request }) => request),
+    [1, newest],
+  );
+});
