Don't let a target's slowness compound with each answer

Its targets counted as up to 6.5 times as slow as they said, at random. Cause: an answer's time over what was expected without the target's own slowness was multiplied by that slowness once more, so that answers that take a little longer than expected made it grow without end. Forgetting by half in 3 s hid it where a VM gets one answer or two a second from each target. Ruled out: the herd on a target just read (counted requests were right); late requests; probes (ten times as many did not help).

--- a/src/balancing/TargetRecord.ts
+++ b/src/balancing/TargetRecord.ts
@@ -84,7 +84,7 @@
  */
 export function noteSlowness(record: TargetRecord, ratio: number, now: number): void {
   forget(record, now);
-  const bounded = Math.min(SLOWNESS_MOST, Math.max(SLOWNESS_LEAST, ratio * record.slowness));
+  const bounded = Math.min(SLOWNESS_MOST, Math.max(SLOWNESS_LEAST, ratio));
   record.slowness += SLOWNESS_WEIGHT * (bounded - record.slowness);
 }
 
