Let a request wait for its probes before it takes what others heard

Cause: a request in its second round or a later one was placed by the first word of any target, though probes of five were out and told of an idle one a moment later.

--- a/src/balancing/placing.ts
+++ b/src/balancing/placing.ts
@@ -273,6 +273,8 @@
       journey.service === service &&
       journey.sendings.size === 0 &&
       journey.rounds >= PREFERRED_ROUNDS &&
+      // Probes that are out may tell of a better one in a moment.
+      journey.round === undefined &&
       now < journey.deadlineAt,
   );
   waiting.sort((a, b) => b.dueAt - a.dueAt);
--- a/src/tests/balancing/waiting.test.ts
+++ b/src/tests/balancing/waiting.test.ts
@@ -60,6 +60,23 @@
   );
 });
 
+test('a request whose probes are out waits for them, and takes the best', (t) => {
+  // Load is low, and a request has asked five targets. Sent to the first of which anything is heard,
+  // it gets a slot on which work takes longer while another target is idle.
+  const scene = new Scene(TARGETS);
+  scene.arrive();
+  scene.answerProbes();
+  scene.now += 50;
+  const request = scene.arrive();
+  scene.answerProbes(() => SLOTS);
+  scene.wait(30, request);
+  const idle = scene.all('sendAttempt')[0].to.target === 't-3' ? 't-2' : 't-3';
+  endFirst(scene, 1);
+  t.is(scene.all('sendAttempt').length, 1);
+  scene.answerProbes((target) => (target === idle ? 0 : 1));
+  t.is(scene.lastSent.to.target, idle);
+});
+
 test('a caller whose request cannot be in time is told so within its objective', (t) => {
   // All targets stay full. The request was held until long after its objective, and its caller, told
   // then to come back, had little time left.
