--- a/src/balancing/requestHandlers.ts
+++ b/src/balancing/requestHandlers.ts
@@ -207,6 +207,8 @@
         route: route.name,
         target: sending.target.entry.id,
         tookMs: Math.round(now - arrivedAt),
+        objectiveMs: route.objectiveMs,
+        sinceFirstMs: journey.sinceFirstMs,
         targetMs: Math.round(now - sending.sentAt),
         expectedMs: Math.round(sending.expectedMs),
         sendings: journey.tried.size,
