--- a/src/report/explainRequest.ts
+++ b/src/report/explainRequest.ts
@@ -1,10 +1,5 @@
-/** One line of a gateway's log. */
-interface LogLine {
-  readonly time: string;
-  readonly vm: string;
-  readonly event: string;
-  readonly fields: Readonly<Record<string, unknown>>;
-}
+import type { LogLine } from './LogLine.js';
+import { parseLogLine } from './LogLine.js';
 
 /** Lines around a request that bear on it are looked for so long before it, in milliseconds. */
 const BEFORE_MS = 5_000;
@@ -29,7 +24,7 @@
 }
 
 /** Why a request ended as it did, by the reason in its last line. */
-const REASONS: Readonly<Record<string, string>> = {
+export const REASONS: Readonly<Record<string, string>> = {
   notConfigured: 'this VM knew no configuration yet',
   noRoute: 'no route of the configuration in force matches its host and path',
   stopping: 'the VM was in a planned stop and took no more requests',
@@ -77,21 +72,6 @@
   'request.callerLeft': (f) => `the caller left after ${say(f.tookMs)} ms`,
 };
 
-function parseLine(text: string): LogLine | undefined {
-  const start = text.indexOf('{');
-  if (start < 0) return undefined;
-  try {
-    const { time, vm, event, ...fields } = JSON.parse(text.slice(start)) as Record<string, unknown>;
-    if (typeof time !== 'string' || typeof vm !== 'string' || typeof event !== 'string') {
-      return undefined;
-    }
-    return { time, vm, event, fields };
-  } catch {
-    // Logs hold lines of other programs too, and may begin or end in the middle of a line.
-    return undefined;
-  }
-}
-
 function write({ time, vm, event, fields }: LogLine): string {
   const sentence = SENTENCES[event];
   const text = sentence === undefined ? JSON.stringify(fields) : sentence(fields);
@@ -137,7 +117,7 @@
 export function explainRequest(texts: Iterable<string>, id: string): string[] {
   const byVm = new Map<string, LogLine[]>();
   for (const text of texts) {
-    const line = parseLine(text);
+    const line = parseLogLine(text);
     if (line === undefined) continue;
     const lines = byVm.get(line.vm) ?? [];
     lines.push(line);
--- /dev/null
+++ b/src/tests/report/summarizeLosses.test.ts
@@ -0,0 +1,48 @@
+import test from 'ava';
+
+import { summarizeLosses } from '../../report/summarizeLosses.js';
+
+const OBJECTIVE_MS = 300;
+
+function line(at: number, event: string, fields: Record<string, unknown>): string {
+  const time = new Date(Date.UTC(2026, 0, 1) + at).toISOString();
+  return `edge-1 ${JSON.stringify({ time, vm: 'vm-1', event, ...fields })}`;
+}
+
+function answer(at: number, tookMs: number, changes: Record<string, unknown> = {}): string {
+  return line(at, 'request.answered', {
+    status: 200,
+    route: 'lookup',
+    tookMs,
+    objectiveMs: OBJECTIVE_MS,
+    sinceFirstMs: 0,
+    targetMs: 150,
+    expectedMs: 140,
+    sendings: 1,
+    ...changes,
+  });
+}
+
+test('lost requests are told by reason, route and second', (t) => {
+  t.snapshot(
+    summarizeLosses([
+      answer(100, 160),
+      answer(200, 420),
+      answer(1_200, 400, { targetMs: 390 }),
+      answer(1_300, 400, { targetMs: 390, expectedMs: 380 }),
+      answer(1_400, 200, { sinceFirstMs: 600 }),
+      answer(1_500, 500, { sendings: 2 }),
+      answer(1_600, 100, { status: 500 }),
+      line(2_100, 'request.refused', { reason: 'overloaded', route: 'lookup', tookMs: 180 }),
+      line(2_200, 'request.refused', { reason: 'overloaded', route: 'lookup', tookMs: 200 }),
+      line(2_300, 'request.refused', { reason: 'noRoute', status: 404, leftOut: 3 }),
+      line(2_400, 'request.failed', { reason: 'timedOut', route: 'report', tookMs: 1_200 }),
+      line(2_500, 'request.callerLeft', { route: 'report', tookMs: 40 }),
+      'not a line of a gateway',
+    ]),
+  );
+});
+
+test('a log without requests gives nothing', (t) => {
+  t.deepEqual(summarizeLosses(['', line(0, 'process.started', {})]), []);
+});
