--- a/src/balancing/fleetHandlers.ts
+++ b/src/balancing/fleetHandlers.ts
@@ -2,10 +2,10 @@
 import type { BalancerContext, BalancerState } from './BalancerState.js';
 import type { BalancerEffect } from './effects.js';
 import type { ProbeEnded, TableRead, TargetsRead, VmsChanged, ZonesOutRead } from './events.js';
+import { markDead } from './learning.js';
 import type { TargetEntry } from './model.js';
 import { place, placeWaiting } from './placing.js';
 import { sortByPreference } from './preference.js';
-import { markDead } from './requestHandlers.js';
 import type { TargetRecord } from './TargetRecord.js';
 import { createTargetRecord, noteOutcome } from './TargetRecord.js';
 
--- a/src/balancing/requestHandlers.ts
+++ b/src/balancing/requestHandlers.ts
@@ -1,24 +1,14 @@
 import type { BalancerContext, BalancerState } from './BalancerState.js';
-import { getCurve } from './BalancerState.js';
 import type { BalancerEffect } from './effects.js';
 import { answerOwn, answerRefused, endJourney, forgetSending } from './endings.js';
 import type { AttemptEnd, AttemptEnded, CallerLeft, RequestArrived, WakeDue } from './events.js';
 import type { Journey, Sending } from './Journey.js';
+import { learn } from './learning.js';
 import { getNextWake, place, placeWaiting } from './placing.js';
 import { findRoute, pickService } from './routes.js';
-import {
-  DEAD_MOST_MS,
-  DEAD_MS,
-  GOOD_SLOWDOWN,
-  HEDGE_BUDGET_SHARE,
-  STOP_TAKES_MS,
-} from './settings.js';
-import type { TargetRecord } from './TargetRecord.js';
+import { FIRST_FAILURE, HEDGE_BUDGET_SHARE, STOP_TAKES_MS } from './settings.js';
 import { noteOutcome, noteSlowness } from './TargetRecord.js';
 
-/** First status by which a target says that it failed. */
-const FIRST_FAILURE = 500;
-
 function answerAtOnce(
   event: RequestArrived,
   status: number,
@@ -112,81 +102,6 @@
   spoilt: false,
 };
 
-/**
- * Leaves a target alone that takes no connection.
- * @param record - The target.
- * @param now - Monotonic milliseconds.
- */
-export function markDead(record: TargetRecord, now: number): BalancerEffect[] {
-  const forMs = Math.min(DEAD_MOST_MS, DEAD_MS * 2 ** record.deadTimes);
-  record.deadTimes += 1;
-  record.deadUntil = now + forMs;
-  record.reading = undefined;
-  return [
-    {
-      kind: 'log',
-      event: 'target.dead',
-      fields: {
-        target: record.entry.id,
-        service: record.entry.service,
-        times: record.deadTimes,
-        forMs,
-      },
-    },
-  ];
-}
-
-function round(value: number): number {
-  return Number(value.toFixed(2));
-}
-
-/** Learns the route's work, and what the load that was read did to it. */
-function learnTimes(
-  state: BalancerState,
-  { route, service }: Journey,
-  { basis, expectedMs, workMs }: Sending,
-  tookMs: number,
-): BalancerEffect[] {
-  const { busy, slots, slowdown, isCold } = basis;
-  const isTelling = !isCold && slowdown <= GOOD_SLOWDOWN;
-  if (isTelling) state.work.note(route, tookMs / Math.max(1, expectedMs), busy > slots / 2);
-  const curve = getCurve(state, service);
-  curve.note(basis, tookMs / Math.max(1, workMs));
-  const news = curve.takeNews();
-  if (news === undefined) return [];
-  const fields = {
-    service,
-    levels: news.levels.map(round),
-    slowdownWeight: round(news.slowdownWeight),
-    coldSlowdown: round(news.coldSlowdown),
-    answers: news.answers,
-    route: route.name,
-    workMs: Math.round(state.work.get(route)),
-  };
-  return [{ kind: 'log', event: 'service.learnt', fields }];
-}
-
-function learn(
-  state: BalancerState,
-  journey: Journey,
-  sending: Sending,
-  end: AttemptEnd,
-  now: number,
-): BalancerEffect[] {
-  const { target } = sending;
-  if (end.kind === 'unsent' || end.kind === 'misdirected') return markDead(target, now);
-  if ((end.kind === 'answered' || end.kind === 'rejected') && end.reading !== undefined) {
-    target.reading = end.reading;
-    target.sentSinceReading = 0;
-  }
-  const isSuccess = end.kind === 'answered' && end.status < FIRST_FAILURE;
-  noteOutcome(target, !isSuccess, now);
-  if (!isSuccess) return [];
-  const tookMs = now - sending.sentAt;
-  noteSlowness(target, tookMs / Math.max(1, sending.expectedMs), now);
-  return learnTimes(state, journey, sending, tookMs);
-}
-
 function deliver(
   state: BalancerState,
   journey: Journey,
--- a/src/balancing/settings.ts
+++ b/src/balancing/settings.ts
@@ -86,6 +86,9 @@
 /** A slowdown up to this one is as good as none. */
 export const GOOD_SLOWDOWN = 1.3;
 
+/** First status by which a target says that it failed. */
+export const FIRST_FAILURE = 500;
+
 /** A failure costs the caller so many times its objective. */
 export const FAILURE_COST_OBJECTIVES = 2;
 
