Count the time that a request waited for room on its connection

Found by a test that failed three times on a machine with a load of 20 and never alone: 48 requests on one connection, 16 at a time; the later ones were refused as late, and the test waited for runs that never came. Traced: their objective was 600 ms, and the test itself took longer. But the trace showed that a request which waits for room on its connection counted its caller's time from when it left there, so that its target was given up to that much more than its caller had. Change: the time since it was read is taken off. Test without a clock of its own first, on the connection alone.

--- a/src/entry/EntryProcess.ts
+++ b/src/entry/EntryProcess.ts
@@ -229,8 +229,8 @@
     servers.peers.onForward = (from, call) => peerGate.accept(from, call);
     const ownPages = await createOwnPages({ state, clock, metrics, adminToken, dispatch });
     this.ownPages = ownPages;
-    servers.callers.handle = (req, res, awaitsContinue) => {
-      if (this.callerGate.accept(req, res, awaitsContinue)) return;
+    servers.callers.handle = (req, res, awaitsContinue, heldMs) => {
+      if (this.callerGate.accept(req, res, awaitsContinue, heldMs)) return;
       if (awaitsContinue) res.writeContinue();
       ownPages.handler(req, res);
     };
--- a/src/entry/api/CallerConnection.ts
+++ b/src/entry/api/CallerConnection.ts
@@ -20,6 +20,15 @@
 /** After the last answer, what the caller still sends is read so long, in milliseconds. */
 const LINGER_MS = 1_000;
 
+/** Begins to serve a request, which was read so many milliseconds before. */
+export type BeginRequest = (heldMs: number) => void;
+
+interface WaitingRequest {
+  /** Monotonic milliseconds. */
+  readonly readAt: number;
+  readonly begin: BeginRequest;
+}
+
 /**
  * One caller's connection. Callers may send further requests before the first is answered; answers
  * go back in the order of the requests.
@@ -32,8 +41,8 @@
   /** Answers that are owed, in their order. @internal */
   private readonly owed: ServerResponse[] = [];
 
-  /** Begin requests that are read and wait for room. @internal */
-  private readonly waiting: (() => void)[] = [];
+  /** Requests that are read and wait for room. @internal */
+  private readonly waiting: WaitingRequest[] = [];
 
   /** Requests that were begun and have no whole answer yet. @internal */
   private served = 0;
@@ -71,7 +80,7 @@
    * @param begin - Begins to serve it; called once there is room, and never if it stands behind an
    * answer that closes the connection.
    */
-  take(res: ServerResponse, isLast: boolean, begin: () => void): void {
+  take(res: ServerResponse, isLast: boolean, begin: BeginRequest): void {
     if (this.isLastTaken) {
       this.passOver();
       return;
@@ -79,7 +88,7 @@
     if (isLast || !res.shouldKeepAlive) this.closeAfter(res);
     this.owed.push(res);
     res.once('close', () => this.remove(res));
-    this.waiting.push(begin);
+    this.waiting.push({ readAt: performance.now(), begin });
     this.beginWaiting();
     this.holdReading();
   }
@@ -136,7 +145,8 @@
   private beginWaiting(): void {
     while (this.waiting.length > 0 && !this.isFull) {
       this.served += 1;
-      this.waiting.shift()?.();
+      const next = this.waiting.shift();
+      next?.begin(performance.now() - next.readAt);
     }
   }
 
--- a/src/entry/api/CallerServer.ts
+++ b/src/entry/api/CallerServer.ts
@@ -18,11 +18,15 @@
   readonly maxConnections: number;
 }
 
-/** Takes a request; `awaitsContinue` says that its caller sends the body only when told to. */
+/**
+ * Takes a request. `awaitsContinue` says that its caller sends the body only when told to, `heldMs`
+ * how long ago it was read: the time that its caller allows has run since then.
+ */
 export type CallerHandler = (
   req: IncomingMessage,
   res: ServerResponse,
   awaitsContinue: boolean,
+  heldMs: number,
 ) => void;
 
 /** Time that a caller has for a request's head, in milliseconds. */
@@ -145,6 +149,8 @@
   /** @internal */
   private take(req: IncomingMessage, res: ServerResponse, awaitsContinue: boolean): void {
     const connection = this.connections.get(req.socket);
-    connection?.take(res, this.isStopping, () => this.handle(req, res, awaitsContinue));
+    connection?.take(res, this.isStopping, (heldMs) =>
+      this.handle(req, res, awaitsContinue, heldMs),
+    );
   }
 }
--- a/src/entry/exchange/CallerGate.ts
+++ b/src/entry/exchange/CallerGate.ts
@@ -89,13 +89,13 @@
   readonly req: IncomingMessage;
   readonly res: ServerResponse;
   readonly clean: CleanHeaders;
+  /** When its head came, monotonic milliseconds. */
+  readonly now: number;
 }
 
 /** A request whose body is here as far as it is waited for. */
 interface Arrival extends ArrivalHead {
   readonly body: RequestBody;
-  /** When its head came, monotonic milliseconds. */
-  readonly now: number;
 }
 
 /** What makes two requests the same: method and path; with a request key, the body too. */
@@ -115,12 +115,19 @@
    * @param req - The request, its head read.
    * @param res - Its answer.
    * @param awaitsContinue - Whether its caller sends the body only when told to.
+   * @param heldMs - How long ago it was read, in milliseconds.
    */
-  accept(req: IncomingMessage, res: ServerResponse, awaitsContinue: boolean): boolean {
+  accept(
+    req: IncomingMessage,
+    res: ServerResponse,
+    awaitsContinue: boolean,
+    heldMs: number,
+  ): boolean {
     const clean = cleanHeaders(req.rawHeaders);
     const service = this.parts.finder.find(clean.host ?? '', req.url as string);
     if (service === undefined) return false;
-    this.take({ service, req, res, clean }, awaitsContinue);
+    const now = this.parts.clock.now() - heldMs;
+    this.take({ service, req, res, clean, now }, awaitsContinue);
     return true;
   }
 
@@ -132,7 +139,6 @@
       refuse(req, res, problem);
       return;
     }
-    const now = this.parts.clock.now();
     const length = clean.contentLength === undefined ? undefined : Number(clean.contentLength);
     const body = new RequestBody(hasBody(clean) ? req : undefined, this.parts.bounds, length);
     if (body.isDeclaredTooLarge) {
@@ -141,7 +147,7 @@
     }
     if (awaitsContinue) res.writeContinue();
     body.collect(clean.key !== undefined, (outcome) => {
-      if (outcome === 'ready') this.announce({ ...head, body, now });
+      if (outcome === 'ready') this.announce({ ...head, body });
       else refuse(req, res, { ...BODY_TOO_LARGE, outcome: 'not-run' });
     });
   }
--- a/src/gateway/CallerDoor.ts
+++ b/src/gateway/CallerDoor.ts
@@ -37,9 +37,10 @@
    * @param req - The request.
    * @param res - Its answer.
    * @param awaitsContinue - Whether its body comes only when it is told to.
+   * @param heldMs - How long ago it was read, in milliseconds.
    */
-  accept(req: IncomingMessage, res: ServerResponse, awaitsContinue: boolean): void {
-    const arrivedAt = this.parts.clock.now();
+  accept(req: IncomingMessage, res: ServerResponse, awaitsContinue: boolean, heldMs: number): void {
+    const arrivedAt = this.parts.clock.now() - heldMs;
     if (awaitsContinue) res.writeContinue();
     const bodyBytes = this.parts.getLimits()?.bodyBytes ?? BODY_BYTES;
     const body = new RequestBody(hasBody(req) ? req : undefined, {
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -231,7 +231,7 @@
       headerBytes: HEADER_BYTES,
       maxConnections: MOST_CONNECTIONS,
     });
-    this.callers.handle = (req, res, awaitsContinue) => door.accept(req, res, awaitsContinue);
+    this.callers.handle = (...request) => door.accept(...request);
     await this.pages.listen();
   }
 
--- a/src/tests/gateway/pipelining.test.ts
+++ b/src/tests/gateway/pipelining.test.ts
@@ -1,6 +1,11 @@
+import { EventEmitter } from 'node:events';
+import type { ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+
 import type { ExecutionContext } from 'ava';
 import test from 'ava';
 
+import { CallerConnection } from '../../entry/api/CallerConnection.js';
 import { GatewayScene } from './GatewayScene.js';
 
 /** Requests of one connection that are at targets at a time. */
@@ -159,6 +164,26 @@
   t.deepEqual(caller.answered, ids);
 });
 
+test('a request that waited for room on its connection has that much less time', (t) => {
+  // The seventeenth request of a connection waits until one before it is answered. Its target would
+  // else be given time that its caller no longer waits.
+  const held: number[] = [];
+  const socket = Object.assign(new EventEmitter(), { pause() {}, resume() {} });
+  const connection = new CallerConnection(socket as unknown as Socket);
+  const answers = Array.from({ length: MOST_SERVED + 1 }, () =>
+    Object.assign(new EventEmitter(), { shouldKeepAlive: true, writableLength: 0 }),
+  );
+  for (const res of answers) {
+    connection.take(res as unknown as ServerResponse, false, (heldMs) => held.push(heldMs));
+  }
+  t.is(held.length, MOST_SERVED);
+  const until = performance.now() + 20;
+  while (performance.now() < until);
+  answers[0].emit('close');
+  t.is(held.length, MOST_SERVED + 1);
+  t.true(held[MOST_SERVED] >= 20);
+});
+
 test('answers that wait for their turn stop the reading at a bound', async (t) => {
   // The first of many requests hangs while the others are answered with 60 KB each. Without a bound
   // a few such connections fill the memory of a small VM.
