--- a/src/balancing/ServiceCurve.ts
+++ b/src/balancing/ServiceCurve.ts
@@ -9,14 +9,18 @@
 /** Occupancy is told apart in so many levels; a target with six slots has six of them. */
 const LEVELS = 8;
 
-/** One answer moves a level by this part at the least, and by more while few are known. */
+/**
+ * One answer moves a level by this part at the least, and by more while few are known: 20 answers
+ * all on one side move it by half. Answers in time in a second surge, in virtual time, with steps of
+ * 0.012, 0.02 and 0.03: 0.872, 0.880 and 0.875; the noise of that is 0.01.
+ */
 const LEVEL_STEP = 0.02;
 const LEVEL_FIRST_STEP = 0.3;
 
 /** Most that a level's work is thought to take longer than an idle target's. */
 const LEVEL_MOST = 6;
 
-/** Weight of one answer in the moving averages. */
+/** Weight of one answer in the moving averages: half of what is known comes from the last 14. */
 const WEIGHT = 0.05;
 
 /** One answer counts as no more than this factor off what was expected, either way. */
@@ -24,7 +28,10 @@
 
 const COLD_MOST = 6;
 
-/** Part of the most that a target can get done that is as good as the most. */
+/**
+ * Part of the most that a target can get done that is as good as the most. Levels are off by about as
+ * much, and of two that do the same the emptier one answers sooner.
+ */
 const NEARLY_MOST = 0.95;
 
 /** A slowdown that is read must be as large as this for an answer to tell what it is worth. */
@@ -65,8 +72,10 @@
 const SLACK_MOST = 20;
 
 /**
- * Standard deviation of the logarithm of work, as a first guess: requests of one route differ by so
- * much. Read from the times of answers on three deployments (0.3, at equal load).
+ * Standard deviation of the logarithm of work: requests of one route differ by so much. Measured on
+ * idle targets in the logs of two days of one deployment: 0.27 to 0.30 for three routes, from 280 to
+ * 1,160 answers each. A guess for others; a half or twice as much moves what is best by one slot at
+ * the most.
  */
 const WORK_SPREAD = 0.3;
 
--- a/src/balancing/placing.ts
+++ b/src/balancing/placing.ts
@@ -256,8 +256,8 @@
  * there is room. The newest goes first: all wait for the same slots, and it has the best chance to be
  * answered in time; the others would take its place and be late all the same.
  *
- * Gains 0.02 to 0.05 of the payoff (0.81 to 0.85 at 1.6 times what 17 VMs' nine targets bear at
- * ease), played in virtual time over ten seeds.
+ * Worth of what callers get in virtual time, five seeds, with this and without: 0.84 and 0.81 at 1.6
+ * times what targets bear at ease, 0.93 and 0.88 where they do not slow down with load.
  * @param state - What is known.
  * @param service - Whose target has told its load.
  * @param context - Time and chance.
