Keep requests that come while a VM starts until it knows what to serve them by

Cause: after all VMs lost power each takes callers some 0.25 s before it has read configuration and targets. Change: requests that come in a process's first half second wait for configuration and targets; after that a VM that knows nothing refuses at once. A restart reads what requests need before the list of VMs.

--- a/src/balancing/BalancerState.ts
+++ b/src/balancing/BalancerState.ts
@@ -1,6 +1,7 @@
 import type { AttemptId, RequestId, ServiceName, TargetId, ZoneName } from '../core/model/index.js';
 import { CallerTimes } from './CallerTimes.js';
 import { ColdAllowance } from './ColdAllowance.js';
+import type { RequestArrived } from './events.js';
 import type { Journey, Sending } from './Journey.js';
 import type { RoutingTable, ServiceRules } from './model.js';
 import { ProbeBudget } from './ProbeBudget.js';
@@ -21,6 +22,10 @@
 /** All that this entry VM knows. The reducer owns it and updates it in place. */
 export interface BalancerState {
   readonly settings: BalancingSettings;
+  /** When this process started; monotonic milliseconds. */
+  readonly startedAt: number;
+  /** Requests that came before configuration and targets were known. */
+  readonly early: Map<RequestId, RequestArrived>;
   table: RoutingTable | undefined;
   services: ReadonlyMap<ServiceName, ServiceRules>;
   readonly targets: Map<TargetId, TargetRecord>;
@@ -46,12 +51,15 @@
 /**
  * Makes the state of a process that has just started.
  * @param settings - Checked settings.
+ * @param startedAt - When the process started; monotonic milliseconds, which mostly count from then.
  * @example
- * const state = createBalancerState(settings);
+ * const state = createBalancerState(settings, clock.now());
  */
-export function createBalancerState(settings: BalancingSettings): BalancerState {
+export function createBalancerState(settings: BalancingSettings, startedAt = 0): BalancerState {
   return {
     settings,
+    startedAt,
+    early: new Map(),
     table: undefined,
     services: new Map(),
     targets: new Map(),
--- a/src/balancing/reduceBalancer.ts
+++ b/src/balancing/reduceBalancer.ts
@@ -14,6 +14,12 @@
   handleCallerLeft,
   handleWake,
 } from './requestHandlers.js';
+import { takeEarly } from './starting.js';
+
+/** Serves requests that waited for the start, once what they need is known. */
+function serveEarly(state: BalancerState, context: BalancerContext): BalancerEffect[] {
+  return takeEarly(state, context).flatMap((event) => handleArrived(state, event, context));
+}
 
 type Handler<K extends BalancerEvent['kind']> = (
   state: BalancerState,
@@ -27,8 +33,14 @@
   probeEnded: handleProbeEnded,
   attemptEnded: handleAttemptEnded,
   wakeDue: handleWake,
-  tableRead: handleTable,
-  targetsRead: handleTargets,
+  tableRead: (state, event, context) => [
+    ...handleTable(state, event),
+    ...serveEarly(state, context),
+  ],
+  targetsRead: (state, event, context) => [
+    ...handleTargets(state, event, context),
+    ...serveEarly(state, context),
+  ],
   zonesOutRead: handleZonesOut,
   vmsChanged: handleVms,
   stopAsked: (state, _event, { now }) => {
--- a/src/balancing/requestHandlers.ts
+++ b/src/balancing/requestHandlers.ts
@@ -6,6 +6,7 @@
 import { learn } from './learning.js';
 import { getNextWake, place, placeWaiting } from './placing.js';
 import { findRoute, pickService } from './routes.js';
+import { isStarting, keepEarly } from './starting.js';
 import { FIRST_FAILURE, HEDGE_BUDGET_SHARE, STOP_TAKES_MS } from './settings.js';
 import { noteOutcome, noteSlowness } from './TargetRecord.js';
 
@@ -42,6 +43,7 @@
   if (stopAskedAt !== undefined && now - stopAskedAt > STOP_TAKES_MS) {
     return answerAtOnce(event, 503, 'stopping', ELSEWHERE_MS);
   }
+  if (isStarting(state, now)) return keepEarly(state, event);
   if (table === undefined) return answerAtOnce(event, 503, 'notConfigured', STARTING_MS);
   const route = findRoute(table, event.host, event.path);
   if (route === undefined) return answerAtOnce(event, 404, 'noRoute');
@@ -72,12 +74,25 @@
   return place(state, journey, context);
 }
 
+/** The caller hung up before configuration and targets were known. */
+function forgetEarly(
+  state: BalancerState,
+  { request, callerRequestId: id, arrivedAt }: RequestArrived,
+  { now }: BalancerContext,
+): BalancerEffect[] {
+  state.early.delete(request);
+  const fields = { id, tookMs: Math.round(now - arrivedAt), tried: [] };
+  return [{ kind: 'log', event: 'request.callerLeft', fields }];
+}
+
 /** The caller hung up: nothing more is done for it. */
 export function handleCallerLeft(
   state: BalancerState,
   event: CallerLeft,
   context: BalancerContext,
 ): BalancerEffect[] {
+  const early = state.early.get(event.request);
+  if (early !== undefined) return forgetEarly(state, early, context);
   const journey = state.journeys.get(event.request);
   if (journey === undefined) return [];
   const tookMs = Math.round(context.now - journey.arrivedAt);
@@ -240,6 +255,11 @@
   context: BalancerContext,
 ): BalancerEffect[] {
   const { now } = context;
+  const early = state.early.get(event.request);
+  if (early !== undefined) {
+    state.early.delete(event.request);
+    return handleArrived(state, early, context);
+  }
   const journey = state.journeys.get(event.request);
   if (journey === undefined) return [];
   if (now >= journey.deadlineAt) return endInTime(state, journey, context);
--- a/src/fleet/FleetMembership.ts
+++ b/src/fleet/FleetMembership.ts
@@ -9,6 +9,12 @@
 
 const RETRY_MS = 700;
 
+/**
+ * What a restarting VM needs to serve callers is read for so long before the list of VMs, in
+ * milliseconds: on a link of 14 Mbit/s the list would hold up the targets by some 50 ms.
+ */
+const NEEDED_FIRST_MS = 250;
+
 /** What a VM that restarts needs besides the other VMs to serve callers. */
 const OLD_AT_RESTART: readonly Section[] = ['configuration', 'targets', 'zonesOut'];
 
@@ -46,7 +52,8 @@
         clock.after(SETTLE_MS, () => this.readAgain());
         return;
       }
-      const others = OLD_AT_RESTART.map((section) => this.readOld(section));
+      const needed = Promise.all(OLD_AT_RESTART.map((section) => this.readOld(section)));
+      await Promise.race([needed, this.wait(NEEDED_FIRST_MS)]);
       await this.readVms('mayBeOld');
       onKnown();
       const own = view.vms.get(self.name);
@@ -54,7 +61,7 @@
         own?.callers === self.callers && own.peers === self.peers && own.linkMbps === self.linkMbps;
       log.write('fleet.joined', { vms: view.vms.size, isKnown });
       if (!isKnown) await store.announce(self);
-      await Promise.all(others);
+      await needed;
     } catch (err) {
       this.noteFailure('vms', err as Error);
       // The VMs that the settings name may know more than the store tells now.
@@ -73,6 +80,13 @@
     }
   }
 
+  /** @internal */
+  private wait(ms: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.parts.clock.after(ms, resolve);
+    });
+  }
+
   /** @internal */
   private async readAgain(): Promise<void> {
     const { self, log, view, onKnown } = this.parts;
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -103,7 +103,7 @@
   /** @param parts - Settings, clock, log and chance. */
   constructor(private readonly parts: GatewayParts) {
     const { settings, clock, log, random } = parts;
-    this.state = createBalancerState(settings.balancing);
+    this.state = createBalancerState(settings.balancing, clock.now());
     this.timers = new TimerService(clock);
     this.store = new ObjectStore(settings.storeAddress, (section, name, reason) =>
       log.write('store.unreadable', { section, name, reason }),
--- a/src/tests/balancing/scene.ts
+++ b/src/tests/balancing/scene.ts
@@ -3,6 +3,7 @@
   BalancerEffect,
   BalancerEvent,
   BalancerState,
+  BalancingSettings,
   LoadReading,
   Route,
   RoutingTable,
@@ -54,6 +55,16 @@
 
 type EffectOf<K extends BalancerEffect['kind']> = Extract<BalancerEffect, { kind: K }>;
 
+export function makeSettings(vm: string): BalancingSettings {
+  return {
+    vm,
+    zone: 'quai',
+    retries: { ratio: 0.2, windowMs: 10_000, slack: 60 },
+    cold: { perSecond: 1.5, slack: 5 },
+    probesPerTargetAndSecond: 60,
+  };
+}
+
 /** One entry VM's decisions, with the time and the world in the test's hands. */
 export class Scene {
   now = 1_000;
@@ -65,13 +76,7 @@
   private lastRequest = 0;
 
   constructor(targets: readonly TargetEntry[], routes: readonly Route[] = [ROUTE], vm = 'vm-1') {
-    this.state = createBalancerState({
-      vm,
-      zone: 'quai',
-      retries: { ratio: 0.2, windowMs: 10_000, slack: 60 },
-      cold: { perSecond: 1.5, slack: 5 },
-      probesPerTargetAndSecond: 60,
-    });
+    this.state = createBalancerState(makeSettings(vm));
     this.dispatch({ kind: 'tableRead', table: { ...TABLE, routes } });
     this.dispatch({ kind: 'targetsRead', targets });
   }
--- a/src/tests/fleet/FleetMembership.test.ts
+++ b/src/tests/fleet/FleetMembership.test.ts
@@ -29,6 +29,7 @@
 function start({
   isFirstStart = false,
   fails = [] as readonly Section[],
+  hangs = [] as readonly Section[],
   oldVms = STORED.vms,
 } = {}) {
   const clock = new VirtualClock();
@@ -37,6 +38,7 @@
     list: <S extends Section>(section: S, freshness: ListFreshness = 'now') => {
       calls.push(`${section} ${freshness}`);
       if (fails.includes(section)) return Promise.reject(new StoreCallError('unknown', 'cut'));
+      if (hangs.includes(section)) return new Promise(() => {});
       const isOldList = section === 'vms' && freshness === 'mayBeOld';
       return Promise.resolve((isOldList ? oldVms : STORED[section]) as SectionItems<S>);
     },
@@ -82,6 +84,25 @@
   ]);
 });
 
+test('a VM that restarts reads what it needs to serve callers before the list of VMs', async (t) => {
+  // All VMs are back at once, on slow links. The list of 312 VMs shares the link with the targets, which
+  // are known that much later; callers wait for them and for nothing else.
+  const { calls, joined } = start();
+  t.deepEqual(calls, ['configuration mayBeOld', 'targets mayBeOld', 'zonesOut mayBeOld']);
+  await joined;
+  t.is(calls.at(-1), 'vms mayBeOld');
+});
+
+test('a VM that restarts asks for other VMs although a list does not come', async (t) => {
+  // The store leaves one list without an answer. The other VMs may know what it would have said.
+  const { clock, calls, known, joined } = start({ hangs: ['targets'] });
+  clock.runUntil(clock.now() + 300);
+  await new Promise(setImmediate);
+  t.is(calls.at(-1), 'vms mayBeOld');
+  t.is(known.length, 1);
+  t.is(await Promise.race([joined, 'waiting']), 'waiting');
+});
+
 test('what may be old does not count as the store’s word of now', async (t) => {
   // Taken for fresh, an old list would keep the VM from asking others, and a change would be missed.
   const { view, joined } = start();
