Gather changes of targets for 0.3 s, within the time of a watch

Cause: targets come and go one after the other for many seconds, and each watch that ends is a call that is paid for. Change: changes of targets and VMs are gathered for 0.3 s instead of 0.1; the next watch is that much shorter, so that confirmations come as often. Ruled out, by a trial that showed it: gathering on top of a whole watch.

--- a/src/fleet/StoreMirror.ts
+++ b/src/fleet/StoreMirror.ts
@@ -17,10 +17,16 @@
 };
 
 /**
- * After changes a section is not watched again before, in milliseconds. Changes come in groups, as
- * when targets register one after the other, and each watch that ends is a call.
+ * After changes a section is not watched again before, in milliseconds. Changes come in groups, and
+ * each watch that ends is a call. Targets come and go one after the other for many seconds while a
+ * service is released; they serve on for seconds after they said that they leave.
  */
-const GATHER_MS = 100;
+const GATHER_MS: Readonly<Record<Section, number>> = {
+  configuration: 100,
+  targets: 300,
+  zonesOut: 100,
+  vms: 300,
+};
 
 /** The section whose calls go on while the store fails; the others wait until one succeeds. */
 const CANARY: Section = 'configuration';
@@ -54,6 +60,9 @@
   /** Revisions to watch from; a section without one is read as a whole. @internal */
   private readonly revisions = new Map<Section, number>();
 
+  /** How long each section's changes were gathered before the watch that is next, in ms. @internal */
+  private readonly gatheredMs = new Map<Section, number>();
+
   /** Grows with each start and stop, so that loops of earlier runs end. @internal */
   private run = 0;
 
@@ -131,7 +140,10 @@
       this.revisions.set(section, revision);
       return;
     }
-    const answer = await store.watch(section, known, WATCH_MS[section]);
+    // Gathering is a part of the time that a watch may take, so that confirmations come as often.
+    const waitMs = WATCH_MS[section] - (this.gatheredMs.get(section) ?? 0);
+    this.gatheredMs.delete(section);
+    const answer = await store.watch(section, known, waitMs);
     if (this.run !== run) return;
     this.noteAnswer(section);
     if (answer === 'historyGone') {
@@ -142,7 +154,9 @@
     view.confirm(section);
     this.revisions.set(section, answer.revision);
     view.apply({ section, items: answer.items, revision: answer.revision, isWhole: false });
-    if (answer.items.length > 0) await this.wait(GATHER_MS);
+    if (answer.items.length === 0) return;
+    this.gatheredMs.set(section, GATHER_MS[section]);
+    await this.wait(GATHER_MS[section]);
   }
 
   /** @internal */
--- a/src/tests/fleet/StoreMirror.test.ts
+++ b/src/tests/fleet/StoreMirror.test.ts
@@ -63,3 +63,45 @@
   t.is(view.targets.size, 40);
   t.true(watches <= 14, `${watches} watches`);
 });
+
+test('targets that come and go on and on don’t make a VM’s word old', async (t) => {
+  // A service is released for many seconds, and the store is slow to answer. Changes are gathered before
+  // the next watch; with a whole watch on top, nothing was confirmed for so long that hundreds of VMs found
+  // their word stale, looked for another one, and asked the store themselves.
+  const answerMs = 250;
+  const clock = new VirtualClock();
+  const view = new FleetView(clock);
+  const confirmedAt: number[] = [];
+  view.onConfirm(() => confirmedAt.push(clock.now()));
+  let revision = 1;
+  const later = <T>(ms: number, get: () => T) =>
+    new Promise<T>((resolve) => {
+      clock.after(ms, () => resolve(get()));
+    });
+  const store: FleetStore = {
+    list: <S extends Section>() =>
+      later<SectionItems<S>>(answerMs, () => ({ items: [], revision })),
+    watch: <S extends Section>(_section: S, _since: number, waitMs: number) =>
+      later(waitMs + answerMs, () => {
+        revision += 1;
+        const item = { name: `t-${revision}`, value: makeTarget(`t-${revision}`) };
+        return { items: [item], revision } as unknown as SectionItems<S>;
+      }),
+    announce: () => Promise.resolve(),
+    withdraw: () => Promise.resolve(),
+  };
+  const log = new EventLog('vm-1', {
+    write: (_text, done) => done(),
+    now: () => clock.now(),
+    wallNow: () => 0,
+  });
+  const mirror = new StoreMirror({ store, view, clock, log, random: () => 0.5 });
+  mirror.start();
+  for (let i = 0; i < 200; i++) {
+    clock.runUntil(clock.now() + 50);
+    await settle();
+  }
+  mirror.stop();
+  const gaps = confirmedAt.slice(1).map((at, i) => at - confirmedAt[i]);
+  t.true(Math.max(...gaps) < 1_200, `${Math.max(...gaps)} ms`);
+});
