Announce VMs that start together by a few calls

Change: a VM asks one of the three that its settings name to announce it; that one writes one object for all who asked, and tells them who is there. One that nobody announces in three seconds does so itself. A planned stop replaces a VM's own announcement by one without it; a VM that finds itself missing announces itself again (before, one that read an old list after a quick restart took itself for known for good). Ruled out: no announcement at all, known from gossip alone: after all VMs were down nobody would know the others.

--- a/src/balancing/model.ts
+++ b/src/balancing/model.ts
@@ -80,6 +80,14 @@
   readonly linkMbps: number;
 }
 
+/**
+ * Entry VMs that one of them has announced: itself, and others that asked it to when all started
+ * together.
+ */
+export interface VmRoster {
+  readonly vms: readonly VmEntry[];
+}
+
 /** What a target said of its load in answer to a probe or with an answer. */
 export interface LoadReading {
   /** When it was taken; monotonic milliseconds of this process. */
--- a/src/fleet/FeedClient.ts
+++ b/src/fleet/FeedClient.ts
@@ -1,6 +1,7 @@
 import type { Socket } from 'node:net';
 import { connect } from 'node:net';
 
+import type { VmEntry } from '../balancing/index.js';
 import type { Clock } from '../timing/index.js';
 import type { FeedMessage } from './feedMessages.js';
 import { FeedReader, writeFeedMessage } from './feedMessages.js';
@@ -35,12 +36,14 @@
    * @param view - What is known; written here.
    * @param clock - Time to go by.
    * @param onEnd - Told that the connection has ended by itself.
+   * @param announce - This VM, if the one that is followed is to announce it.
    */
   constructor(
     readonly address: string,
     private readonly view: FleetView,
     private readonly clock: Clock,
     private readonly onEnd: (reason: string) => void,
+    announce?: VmEntry,
   ) {
     this.startedAt = clock.now();
     this.heardAt = this.startedAt;
@@ -49,7 +52,9 @@
     this.socket.setEncoding('utf8');
     const known = SECTIONS.map((section) => [section, view.getRevision(section)]);
     const version = view.table?.version;
-    this.socket.write(writeFeedMessage({ revisions: Object.fromEntries(known), version }));
+    this.socket.write(
+      writeFeedMessage({ revisions: Object.fromEntries(known), version, announce }),
+    );
     this.socket.on('data', (text: string) => this.hear(text));
     this.socket.once('error', (err) => this.end(err.message));
     this.socket.once('close', () => this.end('closed'));
--- a/src/fleet/FeedServer.ts
+++ b/src/fleet/FeedServer.ts
@@ -1,6 +1,7 @@
 import type { Server, Socket } from 'node:net';
 import { createServer } from 'node:net';
 
+import type { VmEntry } from '../balancing/index.js';
 import type { ListenAddress } from '../config/index.js';
 import type { EventLog } from '../logging/EventLog.js';
 import type { KnownState } from './feedMessages.js';
@@ -29,10 +30,12 @@
   /**
    * @param view - What is told.
    * @param log - Where lines go.
+   * @param onAnnounce - Told of VMs that wish to be announced to all others.
    */
   constructor(
     private readonly view: FleetView,
     private readonly log: EventLog,
+    private readonly onAnnounce: (vm: VmEntry) => void = () => {},
   ) {
     this.server = createServer({ noDelay: true }, (socket) => this.accept(socket));
     this.server.on('error', (err) => log.write('feed.listenFailed', { message: err.message }));
@@ -67,7 +70,10 @@
     socket.setEncoding('utf8');
     socket.on('data', (text: string) => {
       try {
-        for (const known of reader.read(text)) this.greet(socket, known);
+        for (const known of reader.read(text)) {
+          if (known.announce !== undefined) this.onAnnounce(known.announce);
+          this.greet(socket, known);
+        }
       } catch (err) {
         this.log.write('feed.followerLost', { message: (err as Error).message });
         socket.destroy();
--- a/src/fleet/FleetMembership.ts
+++ b/src/fleet/FleetMembership.ts
@@ -1,8 +1,8 @@
 import type { VmEntry } from '../balancing/index.js';
 import type { EventLog } from '../logging/EventLog.js';
-import type { Clock } from '../timing/index.js';
+import type { AnnouncementParts } from './askOthersToAnnounce.js';
+import { askOthersToAnnounce } from './askOthersToAnnounce.js';
 import type { FleetStore, ListFreshness, Section } from './FleetStore.js';
-import type { FleetView } from './FleetView.js';
 
 /** VMs that start together are known to each other after this time, in milliseconds. */
 const SETTLE_MS = 800;
@@ -19,13 +19,10 @@
 const OLD_AT_RESTART: readonly Section[] = ['configuration', 'targets', 'zonesOut'];
 
 /** What membership works with. */
-export interface FleetMembershipParts {
-  readonly self: VmEntry;
+export interface FleetMembershipParts extends AnnouncementParts {
   /** Whether all VMs start together for the first time. */
   readonly isFirstStart: boolean;
   readonly store: FleetStore;
-  readonly view: FleetView;
-  readonly clock: Clock;
   readonly log: EventLog;
   random(): number;
   /** Told once it is known which other VMs there are, as far as that can be known now. */
@@ -37,19 +34,28 @@
   /** @internal */
   private isLeaving = false;
 
+  /** @internal */
+  private hasJoined = false;
+
+  /** Whether this VM is about to announce itself once more. @internal */
+  private isReturning = false;
+
   /** @param parts - What membership works with. */
-  constructor(private readonly parts: FleetMembershipParts) {}
+  constructor(private readonly parts: FleetMembershipParts) {
+    parts.view.onChange(({ section }) => {
+      if (section === 'vms') this.noteVms();
+    });
+  }
 
   /**
    * Finds the other VMs and makes this one known. One that was known before, since it restarts, goes
    * to work at once; on the first start it waits until those that start with it are known too.
    */
   async join(): Promise<void> {
-    const { self, store, view, clock, log, isFirstStart, onKnown } = this.parts;
+    const { self, view, log, isFirstStart, onKnown } = this.parts;
     try {
       if (isFirstStart) {
-        await store.announce(self);
-        clock.after(SETTLE_MS, () => this.readAgain());
+        await this.joinFirst();
         return;
       }
       const needed = Promise.all(OLD_AT_RESTART.map((section) => this.readOld(section)));
@@ -60,7 +66,8 @@
       const isKnown =
         own?.callers === self.callers && own.peers === self.peers && own.linkMbps === self.linkMbps;
       log.write('fleet.joined', { vms: view.vms.size, isKnown });
-      if (!isKnown) await store.announce(self);
+      if (!isKnown) await this.announce([self]);
+      this.hasJoined = true;
       await needed;
     } catch (err) {
       this.noteFailure('vms', err as Error);
@@ -74,7 +81,7 @@
   async leave(): Promise<void> {
     this.isLeaving = true;
     try {
-      await this.parts.store.withdraw(this.parts.self.name);
+      await this.announce([]);
     } catch (err) {
       this.noteFailure('vms', err as Error);
     }
@@ -87,6 +94,47 @@
     });
   }
 
+  /**
+   * Announces this VM once more if others no longer know it. A process that is started again soon
+   * after a planned stop may find itself in a list from before it left, and take itself for known.
+   * @internal
+   */
+  private noteVms(): void {
+    const { self, view, clock } = this.parts;
+    const isMissing = (): boolean => this.hasJoined && !this.isLeaving && !view.vms.has(self.name);
+    if (this.isReturning || !isMissing()) return;
+    this.isReturning = true;
+    clock.after(RETRY_MS, () => {
+      this.isReturning = false;
+      if (!isMissing()) return;
+      this.announce([self]).catch((err: Error) => {
+        this.noteFailure('vms', err);
+        this.noteVms();
+      });
+    });
+  }
+
+  /** Joins while all VMs start together. @internal */
+  private async joinFirst(): Promise<void> {
+    const { self, clock, view, log, onKnown } = this.parts;
+    if (await askOthersToAnnounce(this.parts)) {
+      log.write('fleet.joined', { vms: view.vms.size, isKnown: true });
+      this.hasJoined = true;
+      onKnown();
+      return;
+    }
+    await this.announce([self]);
+    clock.after(SETTLE_MS, () => this.readAgain());
+  }
+
+  /** Announces VMs besides those that asked this one to announce them. @internal */
+  private announce(own: readonly VmEntry[]): Promise<void> {
+    const { self, store, view } = this.parts;
+    const before = view.rosters.get(self.name);
+    const others = (before?.vms ?? []).filter(({ name }) => name !== self.name);
+    return store.announce(self.name, { vms: [...own, ...others] }, before !== undefined);
+  }
+
   /** @internal */
   private async readAgain(): Promise<void> {
     const { self, log, view, onKnown } = this.parts;
@@ -98,6 +146,7 @@
     } catch (err) {
       this.noteFailure('vms', err as Error);
     }
+    this.hasJoined = true;
     onKnown();
   }
 
--- a/src/fleet/FleetStore.ts
+++ b/src/fleet/FleetStore.ts
@@ -1,4 +1,4 @@
-import type { RoutingTable, TargetEntry, VmEntry } from '../balancing/index.js';
+import type { RoutingTable, TargetEntry, VmRoster } from '../balancing/index.js';
 
 /** What lies in the store, by the part of it that is read and watched as a whole. */
 export interface SectionValues {
@@ -6,7 +6,8 @@
   readonly targets: TargetEntry;
   /** Availability zones that operators have taken out; the name says it all. */
   readonly zonesOut: true;
-  readonly vms: VmEntry;
+  /** By the VM that has announced them. */
+  readonly vms: VmRoster;
 }
 
 /** Parts of the store. */
@@ -49,15 +50,12 @@
    */
   watch<S extends Section>(section: S, revision: number, waitMs: number): Promise<WatchAnswer<S>>;
   /**
-   * Announces an entry VM, or brings what it announced up to date.
-   * @param vm - The VM.
+   * Announces entry VMs in one VM's name, in place of what it announced before.
+   * @param announcer - Name of the VM that announces them.
+   * @param roster - The VMs.
+   * @param hasAnnounced - Whether it is thought to have announced some before; saves a call if so.
    */
-  announce(vm: VmEntry): Promise<void>;
-  /**
-   * Takes an entry VM's announcement away; nothing happens if there is none.
-   * @param name - The VM's name.
-   */
-  withdraw(name: string): Promise<void>;
+  announce(announcer: string, roster: VmRoster, hasAnnounced: boolean): Promise<void>;
 }
 
 /** Why a call to the store gave nothing. */
--- a/src/fleet/FleetSync.ts
+++ b/src/fleet/FleetSync.ts
@@ -8,6 +8,7 @@
 import type { FleetView } from './FleetView.js';
 import type { FollowedVm } from './FollowTree.js';
 import { findTreePlace, makeSeedVms, sortForTree } from './FollowTree.js';
+import { Registrar } from './Registrar.js';
 import { StoreFallback, WARM_MS } from './StoreFallback.js';
 import { StoreMirror } from './StoreMirror.js';
 
@@ -97,7 +98,8 @@
       random,
       onFailure: () => this.noteStoreFailure(),
     });
-    this.server = new FeedServer(view, log);
+    const registrar = new Registrar(parts);
+    this.server = new FeedServer(view, log, (vm) => registrar.register(vm));
     view.onChange(({ section }) => {
       if (section === 'vms') this.sorted = undefined;
     });
--- a/src/fleet/FleetView.ts
+++ b/src/fleet/FleetView.ts
@@ -1,6 +1,7 @@
-import type { RoutingTable, TargetEntry, VmEntry } from '../balancing/index.js';
+import type { RoutingTable, TargetEntry, VmEntry, VmRoster } from '../balancing/index.js';
 import type { Clock } from '../timing/index.js';
 import type { Section, StoredItem } from './FleetStore.js';
+import { mergeRosters } from './mergeRosters.js';
 
 /** Without word of the store for so long it counts as having been away, in milliseconds. */
 const AWAY_MS = 1_500;
@@ -45,7 +46,11 @@
 
   readonly zonesOut = new Map<string, true>();
 
-  readonly vms = new Map<string, VmEntry>();
+  /** Announcements of entry VMs, by the VM that made them. */
+  readonly rosters = new Map<string, VmRoster>();
+
+  /** All entry VMs that are announced. */
+  vms: ReadonlyMap<string, VmEntry> = new Map();
 
   /** Revision that each section is known up to. @internal */
   private readonly revisions = new Map<Section, number>();
@@ -193,6 +198,7 @@
 
   /** @internal */
   private getEntries(section: Section): ReadonlyMap<string, unknown> {
+    if (section === 'vms') return this.rosters;
     if (section !== 'configuration') return this[section];
     return new Map(this.table === undefined ? [] : [['main', this.table]]);
   }
@@ -290,8 +296,9 @@
       this.table = value as RoutingTable;
       return;
     }
-    const entries = this[section] as Map<string, unknown>;
+    const entries = this.getEntries(section) as Map<string, unknown>;
     if (value === undefined) entries.delete(name);
     else entries.set(name, value);
+    if (section === 'vms') this.vms = mergeRosters(this.rosters);
   }
 }
--- a/src/fleet/feedMessages.ts
+++ b/src/fleet/feedMessages.ts
@@ -1,5 +1,6 @@
 import { constants, deflateRawSync, inflateRawSync } from 'node:zlib';
 
+import type { VmEntry } from '../balancing/index.js';
 import type { Section } from './FleetStore.js';
 import type { Confirmation, SectionChange } from './FleetView.js';
 
@@ -9,6 +10,8 @@
   readonly revisions: Readonly<Partial<Record<Section, number>>>;
   /** Version of its configuration; left out if it has none. */
   readonly version?: number;
+  /** The follower itself, if it wishes to be announced to all others. */
+  readonly announce?: VmEntry;
 }
 
 /** What a VM that watches the store tells those that follow it. */
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -2,6 +2,7 @@
 import { countTargets, createBalancerState } from '../balancing/index.js';
 import type { GatewaySettings } from '../config/index.js';
 import { CallerServer } from '../entry/api/CallerServer.js';
+import { FeedClient } from '../fleet/FeedClient.js';
 import { FleetMembership } from '../fleet/FleetMembership.js';
 import { FleetSync } from '../fleet/FleetSync.js';
 import { FleetView } from '../fleet/FleetView.js';
@@ -116,6 +117,8 @@
     this.membership = new FleetMembership({
       ...fleetParts,
       isFirstStart: settings.isFirstStart,
+      seeds,
+      ask: (address, onEnd) => new FeedClient(address, view, clock, onEnd, self),
       onKnown: () => this.sync.begin(),
     });
     const context = {
--- a/src/platform/ObjectStore.ts
+++ b/src/platform/ObjectStore.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 import { Agent, request } from 'node:http';
 
-import type { VmEntry } from '../balancing/index.js';
+import type { VmRoster } from '../balancing/index.js';
 import type {
   FleetStore,
   ListFreshness,
@@ -12,7 +12,7 @@
   WatchAnswer,
 } from '../fleet/FleetStore.js';
 import { StoreCallError } from '../fleet/FleetStore.js';
-import { DecodeError, decodeRoutingTable, decodeTarget, decodeVm } from './decode.js';
+import { DecodeError, decodeRoster, decodeRoutingTable, decodeTarget } from './decode.js';
 
 const PATH = '/masticlink/objects';
 
@@ -34,7 +34,7 @@
   readonly status?: unknown;
 }
 
-type Method = 'GET' | 'POST' | 'PUT' | 'DELETE';
+type Method = 'GET' | 'POST' | 'PUT';
 
 interface Answer {
   readonly status: number;
@@ -68,7 +68,7 @@
     kind: 'evacuations',
     decode: ({ metadata }) => (metadata.deleting === true ? undefined : true),
   },
-  vms: { kind: 'entry-vms', decode: ({ metadata, spec }) => decodeVm(metadata.name, spec) },
+  vms: { kind: 'entry-vms', decode: ({ spec }) => decodeRoster(spec) },
 };
 
 /** Told of each stored object that can't be read. */
@@ -156,21 +156,28 @@
     return { items, revision: Number(body.store_revision) };
   }
 
-  async announce(vm: VmEntry): Promise<void> {
-    const { name, ...spec } = vm;
-    const { kind } = CODECS.vms;
+  async announce(announcer: string, roster: VmRoster, hasAnnounced: boolean): Promise<void> {
+    const write = hasAnnounced
+      ? [this.replaceRoster, this.createRoster]
+      : [this.createRoster, this.replaceRoster];
+    for (const each of write) {
+      const status = await each.call(this, announcer, roster);
+      if (status === OK || status === CREATED) return;
+      if (status !== CONFLICT && status !== NOT_FOUND) throw unexpected('announce', 'vms', status);
+    }
+    throw unexpected('announce', 'vms', CONFLICT);
+  }
+
+  /** @internal */
+  private async createRoster(name: string, spec: VmRoster): Promise<number> {
     const object = { metadata: { name }, spec };
-    const created = await this.call('POST', `${PATH}/${kind}`, 'vms', object);
-    if (created.status === OK || created.status === CREATED) return;
-    if (created.status !== CONFLICT) throw unexpected('announce', 'vms', created.status);
-    const replaced = await this.call('PUT', `${PATH}/${kind}/${name}`, 'vms', object);
-    if (replaced.status !== OK) throw unexpected('announce', 'vms', replaced.status);
+    return (await this.call('POST', `${PATH}/${CODECS.vms.kind}`, 'vms', object)).status;
   }
 
-  async withdraw(name: string): Promise<void> {
-    const { kind } = CODECS.vms;
-    const { status } = await this.call('DELETE', `${PATH}/${kind}/${name}`, 'vms');
-    if (status !== OK && status !== NOT_FOUND) throw unexpected('withdraw', 'vms', status);
+  /** @internal */
+  private async replaceRoster(name: string, spec: VmRoster): Promise<number> {
+    const object = { metadata: { name }, spec };
+    return (await this.call('PUT', `${PATH}/${CODECS.vms.kind}/${name}`, 'vms', object)).status;
   }
 
   /** Ends the connections. */
--- a/src/platform/decode.ts
+++ b/src/platform/decode.ts
@@ -5,6 +5,7 @@
   ServiceRules,
   TargetEntry,
   VmEntry,
+  VmRoster,
   WeightedService,
 } from '../balancing/index.js';
 
@@ -164,18 +165,22 @@
   };
 }
 
-/**
- * Decodes what an entry VM has announced of itself.
- * @param name - Name of the stored object.
- * @param spec - Content of the stored object.
- */
-export function decodeVm(name: string, spec: unknown): VmEntry {
-  const entry = asFields(spec, 'VM');
+function decodeVm(value: unknown): VmEntry {
+  const entry = asFields(value, 'VM');
   return {
-    name,
+    name: asText(entry.name, 'name'),
     zone: asText(entry.zone, 'zone'),
     callers: asText(entry.callers, 'callers'),
     peers: asText(entry.peers, 'peers'),
     linkMbps: typeof entry.linkMbps === 'number' ? entry.linkMbps : 0,
   };
 }
+
+/**
+ * Decodes which entry VMs one of them has announced.
+ * @param spec - Content of the stored object.
+ */
+export function decodeRoster(spec: unknown): VmRoster {
+  const { vms } = asFields(spec, 'announcement');
+  return { vms: asList(vms, 'vms').map(decodeVm) };
+}
--- a/src/tests/fleet/FleetMembership.test.ts
+++ b/src/tests/fleet/FleetMembership.test.ts
@@ -20,7 +20,7 @@
   configuration: { items: [{ name: 'main', value: TABLE }], revision: 40 },
   targets: { items: [{ name: 't-1', value: makeTarget('t-1') }], revision: 41 },
   zonesOut: { items: [{ name: 'phare', value: true }], revision: 41 },
-  vms: { items: [{ name: SELF.name, value: SELF }], revision: 41 },
+  vms: { items: [{ name: SELF.name, value: { vms: [SELF] } }], revision: 41 },
 };
 
 /** A list of VMs that is older than this VM's announcement. */
@@ -31,6 +31,7 @@
   fails = [] as readonly Section[],
   hangs = [] as readonly Section[],
   oldVms = STORED.vms,
+  seeds = [] as readonly string[],
 } = {}) {
   const clock = new VirtualClock();
   const calls: string[] = [];
@@ -43,14 +44,15 @@
       return Promise.resolve((isOldList ? oldVms : STORED[section]) as SectionItems<S>);
     },
     watch: () => Promise.reject(new StoreCallError('unknown', 'not asked')),
-    announce: () => {
-      calls.push('announce');
+    announce: (announcer, { vms }, hasAnnounced) => {
+      const names = vms.map(({ name }) => name).join(' ');
+      calls.push(`${announcer} ${hasAnnounced ? 'replaces' : 'announces'} ${names}`.trim());
       return Promise.resolve();
     },
-    withdraw: () => Promise.resolve(),
   };
   const view = new FleetView(clock);
   const known: true[] = [];
+  const asked: { readonly address: string; onEnd(): void }[] = [];
   const membership = new FleetMembership({
     self: SELF,
     isFirstStart,
@@ -63,9 +65,14 @@
       wallNow: () => 0,
     }),
     random: () => 0.5,
+    seeds,
+    ask: (address, onEnd) => {
+      asked.push({ address, onEnd });
+      return { stop: () => {} };
+    },
     onKnown: () => known.push(true),
   });
-  return { clock, view, calls, known, joined: membership.join() };
+  return { clock, view, calls, known, asked, membership, joined: membership.join() };
 }
 
 test('a VM that restarts serves by what the store may have old until another VM tells it more', async (t) => {
@@ -120,10 +127,10 @@
 test('on the first start a VM waits for the others, whose list may be old if it names this one', async (t) => {
   const { clock, view, calls, joined } = start({ isFirstStart: true });
   await joined;
-  t.deepEqual(calls, ['announce']);
+  t.deepEqual(calls, ['vm-1 announces vm-1']);
   clock.runUntil(clock.now() + 1_000);
   await new Promise(setImmediate);
-  t.deepEqual(calls, ['announce', 'vms mayBeOld']);
+  t.deepEqual(calls, ['vm-1 announces vm-1', 'vms mayBeOld']);
   t.true(view.vms.has(SELF.name));
 });
 
@@ -134,6 +141,73 @@
   await joined;
   clock.runUntil(clock.now() + 1_000);
   await new Promise(setImmediate);
-  t.deepEqual(calls, ['announce', 'vms mayBeOld', 'vms now']);
+  t.deepEqual(calls, ['vm-1 announces vm-1', 'vms mayBeOld', 'vms now']);
   t.true(view.vms.has(SELF.name));
 });
+
+test('on the first start a VM that another one announces takes no call to the store', async (t) => {
+  // Hundreds of VMs start together. Each announced itself and read who else did; that took two calls a
+  // VM, more than watching the store takes all day.
+  const { view, calls, known, asked, joined } = start({
+    isFirstStart: true,
+    seeds: ['10.0.0.9:90'],
+  });
+  await new Promise(setImmediate);
+  t.is(asked[0].address, '10.0.0.9:90');
+  view.apply({
+    section: 'vms',
+    items: [{ name: 'vm-9', value: { vms: [SELF] } }],
+    revision: 7,
+    isWhole: true,
+  });
+  await joined;
+  t.deepEqual(calls, []);
+  t.is(known.length, 1);
+});
+
+test('on the first start a VM announces itself if nobody does it in its place', async (t) => {
+  // The VMs that the settings name are down or hear nothing. Left waiting for them this VM would never
+  // be known to the others, and would know none of them.
+  const seeds = ['10.0.0.8:90', '10.0.0.9:90'];
+  const { clock, calls, known, asked } = start({ isFirstStart: true, seeds });
+  asked[0].onEnd();
+  for (let i = 0; i < 80; i++) {
+    clock.runUntil(clock.now() + 100);
+    await new Promise(setImmediate);
+  }
+  t.deepEqual(new Set(asked.map(({ address }) => address)), new Set(seeds));
+  t.is(calls[0], 'vm-1 announces vm-1');
+  t.is(known.length, 1);
+});
+
+test('a VM that leaves no longer names itself, and still names those whom it announced', async (t) => {
+  // A VM that announced a hundred others stops. Were its announcement taken away, nobody that starts
+  // later would know of them.
+  const { view, calls, membership, joined } = start({ isFirstStart: true });
+  await joined;
+  const other = { ...SELF, name: 'vm-2' };
+  view.apply({
+    section: 'vms',
+    items: [{ name: 'vm-1', value: { vms: [SELF, other] } }],
+    revision: 7,
+    isWhole: true,
+  });
+  await membership.leave();
+  t.is(calls.at(-1), 'vm-1 replaces vm-2');
+});
+
+test('a VM that others no longer know announces itself once more', async (t) => {
+  // A planned stop takes a VM's announcement away, and the process is started again at once. The list that
+  // it reads is from before, so that it takes itself for known; nobody sends callers to it any more.
+  const { clock, view, calls, joined } = start();
+  await joined;
+  calls.length = 0;
+  view.apply({
+    section: 'vms',
+    items: [{ name: SELF.name, value: { vms: [] } }],
+    revision: 60,
+    isWhole: false,
+  });
+  clock.runUntil(clock.now() + 1_000);
+  t.deepEqual(calls, ['vm-1 replaces vm-1']);
+});
--- a/src/tests/fleet/StoreFallback.test.ts
+++ b/src/tests/fleet/StoreFallback.test.ts
@@ -68,7 +68,6 @@
     list: fail,
     watch: fail,
     announce: () => fail('announce'),
-    withdraw: () => fail('withdraw'),
   };
   return { calls, store };
 }
