Don't refuse late requests before a target has told its load

Cause: a late request is refused after two rounds of probes, counted as 15 ms. Just after a start a VM opens all its connections at once and probes take longer than a round. Change: the 15 ms hold only once a target has answered since the request came; else it waits as long as a probe may take.

--- a/src/balancing/admission.ts
+++ b/src/balancing/admission.ts
@@ -1,6 +1,7 @@
 import type { Candidate } from './candidates.js';
 import type { Journey } from './Journey.js';
-import { GOOD_SLOWDOWN, LAST_SLOTS_AFTER_MS, LATE_HOLD_MS } from './settings.js';
+import { GOOD_SLOWDOWN, LAST_SLOTS_AFTER_MS, LATE_HOLD_MS, LATE_UNHEARD_MS } from './settings.js';
+import type { TargetRecord } from './TargetRecord.js';
 
 /**
  * When a request's objective can't be met any more; monotonic milliseconds.
@@ -40,13 +41,29 @@
   return isRoomy && (record.reading?.slowdown ?? 1) <= GOOD_SLOWDOWN;
 }
 
+/** Whether a target has told its load since the request came. */
+function hasHeard({ arrivedAt }: Journey, targets: readonly TargetRecord[]): boolean {
+  return targets.some(({ reading }) => reading !== undefined && reading.at >= arrivedAt);
+}
+
 /**
  * Whether a request has looked for a target for so long that its caller is better told to come back.
+ *
+ * While no target has answered since it came, nothing says that there is no room: just after a start
+ * a VM opens all its connections at once, and answers take longer than a round. Those who were late
+ * already were refused for that, by VMs whose targets were idle.
  * @param journey - The request.
+ * @param targets - Those that it may go to.
  * @param workMs - Work that it is, in milliseconds.
  * @param now - Monotonic milliseconds.
  */
-export function isHopeless(journey: Journey, workMs: number, now: number): boolean {
+export function isHopeless(
+  journey: Journey,
+  targets: readonly TargetRecord[],
+  workMs: number,
+  now: number,
+): boolean {
   if (now + workMs > journey.deadlineAt) return true;
-  return now - getLateAt(journey, workMs) > LATE_HOLD_MS;
+  const holdMs = hasHeard(journey, targets) ? LATE_HOLD_MS : LATE_UNHEARD_MS;
+  return now - getLateAt(journey, workMs) > holdMs;
 }
--- a/src/balancing/placing.ts
+++ b/src/balancing/placing.ts
@@ -238,7 +238,7 @@
   const isAtTarget = journey.sendings.size > 0;
   if (
     !isAtTarget &&
-    (hopeless || isHopeless(journey, state.work.get(journey.route), context.now))
+    (hopeless || isHopeless(journey, usable, state.work.get(journey.route), context.now))
   ) {
     return answerRefused(state, journey, hopeless ? 'noTarget' : 'overloaded', context);
   }
--- a/src/balancing/settings.ts
+++ b/src/balancing/settings.ts
@@ -64,6 +64,9 @@
  */
 export const LATE_HOLD_MS = 15;
 
+/** The same while no target has answered at all: by then a probe counts as silent, in milliseconds. */
+export const LATE_UNHEARD_MS = PROBE_TIMEOUT_MS;
+
 /**
  * First guess of the part of a target's slots beyond which work that starts there takes longer, and
  * how much. Measured on two deployments: 1.70 times as long on the second of two slots, and no longer
--- a/src/tests/balancing/waiting.test.ts
+++ b/src/tests/balancing/waiting.test.ts
@@ -91,3 +91,40 @@
   const { score } = playLab(LAB_PLANS.surge, 7);
   t.true(score.heldMs < LAB_PLANS.surge.routes[0].objectiveMs);
 });
+
+/** Has a caller ask first, so that the next one is known to be late. */
+function learnCallerTimes(scene: Scene): void {
+  for (let i = 0; i < 10; i++) {
+    scene.arrive();
+    scene.answerProbes();
+    scene.end({ kind: 'answered', status: 200 });
+    scene.now += 50;
+  }
+}
+
+test('a late request is not refused before a target has told its load', (t) => {
+  // All VMs are back after a loss of power, and callers come who were late before. Each VM opens all its
+  // connections at once, so that probes take 40 ms; late requests were refused after two rounds without a
+  // single answer, while all targets were idle.
+  const scene = new Scene(TARGETS);
+  learnCallerTimes(scene);
+  const sent = scene.all('sendAttempt').length;
+  const request = scene.arrive('/horaires/today', 1_500);
+  scene.wait(16, request);
+  scene.wait(16, request);
+  scene.now += 8;
+  t.deepEqual(scene.all('answer'), []);
+  scene.answerProbes();
+  t.is(scene.all('sendAttempt').length, sent + 1);
+});
+
+test('a late request is refused at once when targets have told that they are full', (t) => {
+  const scene = new Scene(TARGETS);
+  learnCallerTimes(scene);
+  const request = scene.arrive('/horaires/today', 1_500);
+  scene.answerProbes(() => SLOTS);
+  scene.wait(20, request);
+  scene.answerProbes(() => SLOTS);
+  scene.wait(25, request);
+  t.is(scene.all('answer')[0].status, 503);
+});
