--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -8,7 +8,7 @@
 import { FleetView } from '../fleet/FleetView.js';
 import { Neighbours } from '../fleet/Neighbours.js';
 import type { EventLog } from '../logging/EventLog.js';
-import { ObjectStore, writeAddresses } from '../platform/index.js';
+import { ObjectStore } from '../platform/index.js';
 import type { Section } from '../fleet/FleetStore.js';
 import type { Clock } from '../timing/index.js';
 import { TimerService } from '../timing/index.js';
@@ -20,12 +20,7 @@
 import { Sendings } from './Sendings.js';
 import { TargetAgents } from './TargetAgents.js';
 import { Wakes } from './Wakes.js';
-
-/** How long callers keep the addresses they are told, in milliseconds, if they may keep them so long. */
-const ADDRESS_TTL_MS = 2_000;
-
-/** Addresses in one answer at the most. */
-const MOST_ADDRESSES = 64;
+import { writeAddressAnswer } from './writeAddressAnswer.js';
 
 /** Largest head of a request, in bytes; no configuration so far allows more. */
 const HEADER_BYTES = 32 * 1024;
@@ -149,7 +144,8 @@
       metrics: this.metrics,
       log,
       isReady: () => this.isReady,
-      writeAddresses: () => this.writeAddresses(),
+      writeAddresses: () =>
+        writeAddressAnswer(settings, this.neighbours.getReady(), this.isStopping),
     });
     this.neighbours = new Neighbours({
       self: settings.self,
@@ -238,16 +234,6 @@
     await this.pages.listen();
   }
 
-  /** @internal */
-  private writeAddresses(): string {
-    const { self, addressTtlMostMs } = this.parts.settings;
-    const others = this.neighbours.getReady().map(({ callers }) => callers);
-    // A VM that is stopping names itself only if it knows of no other.
-    const own = this.isStopping && others.length > 0 ? [] : [self.callers];
-    const ttlMs = Math.min(ADDRESS_TTL_MS, addressTtlMostMs);
-    return writeAddresses([...own, ...others].slice(0, MOST_ADDRESSES), ttlMs);
-  }
-
   /** @internal */
   private takeSection(section: Section): void {
     const { dispatch } = this.loop;
