Sum up logs of hundreds of VMs line by line, and name VMs that differ

Which VM lost most could not be seen. Change: lines are counted as they are read, with progress on a terminal; VMs that lost four standard deviations more than their share are named.

--- a/src/cli/commands/explainCommand.ts
+++ b/src/cli/commands/explainCommand.ts
@@ -1,8 +1,10 @@
-import { readFileSync } from 'node:fs';
+import { createReadStream, readFileSync } from 'node:fs';
+import { createInterface } from 'node:readline';
 
 import { explainRequest } from '../../report/explainRequest.js';
-import { summarizeLosses } from '../../report/summarizeLosses.js';
+import { LossSummary } from '../../report/LossSummary.js';
 import type { Command } from '../Command.js';
+import type { CommandIo } from '../CommandIo.js';
 import { createUsageError } from '../errors.js';
 import { EXIT_CODES } from '../exitCodes.js';
 
@@ -12,14 +14,38 @@
 /** File that stands for standard input. */
 const STANDARD_INPUT = '-';
 
+function createReadError(file: string, { message }: Error): Error {
+  return createUsageError(`${file}: cannot be read (${message}); name a log file, or -`);
+}
+
 function readLog(file: string): string[] {
   try {
     return readFileSync(file === STANDARD_INPUT ? 0 : file, 'utf8').split('\n');
   } catch (cause) {
-    throw createUsageError(
-      `${file}: cannot be read (${(cause as Error).message}); name a log file, or -`,
-    );
+    throw createReadError(file, cause as Error);
+  }
+}
+
+/** Lines between two words on how far reading is. */
+const PROGRESS_LINES = 200_000;
+
+/** Sums up the losses in logs, line by line: those of hundreds of VMs don't fit into memory. */
+async function sumUp(files: readonly string[], io: CommandIo): Promise<string[]> {
+  const summary = new LossSummary();
+  let read = 0;
+  for (const file of files) {
+    const input = file === STANDARD_INPUT ? process.stdin : createReadStream(file, 'utf8');
+    try {
+      for await (const text of createInterface({ input, crlfDelay: Infinity })) {
+        summary.add(text);
+        read += 1;
+        if (read % PROGRESS_LINES === 0) io.progress(`${file}: ${read} lines read`);
+      }
+    } catch (cause) {
+      throw createReadError(file, cause as Error);
+    }
   }
+  return summary.write();
 }
 
 /** Tells what became of a request, and why. */
@@ -39,8 +65,9 @@
   async run(args, io) {
     const [id] = args.positional;
     const files = args.getList('log');
-    const lines = (files.length === 0 ? [STANDARD_INPUT] : files).flatMap(readLog);
-    const explained = id === ALL ? summarizeLosses(lines) : explainRequest(lines, id);
+    const logs = files.length === 0 ? [STANDARD_INPUT] : files;
+    const explained =
+      id === ALL ? await sumUp(logs, io) : explainRequest(logs.flatMap(readLog), id);
     if (explained.length === 0) {
       io.err(
         id === ALL
--- a/src/tests/report/summarizeLosses.test.ts
+++ b/src/tests/report/LossSummary.test.ts
@@ -1,9 +1,15 @@
 import test from 'ava';
 
-import { summarizeLosses } from '../../report/summarizeLosses.js';
+import { LossSummary } from '../../report/LossSummary.js';
 
 const OBJECTIVE_MS = 300;
 
+function summarizeLosses(texts: Iterable<string>): string[] {
+  const summary = new LossSummary();
+  for (const text of texts) summary.add(text);
+  return summary.write();
+}
+
 function line(at: number, event: string, fields: Record<string, unknown>): string {
   const time = new Date(Date.UTC(2026, 0, 1) + at).toISOString();
   return `edge-1 ${JSON.stringify({ time, vm: 'vm-1', event, ...fields })}`;
@@ -46,3 +52,21 @@
 test('a log without requests gives nothing', (t) => {
   t.deepEqual(summarizeLosses(['', line(0, 'process.started', {})]), []);
 });
+
+test('VMs that lost more than the rest are named', (t) => {
+  // One of forty VMs is cut off from what it needs and refuses its callers. Summed up over all VMs it is
+  // a small share of refusals, and nobody sees that they are all from one.
+  const logs = Array.from({ length: 40 }, (_, vm) =>
+    Array.from({ length: 50 }, (_unused, i) => {
+      const isLost = vm === 7 ? i < 25 : i === 0;
+      const text = isLost
+        ? line(i * 100, 'request.refused', { reason: 'noTarget', route: 'lookup', tookMs: 1 })
+        : answer(i * 100, 160);
+      return text.replace('"vm":"vm-1"', `"vm":"vm-${vm}"`);
+    }),
+  ).flat();
+  t.deepEqual(summarizeLosses(logs).slice(-2), [
+    '  lost   tries  VM                        most frequent reason and route',
+    '    25      50  vm-7                      noTarget lookup (25)',
+  ]);
+});
