Tell by process whether a fault of the soak has killed it

Cause: a stop that a kill overlaps was taken for one that took too long when the next process was started before the end of the killed one was told: the mark of the kill was kept by gateway and taken back at the start. Change: killed processes are kept by process.

--- a/src/soak/SoakGateway.ts
+++ b/src/soak/SoakGateway.ts
@@ -46,8 +46,12 @@
   /** @internal */
   private starts = 0;
 
-  /** Whether a fault has killed the process that was started last. @internal */
-  private isKilled = false;
+  /**
+   * Processes that a fault has killed. Kept by process: the next one may be started before the end of
+   * a killed one is told, and a stop that waited for that end would be taken for one that took too long.
+   * @internal
+   */
+  private readonly killed = new WeakSet<ChildProcess>();
 
   /** @param options - How it is started. */
   constructor(readonly options: SoakGatewayOptions) {
@@ -58,7 +62,7 @@
   /** Whether its process runs. */
   get isUp(): boolean {
     const { child } = this;
-    if (child === undefined || this.isKilled) return false;
+    if (child === undefined || this.killed.has(child)) return false;
     return child.exitCode === null && child.signalCode === null;
   }
 
@@ -66,7 +70,6 @@
   start(): void {
     if (this.isUp) return;
     this.starts += 1;
-    this.isKilled = false;
     const { dir } = this.options;
     const log = createWriteStream(join(dir, `gateway.log`), { flags: 'a' });
     const env = { PATH: process.env.PATH, MASTICLINK_CONFIG: join(dir, 'gateway.ini') };
@@ -92,13 +95,14 @@
     const isOwn = await ended;
     clearTimeout(timer);
     if (isOwn) return 'byItself';
-    return this.isKilled ? 'byFault' : 'bySignal';
+    return this.killed.has(child) ? 'byFault' : 'bySignal';
   }
 
   /** Ends it at once, as a fault. */
   kill(): void {
-    this.isKilled = true;
-    this.child?.kill('SIGKILL');
+    if (this.child === undefined) return;
+    this.killed.add(this.child);
+    this.child.kill('SIGKILL');
   }
 
   /** Writes its settings, with another address of the store. */
