Close connections of the soak that can no longer be reset

Cause: "Failed to exit when running soak.test.js", all tests passed: twice in two runs of all tests on a busy machine. What keeps the process is a proxied connection, destroyed and not closed: reset just after its sending side has ended, which the system refuses (EINVAL) and node does not make good. Change: such a connection is closed.

--- a/src/soak/FaultProxy.ts
+++ b/src/soak/FaultProxy.ts
@@ -1,6 +1,8 @@
 import type { AddressInfo, Server, Socket } from 'node:net';
 import { connect, createServer } from 'node:net';
 
+import { resetSocket } from './resetSocket.js';
+
 /** What a proxy does with what passes through it. */
 export type LinkMood =
   | 'sound'
@@ -43,7 +45,7 @@
   /** Changes what the link does, for open connections too. */
   set(mood: LinkMood): void {
     this.mood = mood;
-    if (mood === 'reset') for (const socket of this.sockets) socket.resetAndDestroy();
+    if (mood === 'reset') for (const socket of this.sockets) resetSocket(socket);
   }
 
   /** Ends it. */
@@ -55,7 +57,7 @@
   /** @internal */
   private join(near: Socket): void {
     if (this.mood === 'reset') {
-      near.resetAndDestroy();
+      resetSocket(near);
       return;
     }
     const [host, port] = this.target.split(':');
@@ -70,7 +72,7 @@
     from.on('data', (data) => this.move(data, to, way));
     from.on('end', () => this.isOpen(way) && to.end());
     // The other side is ended the same way, as if there were no proxy between the two.
-    from.on('error', () => to.resetAndDestroy());
+    from.on('error', () => resetSocket(to));
     from.once('close', () => {
       this.sockets.delete(from);
       if (this.isOpen(way)) to.destroySoon();
