Go on announcing VMs that an earlier process announced

A VM that announced a hundred others, restarted, and was asked by a late one, announced only the two of them; each of the others would have had to announce itself. Change: those it announced before stay.

--- a/src/fleet/Registrar.ts
+++ b/src/fleet/Registrar.ts
@@ -48,13 +48,24 @@
     this.parts.clock.after(GATHER_MS, () => this.announce());
   }
 
+  /**
+   * All that this VM announces, with those that an earlier process of it did: left out, each of them
+   * would have to announce itself.
+   * @internal
+   */
+  private makeRoster(before: VmRoster | undefined): VmRoster {
+    const vms = [...(before?.vms ?? []), this.parts.self, ...this.asked.values()];
+    return { vms: [...new Map(vms.map((vm) => [vm.name, vm])).values()] };
+  }
+
   /** @internal */
   private async announce(): Promise<void> {
     const { self, store, view, log, clock } = this.parts;
     this.isGathering = false;
-    const roster: VmRoster = { vms: [self, ...this.asked.values()] };
+    const before = view.rosters.get(self.name);
+    const roster = this.makeRoster(before);
     try {
-      await store.announce(self.name, roster, view.rosters.has(self.name));
+      await store.announce(self.name, roster, before !== undefined);
       log.write('fleet.announced', { vms: roster.vms.length });
       await new Promise<void>((resolve) => {
         clock.after(OTHERS_MS, resolve);
--- /dev/null
+++ b/src/tests/fleet/Registrar.test.ts
@@ -0,0 +1,58 @@
+import test from 'ava';
+
+import type { VmRoster } from '../../balancing/index.js';
+import type { FleetStore } from '../../fleet/FleetStore.js';
+import { StoreCallError } from '../../fleet/FleetStore.js';
+import { FleetView } from '../../fleet/FleetView.js';
+import { Registrar } from '../../fleet/Registrar.js';
+import { EventLog } from '../../logging/EventLog.js';
+import { VirtualClock } from '../../proof/VirtualClock.js';
+
+function makeVm(name: string) {
+  return { name, zone: 'quai', callers: '10.0.0.1:80', peers: '10.0.0.1:90', linkMbps: 14 };
+}
+
+function makeRegistrar() {
+  const clock = new VirtualClock();
+  const view = new FleetView(clock);
+  const announced: string[] = [];
+  const store: FleetStore = {
+    list: () => Promise.reject(new StoreCallError('unavailable', 'away')),
+    watch: () => Promise.reject(new StoreCallError('unavailable', 'away')),
+    announce: (_announcer: string, { vms }: VmRoster) => {
+      announced.push(vms.map(({ name }) => name).join(' '));
+      return Promise.resolve();
+    },
+  };
+  const log = new EventLog('vm-1', {
+    write: (_text, done) => done(),
+    now: () => clock.now(),
+    wallNow: () => 0,
+  });
+  const registrar = new Registrar({ self: makeVm('vm-1'), store, view, clock, log });
+  return { clock, view, announced, registrar };
+}
+
+test('VMs that ask within half a second are announced by one call', (t) => {
+  const { clock, announced, registrar } = makeRegistrar();
+  registrar.register(makeVm('vm-2'));
+  clock.runUntil(clock.now() + 300);
+  registrar.register(makeVm('vm-3'));
+  clock.runUntil(clock.now() + 1_000);
+  t.deepEqual(announced, ['vm-1 vm-2 vm-3']);
+});
+
+test('a VM that was started again still names those whom it announced before', (t) => {
+  // The VM that announced a hundred others is started again, and one that is late asks it too. Announced
+  // without the others, each of those is unknown until it has announced itself.
+  const { clock, view, announced, registrar } = makeRegistrar();
+  view.apply({
+    section: 'vms',
+    items: [{ name: 'vm-1', value: { vms: [makeVm('vm-1'), makeVm('vm-2')] } }],
+    revision: 4,
+    isWhole: true,
+  });
+  registrar.register(makeVm('vm-3'));
+  clock.runUntil(clock.now() + 1_000);
+  t.deepEqual(announced, ['vm-1 vm-2 vm-3']);
+});
