Log each request that waits for the start of its VM

Cause: a request that waits for configuration and targets left no line until its end. Change: `request.kept`, with id, host, path and configuration.

--- a/src/balancing/effects.ts
+++ b/src/balancing/effects.ts
@@ -41,6 +41,7 @@
   | 'request.refused'
   | 'request.failed'
   | 'request.callerLeft'
+  | 'request.kept'
   | 'attempt.failed'
   | 'target.added'
   | 'target.removed'
--- a/src/balancing/starting.ts
+++ b/src/balancing/starting.ts
@@ -32,9 +32,13 @@
  * @param event - The request.
  */
 export function keepEarly(state: BalancerState, event: RequestArrived): BalancerEffect[] {
-  const { request } = event;
+  const { request, callerRequestId: id, host, path } = event;
   state.early.set(request, event);
-  return [{ kind: 'wake', request, at: state.startedAt + START_MS }];
+  const fields = { id, host, path, configuration: state.table?.version };
+  return [
+    { kind: 'wake', request, at: state.startedAt + START_MS },
+    { kind: 'log', event: 'request.kept', fields },
+  ];
 }
 
 /**
