Don't wait to hear from targets when none may be asked

Cause: found by reading the change once more. With all targets of a service left alone, a late request waited up to 0.3 s for word that cannot come. Change: with nobody to hear from, the 15 ms hold as before. The test fails before.

--- a/src/balancing/admission.ts
+++ b/src/balancing/admission.ts
@@ -41,9 +41,12 @@
   return isRoomy && (record.reading?.slowdown ?? 1) <= GOOD_SLOWDOWN;
 }
 
-/** Whether a target has told its load since the request came. */
+/** Whether a target has told its load since the request came, or none is left that could. */
 function hasHeard({ arrivedAt }: Journey, targets: readonly TargetRecord[]): boolean {
-  return targets.some(({ reading }) => reading !== undefined && reading.at >= arrivedAt);
+  return (
+    targets.length === 0 ||
+    targets.some(({ reading }) => reading !== undefined && reading.at >= arrivedAt)
+  );
 }
 
 /**
--- a/src/tests/balancing/waiting.test.ts
+++ b/src/tests/balancing/waiting.test.ts
@@ -128,3 +128,21 @@
   scene.wait(25, request);
   t.is(scene.all('answer')[0].status, 503);
 });
+
+test('a late request is refused at once when no target may be asked', (t) => {
+  // All targets of a service take no connection and are left alone for a moment. There is nobody to hear
+  // from, so that waiting would only take of the time that its caller has left.
+  const scene = new Scene(TARGETS);
+  learnCallerTimes(scene);
+  for (const { entry } of scene.state.targets.values()) {
+    scene.dispatch({
+      kind: 'probeEnded',
+      target: entry.id,
+      bornAt: entry.bornAt,
+      end: { kind: 'refused' },
+    });
+  }
+  const request = scene.arrive('/horaires/today', 1_500);
+  scene.wait(20, request);
+  t.is(scene.all('answer')[0].status, 503);
+});
