Take figures and their story out of older comments; one sleep by the clock

Cause: comments told how constants were measured, which belongs here, and waiting by the clock stood four times in src/fleet.

--- a/src/balancing/CallerTimes.ts
+++ b/src/balancing/CallerTimes.ts
@@ -9,8 +9,7 @@
 
 /**
  * Part by which callers that ask for the first time allow less than is usual, at the most, with some
- * room. Read from the logs of calm days without a refusal: 30 to 40 % of first requests allowed less,
- * spread evenly down to 0.85 of the usual time.
+ * room: many of them allow somewhat less than the others on their route.
  */
 export const FIRST_TIMES_SPREAD = 0.18;
 
--- a/src/balancing/ServiceCurve.ts
+++ b/src/balancing/ServiceCurve.ts
@@ -11,8 +11,7 @@
 
 /**
  * One answer moves a level by this part at the least, and by more while few are known: 20 answers
- * all on one side move it by half. Answers in time in a second surge, in virtual time, with steps of
- * 0.012, 0.02 and 0.03: 0.872, 0.880 and 0.875; the noise of that is 0.01.
+ * all on one side move it by half.
  */
 const LEVEL_STEP = 0.02;
 const LEVEL_FIRST_STEP = 0.3;
@@ -72,10 +71,8 @@
 const SLACK_MOST = 20;
 
 /**
- * Standard deviation of the logarithm of work: requests of one route differ by so much. Measured on
- * idle targets in the logs of two days of one deployment: 0.27 to 0.30 for three routes, from 280 to
- * 1,160 answers each. A guess for others; a half or twice as much moves what is best by one slot at
- * the most.
+ * Standard deviation of the logarithm of work: requests of one route differ by so much. A guess for
+ * services that nobody has looked at; half or twice as much moves what is best by one slot at the most.
  */
 const WORK_SPREAD = 0.3;
 
@@ -115,9 +112,6 @@
  * The work at a level of occupancy is followed by its median: each answer moves it by one small step,
  * however far off the answer is, so that a few wrong ones (a target that is slower than it says, an
  * answer that was spoilt on its way) cannot drag it far.
- *
- * In virtual time, five seeds, worth of callers with the first guess alone and learnt: targets that
- * slow down from half of their slots on 0.63 and 0.87, targets that never do 0.89 and 0.93.
  */
 export class ServiceCurve {
   /** @internal */
--- a/src/balancing/endings.ts
+++ b/src/balancing/endings.ts
@@ -17,9 +17,6 @@
  * waiting makes no room where there is some, and a rejection takes no longer than the way there and
  * back. Told to come back after a fifth of its time the caller is late for certain. Spread, so that
  * callers who were rejected together don't come back together.
- *
- * Targets that reject 55 % of what they get, in virtual time over five seeds: worth 0.75 with a fifth
- * of the time left or more, 0.89 with this.
  */
 const SOON_LEAST_MS = 5;
 const SOON_MOST_MS = 30;
--- a/src/balancing/placing.ts
+++ b/src/balancing/placing.ts
@@ -255,9 +255,6 @@
  * answer has just freed stays idle until somebody happens to look. The answer says for nothing that
  * there is room. The newest goes first: all wait for the same slots, and it has the best chance to be
  * answered in time; the others would take its place and be late all the same.
- *
- * Worth of what callers get in virtual time, five seeds, with this and without: 0.84 and 0.81 at 1.6
- * times what targets bear at ease, 0.93 and 0.88 where they do not slow down with load.
  * @param state - What is known.
  * @param service - Whose target has told its load.
  * @param context - Time and chance.
--- a/src/balancing/settings.ts
+++ b/src/balancing/settings.ts
@@ -58,9 +58,8 @@
  * A request that misses its objective anyway is refused if it has found no target with room to spare
  * after so long, in milliseconds: two rounds of probes.
  *
- * Held for 300 ms, such requests took slots that others needed who could still be in time, and most
- * were refused all the same. Played in virtual time at 1.6 times what targets bear at ease, five
- * seeds: worth 0.77 with 300 ms, 0.85 with 15 ms; refused callers were held for 398 ms, now for 92.
+ * Held for long, such requests took slots that others needed who could still be in time, and most
+ * were refused all the same.
  */
 export const LATE_HOLD_MS = 15;
 
@@ -69,8 +68,7 @@
 
 /**
  * First guess of the part of a target's slots beyond which work that starts there takes longer, and
- * how much. Measured on two deployments: 1.70 times as long on the second of two slots, and no longer
- * on the first. `ServiceCurve` learns what it is.
+ * how much. `ServiceCurve` learns what it is.
  */
 export const KNEE_SHARE = 0.8;
 export const KNEE_SLOWDOWN = 1.7;
@@ -80,8 +78,7 @@
 
 /**
  * First guess of the part of a slowdown beyond the usual speed that work meets which starts just
- * after it was read: a spell may be over by then. Measured: work took 2.94 times as long where a
- * slowdown of 4 was read. Learnt as well; work may meet more than was read, but not much more.
+ * after it was read: a spell may be over by then. Learnt as well; work may meet more than was read, but not much more.
  */
 export const SLOWDOWN_WEIGHT = 0.65;
 export const SLOWDOWN_WEIGHT_MOST = 1.2;
--- a/src/fleet/FleetMembership.ts
+++ b/src/fleet/FleetMembership.ts
@@ -1,5 +1,6 @@
 import type { VmEntry } from '../balancing/index.js';
 import type { EventLog } from '../logging/EventLog.js';
+import { sleep } from '../timing/index.js';
 import type { AnnouncementParts } from './askOthersToAnnounce.js';
 import { askOthersToAnnounce } from './askOthersToAnnounce.js';
 import type { FleetStore, ListFreshness, Section } from './FleetStore.js';
@@ -59,7 +60,7 @@
         return;
       }
       const needed = Promise.all(OLD_AT_RESTART.map((section) => this.readOld(section)));
-      await Promise.race([needed, this.wait(NEEDED_FIRST_MS)]);
+      await Promise.race([needed, sleep(this.parts.clock, NEEDED_FIRST_MS)]);
       await this.readVms('mayBeOld');
       onKnown();
       const own = view.vms.get(self.name);
@@ -87,13 +88,6 @@
     }
   }
 
-  /** @internal */
-  private wait(ms: number): Promise<void> {
-    return new Promise((resolve) => {
-      this.parts.clock.after(ms, resolve);
-    });
-  }
-
   /**
    * Announces this VM once more if others no longer know it. A process that is started again soon
    * after a planned stop may find itself in a list from before it left, and take itself for known.
--- a/src/fleet/FollowTree.ts
+++ b/src/fleet/FollowTree.ts
@@ -2,14 +2,14 @@
 import type { ZoneName } from '../core/model/index.js';
 
 /**
- * VMs that watch the store for all others. Calls to the store are paid for one by one: with all 15
- * VMs watching, they cost 0.23 of what a calm day earns, measured on Marée Boréale's deployment.
+ * VMs that watch the store for all others. Calls to the store are paid for one by one, and each
+ * watch that ends is one; a second watcher takes over when the first is lost.
  */
 const WATCHERS = 2;
 
 /**
- * VMs that follow one VM. All of 142 VMs following two choked those two's links of 7 Mbit/s, so that
- * everyone found their word stale and watched the store directly: 56,372 calls in a calm day.
+ * VMs that follow one VM. With all VMs following two, the links of those two are choked, everyone finds
+ * their word stale and watches the store directly.
  */
 const FOLLOWERS = 8;
 
--- a/src/fleet/Registrar.ts
+++ b/src/fleet/Registrar.ts
@@ -1,6 +1,7 @@
 import type { VmEntry, VmRoster } from '../balancing/index.js';
 import type { EventLog } from '../logging/EventLog.js';
 import type { Clock } from '../timing/index.js';
+import { sleep } from '../timing/index.js';
 import type { FleetStore } from './FleetStore.js';
 import type { FleetView } from './FleetView.js';
 
@@ -67,9 +68,7 @@
     try {
       await store.announce(self.name, roster, before !== undefined);
       log.write('fleet.announced', { vms: roster.vms.length });
-      await new Promise<void>((resolve) => {
-        clock.after(OTHERS_MS, resolve);
-      });
+      await sleep(clock, OTHERS_MS);
       const { items, revision } = await store.list('vms');
       view.apply({ section: 'vms', items, revision, isWhole: true });
     } catch (err) {
--- a/src/fleet/StoreMirror.ts
+++ b/src/fleet/StoreMirror.ts
@@ -1,5 +1,6 @@
 import type { EventLog } from '../logging/EventLog.js';
 import type { Clock } from '../timing/index.js';
+import { sleep } from '../timing/index.js';
 import type { FleetStore, Section } from './FleetStore.js';
 import { SECTIONS, StoreCallError } from './FleetStore.js';
 import type { FleetView } from './FleetView.js';
@@ -156,7 +157,7 @@
     view.apply({ section, items: answer.items, revision: answer.revision, isWhole: false });
     if (answer.items.length === 0) return;
     this.gatheredMs.set(section, GATHER_MS[section]);
-    await this.wait(GATHER_MS[section]);
+    await sleep(this.parts.clock, GATHER_MS[section]);
   }
 
   /** @internal */
@@ -194,13 +195,6 @@
 
   /** @internal */
   private pause(ms: number): Promise<void> {
-    return this.wait(ms * (0.5 + this.parts.random()));
-  }
-
-  /** @internal */
-  private wait(ms: number): Promise<void> {
-    return new Promise((resolve) => {
-      this.parts.clock.after(ms, resolve);
-    });
+    return sleep(this.parts.clock, ms * (0.5 + this.parts.random()));
   }
 }
--- a/src/fleet/askOthersToAnnounce.ts
+++ b/src/fleet/askOthersToAnnounce.ts
@@ -1,6 +1,7 @@
 import type { VmEntry } from '../balancing/index.js';
 import { hashText } from '../core/hash.js';
 import type { Clock } from '../timing/index.js';
+import { sleep } from '../timing/index.js';
 import type { FleetView } from './FleetView.js';
 
 /**
@@ -28,12 +29,6 @@
   ask(address: string, onEnd: () => void): { stop(): void };
 }
 
-function wait(clock: Clock, ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    clock.after(ms, resolve);
-  });
-}
-
 async function askOther(
   { self, clock, view, ask }: AnnouncementParts,
   address: string,
@@ -63,7 +58,7 @@
   const endsAt = clock.now() + ASK_MOST_MS;
   for (let i = hashText(self.name); seeds.length > 0 && clock.now() < endsAt; i++) {
     if (await askOther(parts, seeds[i % seeds.length])) return true;
-    await wait(clock, ASK_PAUSE_MS);
+    await sleep(clock, ASK_PAUSE_MS);
   }
   return false;
 }
--- a/src/timing/index.ts
+++ b/src/timing/index.ts
@@ -1,3 +1,4 @@
 export type { CancelTimer, Clock } from './Clock.js';
 export { SystemClock } from './SystemClock.js';
 export { TimerService } from './TimerService.js';
+export { sleep } from './sleep.js';
