Judge a version that is rolled out by answers of old and new targets

Operators order that a service moves to targets of another version, and nothing here read such an order: requests went to both versions alike, so that a bad one reached half of the callers.

What VMs report are totals by run of a process, so that a report may be lost, late, doubled or start anew. A version is judged by the share of answers that fail or take far longer than expected, against old targets in the same seconds, on each route and on all together.

--- /dev/null
+++ b/src/rollouts/evidence.ts
@@ -0,0 +1,75 @@
+import { hashText } from '../core/hash.js';
+import type { TargetId } from '../core/model/index.js';
+import type { EvidenceCounts } from './model.js';
+
+/** New targets are told apart by so many groups, which bounds what a VM reports. */
+const TARGET_GROUPS = 6;
+
+/** Routes that a VM reports apart; answers of further ones are counted together. */
+const MOST_ROUTES = 5;
+
+const OTHER_ROUTES = '*';
+
+/** Which answers a count is of. */
+export interface EvidenceKey {
+  readonly route: string;
+  /** Group of the new target; undefined for old targets. */
+  readonly group: string | undefined;
+}
+
+/**
+ * Takes a count's key apart.
+ * @param key - Key of `EvidenceCounts`.
+ */
+export function parseEvidenceKey(key: string): EvidenceKey {
+  const end = key.indexOf(' ');
+  const group = key.slice(0, end);
+  return { route: key.slice(end + 1), group: group === 'old' ? undefined : group };
+}
+
+/** Counts the answers that this process got while one order runs. */
+export class VersionEvidence {
+  /** @internal */
+  private readonly counts = new Map<string, { answers: number; bad: number }>();
+
+  /** @internal */
+  private readonly routes = new Set<string>();
+
+  /**
+   * Counts one answer.
+   * @param route - Route of the request.
+   * @param target - The target that was asked, if it is of the new version.
+   * @param isBad - Whether it failed, or takes far longer than expected of any target.
+   */
+  note(route: string, target: TargetId | undefined, isBad: boolean): void {
+    if (this.routes.size < MOST_ROUTES) this.routes.add(route);
+    const name = this.routes.has(route) ? route : OTHER_ROUTES;
+    const group = target === undefined ? 'old' : `new${hashText(target) % TARGET_GROUPS}`;
+    const key = `${group} ${name}`;
+    const known = this.counts.get(key) ?? { answers: 0, bad: 0 };
+    known.answers += 1;
+    if (isBad) known.bad += 1;
+    this.counts.set(key, known);
+  }
+
+  /** Totals so far. */
+  get totals(): EvidenceCounts {
+    return Object.fromEntries(this.counts);
+  }
+
+  /** Part of all answers so far that came on a route; undefined while there are too few to tell. */
+  getRouteShare(route: string): number | undefined {
+    let all = 0;
+    let own = 0;
+    for (const [key, { answers }] of this.counts) {
+      all += answers;
+      if (parseEvidenceKey(key).route === route) own += answers;
+    }
+    return all < 20 ? undefined : own / all;
+  }
+
+  /** Routes on which answers came. */
+  get routeCount(): number {
+    return Math.max(1, this.routes.size);
+  }
+}
