--- a/src/balancing/BalancerState.ts
+++ b/src/balancing/BalancerState.ts
@@ -6,6 +6,7 @@
 import type { RoutingTable, ServiceRules } from './model.js';
 import { ProbeBudget } from './ProbeBudget.js';
 import { RetryBudget } from './RetryBudget.js';
+import { ServiceVersions } from './ServiceVersions.js';
 import { ServiceCurve } from './ServiceCurve.js';
 import type { BalancingSettings } from './settings.js';
 import type { TargetRecord } from './TargetRecord.js';
@@ -44,6 +45,8 @@
   /** What is learnt of each service's targets. */
   readonly curves: Map<ServiceName, ServiceCurve>;
   readonly callerTimes: CallerTimes;
+  /** Versions of targets that requests may go to. */
+  readonly versions: ServiceVersions;
   /** When a planned stop began; undefined if none did. */
   stopAskedAt: number | undefined;
 }
@@ -75,6 +78,7 @@
     work: new WorkTimes(),
     curves: new Map(),
     callerTimes: new CallerTimes(),
+    versions: new ServiceVersions(settings.rollouts !== undefined),
     stopAskedAt: undefined,
   };
 }
--- a/src/balancing/Journey.ts
+++ b/src/balancing/Journey.ts
@@ -2,6 +2,7 @@
 import type { Route } from './model.js';
 import type { SendingBasis } from './ServiceCurve.js';
 import type { TargetRecord } from './TargetRecord.js';
+import type { VersionLane } from './versions.js';
 
 /** One sending of a request to a target. */
 export interface Sending {
@@ -33,6 +34,8 @@
   readonly callerRequestId: string | undefined;
   readonly route: Route;
   readonly service: ServiceName;
+  /** Version that it is for, while its service moves to another one. */
+  lane: VersionLane;
   readonly arrivedAt: number;
   /** How long before its arrival the caller asked first, in milliseconds. */
   readonly sinceFirstMs: number;
--- a/src/balancing/TargetRecord.ts
+++ b/src/balancing/TargetRecord.ts
@@ -1,3 +1,4 @@
+import { hashText } from '../core/hash.js';
 import type { RequestId } from '../core/model/index.js';
 import type { LoadReading, TargetEntry } from './model.js';
 
@@ -14,6 +15,10 @@
 /** What this entry VM knows of one target. */
 export interface TargetRecord {
   entry: TargetEntry;
+  /** Drawn from its id, the same at all entry VMs. */
+  readonly commonRank: number;
+  /** Left alone before this time, since its version is new; monotonic milliseconds. */
+  heldUntil: number;
   reading: LoadReading | undefined;
   /** Own requests sent since the reading was taken. */
   sentSinceReading: number;
@@ -44,6 +49,8 @@
 export function createTargetRecord(entry: TargetEntry, now: number): TargetRecord {
   return {
     entry,
+    commonRank: hashText(entry.id),
+    heldUntil: 0,
     reading: undefined,
     sentSinceReading: 0,
     outstanding: 0,
--- a/src/balancing/candidates.ts
+++ b/src/balancing/candidates.ts
@@ -9,6 +9,7 @@
 import { GOOD_SLOWDOWN, READING_FRESH_MS } from './settings.js';
 import type { TargetRecord } from './TargetRecord.js';
 import { getScores } from './TargetRecord.js';
+import { isFilling, selectVersion } from './versions.js';
 
 /**
  * A target of this VM's own availability zone is probed so many times as often as another of those
@@ -36,14 +37,19 @@
  * @param journey - The request.
  * @param now - Monotonic milliseconds.
  */
-export function getUsable(state: BalancerState, journey: Journey, now: number): TargetRecord[] {
-  return (state.byService.get(journey.service) ?? []).filter(
+export function getUsable(
+  state: BalancerState,
+  journey: Journey,
+  now: number,
+): readonly TargetRecord[] {
+  const usable = (state.byService.get(journey.service) ?? []).filter(
     ({ entry, deadUntil }) =>
       !entry.isDraining &&
       deadUntil <= now &&
       !state.zonesOut.has(entry.zone) &&
       !journey.tried.has(entry.id),
   );
+  return selectVersion(state, journey, usable, now);
 }
 
 /** A cold target takes requests from a few entry VMs only, at a bounded rate. */
@@ -80,6 +86,7 @@
   const { now } = context;
   const workMs = state.work.get(journey.route);
   const curve = getCurve(state, journey.service);
+  const fills = isFilling(state, journey, now);
   let best: Candidate | undefined;
   let bestCost = Number.POSITIVE_INFINITY;
   for (const record of getUsable(state, journey, now)) {
@@ -89,10 +96,11 @@
     const expected = getExpectation(record, journey.route, workMs, curve, now);
     if (!isAdmitted(journey, { record, expected }, workMs, now)) continue;
     // Targets that look alike are told apart by chance, or all entry VMs take the same one.
-    const cost = expected.costMs * (1 + 0.05 * context.random());
+    const spread = 1 + 0.05 * context.random();
+    const cost = fills ? -expected.basis.busy * spread : expected.costMs * spread;
     if (cost >= bestCost) continue;
     bestCost = cost;
-    best = { record, expected, isGood: isGood(record, expected, now) };
+    best = { record, expected, isGood: fills || isGood(record, expected, now) };
   }
   return best;
 }
--- a/src/balancing/effects.ts
+++ b/src/balancing/effects.ts
@@ -52,6 +52,8 @@
   | 'service.learnt'
   | 'config.adopted'
   | 'zones.out'
+  | 'rollout.state'
+  | 'rollout.stage'
   | 'vms.changed';
 
 /** What the process is to do. */
--- a/src/balancing/events.ts
+++ b/src/balancing/events.ts
@@ -1,4 +1,5 @@
 import type { AttemptId, RequestId, TargetId, ZoneName } from '../core/model/index.js';
+import type { RolloutGuidance, RolloutOrder } from '../rollouts/index.js';
 import type { LoadReading, RoutingTable, TargetEntry } from './model.js';
 
 /** A caller's request is here as a whole. */
@@ -84,6 +85,22 @@
   readonly zones: readonly ZoneName[];
 }
 
+/** Orders to move services to another version, all of them. */
+export interface RolloutsRead {
+  readonly kind: 'rolloutsRead';
+  readonly orders: readonly RolloutOrder[];
+}
+
+/** A coordinator has told what to do about an order. */
+export interface RolloutGuided {
+  readonly kind: 'rolloutGuided';
+  /** Id of the order. */
+  readonly order: string;
+  readonly guidance: RolloutGuidance;
+  /** How long that holds without further word; monotonic milliseconds. */
+  readonly until: number;
+}
+
 /** Names of the entry VMs that are up, this one among them. */
 export interface VmsChanged {
   readonly kind: 'vmsChanged';
@@ -105,5 +122,7 @@
   | TableRead
   | TargetsRead
   | ZonesOutRead
+  | RolloutsRead
+  | RolloutGuided
   | VmsChanged
   | StopAsked;
--- a/src/balancing/fleetHandlers.ts
+++ b/src/balancing/fleetHandlers.ts
@@ -8,6 +8,7 @@
 import { sortByPreference } from './preference.js';
 import type { TargetRecord } from './TargetRecord.js';
 import { createTargetRecord, noteOutcome } from './TargetRecord.js';
+import { getHoldUntil } from './versions.js';
 
 /** A configuration was read: it is adopted unless a later one is in force. */
 export function handleTable(state: BalancerState, { table }: TableRead): BalancerEffect[] {
@@ -34,9 +35,10 @@
 
 function logTarget(
   event: 'target.added' | 'target.removed' | 'target.draining',
-  { id, service, address, bornAt, zone, coldMs }: TargetEntry,
+  { id, service, version, address, bornAt, zone, coldMs }: TargetEntry,
 ): BalancerEffect {
-  return { kind: 'log', event, fields: { target: id, service, address, bornAt, zone, coldMs } };
+  const fields = { target: id, service, version, address, bornAt, zone, coldMs };
+  return { kind: 'log', event, fields };
 }
 
 /** Takes one registered target in. */
@@ -49,6 +51,7 @@
     known.entry.service === entry.service;
   if (!isSame) {
     const record = createTargetRecord(entry, now);
+    record.heldUntil = getHoldUntil(state, entry, now);
     state.targets.set(entry.id, record);
     for (const request of known?.probeWaiters ?? []) {
       state.journeys.get(request)?.round?.waitingFor.delete(entry.id);
@@ -84,6 +87,7 @@
   state.byService = new Map(
     [...groups].map(([service, group]) => [service, sortByPreference(group, vm, zone)]),
   );
+  for (const [service, group] of groups) state.versions.sortNew(service, group);
   state.cold.keepOnly(state.targets);
   return effects;
 }
--- a/src/balancing/index.ts
+++ b/src/balancing/index.ts
@@ -7,4 +7,7 @@
 export { ServiceCurve } from './ServiceCurve.js';
 export type { LearntCurve } from './ServiceCurve.js';
 export { findRoute } from './routes.js';
+export type { ServiceRollout, VersionStage } from './ServiceVersions.js';
+export { getRouteShare, getStage, getTargetsInUse } from './ServiceVersions.js';
 export * from './settings.js';
+export { countOldRequests } from './versions.js';
--- a/src/balancing/learning.ts
+++ b/src/balancing/learning.ts
@@ -6,6 +6,7 @@
 import { DEAD_MOST_MS, DEAD_MS, FIRST_FAILURE, GOOD_SLOWDOWN } from './settings.js';
 import type { TargetRecord } from './TargetRecord.js';
 import { noteOutcome, noteSlowness } from './TargetRecord.js';
+import { isOnTrial, noteVersionAnswer } from './versions.js';
 
 /**
  * Leaves a target alone that takes no connection.
@@ -84,8 +85,10 @@
   }
   const isSuccess = end.kind === 'answered' && end.status < FIRST_FAILURE;
   noteOutcome(target, !isSuccess, now);
+  const isCounted = sending.isOverdue || end.kind === 'rejected';
+  if (!isCounted) noteVersionAnswer(state, journey, sending, !isSuccess);
   if (!isSuccess) return [];
   const tookMs = now - sending.sentAt;
   noteSlowness(target, tookMs / Math.max(1, sending.expectedMs), now);
-  return learnTimes(state, journey, sending, tookMs);
+  return isOnTrial(state, target) ? [] : learnTimes(state, journey, sending, tookMs);
 }
--- a/src/balancing/model.ts
+++ b/src/balancing/model.ts
@@ -60,6 +60,8 @@
   /** IP number and port. */
   readonly address: string;
   readonly zone: ZoneName;
+  /** Version of its software. */
+  readonly version: string;
   /** Unix milliseconds of its start: tells apart two processes under one id. 0 if not told. */
   readonly bornAt: number;
   readonly slots: number;
--- a/src/balancing/placing.ts
+++ b/src/balancing/placing.ts
@@ -22,6 +22,7 @@
 } from './settings.js';
 import type { TargetRecord } from './TargetRecord.js';
 import { getScores } from './TargetRecord.js';
+import { leaveTrial } from './versions.js';
 
 /** Least time between two looks where nothing was asked, in milliseconds. */
 const LEAST_PAUSE_MS = 5;
@@ -232,6 +233,8 @@
   journey: Journey,
   context: BalancerContext,
 ): BalancerEffect[] {
+  // A trial must not keep callers waiting.
+  if (journey.rounds >= PREFERRED_ROUNDS) leaveTrial(state, journey, context.now);
   const usable = getUsable(state, journey, context.now);
   if (journey.sendings.size > 0 && usable.length === 0) return [];
   const hopeless = usable.length === 0 && !hasHope(state, journey);
--- a/src/balancing/reduceBalancer.ts
+++ b/src/balancing/reduceBalancer.ts
@@ -15,6 +15,7 @@
   handleWake,
 } from './requestHandlers.js';
 import { takeEarly } from './starting.js';
+import { handleGuidance, handleRollouts } from './versions.js';
 
 /** Serves requests that waited for the start, once what they need is known. */
 function serveEarly(state: BalancerState, context: BalancerContext): BalancerEffect[] {
@@ -42,6 +43,11 @@
     ...serveEarly(state, context),
   ],
   zonesOutRead: handleZonesOut,
+  rolloutsRead: (state, event, context) => [
+    ...handleRollouts(state, event, context),
+    ...serveEarly(state, context),
+  ],
+  rolloutGuided: handleGuidance,
   vmsChanged: handleVms,
   stopAsked: (state, _event, { now }) => {
     state.stopAskedAt ??= now;
--- a/src/balancing/requestHandlers.ts
+++ b/src/balancing/requestHandlers.ts
@@ -9,6 +9,7 @@
 import { isStarting, keepEarly } from './starting.js';
 import { FIRST_FAILURE, HEDGE_BUDGET_SHARE, STOP_TAKES_MS } from './settings.js';
 import { noteOutcome, noteSlowness } from './TargetRecord.js';
+import { drawLane, leaveTrial, noteVersionAnswer } from './versions.js';
 
 function answerAtOnce(
   event: RequestArrived,
@@ -50,11 +51,13 @@
   const allowedMs = Math.min(event.allowedMs ?? Number.POSITIVE_INFINITY, route.timeoutMs);
   const sinceFirstMs =
     event.allowedMs === undefined ? 0 : state.callerTimes.note(route.name, event.allowedMs);
+  const service = pickService(route.services, context.random());
   const journey: Journey = {
     request: event.request,
     callerRequestId: event.callerRequestId,
     route,
-    service: pickService(route.services, context.random()),
+    service,
+    lane: drawLane(state, service, route.name, context),
     arrivedAt: event.arrivedAt,
     sinceFirstMs,
     dueAt: event.arrivedAt + route.objectiveMs - sinceFirstMs,
@@ -181,6 +184,7 @@
   const effects = learn(state, journey, sending, end, now);
   const hasNotRun = HAS_NOT_RUN[end.kind];
   if (!hasNotRun) journey.mayHaveRun = true;
+  leaveTrial(state, journey, now);
   if (end.kind === 'unsent') journey.tried.delete(sending.target.entry.id);
   const isFailure = end.kind !== 'answered' || end.status >= FIRST_FAILURE;
   if (!isFailure) return [...effects, ...deliver(state, journey, sending, end.status, now)];
@@ -240,6 +244,7 @@
 function hedge(state: BalancerState, journey: Journey, context: BalancerContext): BalancerEffect[] {
   const { route, tried, service } = journey;
   const { now } = context;
+  leaveTrial(state, journey, now);
   if (!route.isIdempotent || tried.size >= route.maxTargets) return [];
   if (!journey.isHedged) {
     if (!state.retries.take(service, state.vms.length, now, HEDGE_BUDGET_SHARE)) return [];
@@ -269,6 +274,7 @@
     if (sending.isOverdue || now < sending.overdueAt) continue;
     sending.isOverdue = true;
     isLate = true;
+    noteVersionAnswer(state, journey, sending, true);
     noteSlowness(sending.target, (now - sending.sentAt) / Math.max(1, sending.expectedMs), now);
   }
   const wake: BalancerEffect = { kind: 'wake', request: journey.request, at: getNextWake(journey) };
--- a/src/balancing/settings.ts
+++ b/src/balancing/settings.ts
@@ -1,5 +1,6 @@
 import type { ZoneName } from '../core/model/index.js';
 import type { ColdBound } from './ColdAllowance.js';
+import type { ExposureBound } from '../rollouts/index.js';
 import type { RetryBudgetOptions } from './RetryBudget.js';
 
 /** Bounds that hold for all entry VMs together, from the settings file. */
@@ -11,6 +12,8 @@
   readonly cold: ColdBound;
   /** Probes a second that one target may get from all entry VMs together. */
   readonly probesPerTargetAndSecond: number;
+  /** What a version that turns out to be bad may get; undefined where none is rolled out. */
+  readonly rollouts?: ExposureBound;
 }
 
 /**
--- a/src/balancing/starting.ts
+++ b/src/balancing/starting.ts
@@ -8,8 +8,9 @@
  */
 const START_MS = 500;
 
-function knowsTargets({ table, targets }: BalancerState): boolean {
-  return table !== undefined && targets.size > 0;
+function knowsTargets({ table, targets, versions }: BalancerState): boolean {
+  const knowsVersions = !versions.isUsed || versions.isKnown;
+  return table !== undefined && targets.size > 0 && knowsVersions;
 }
 
 /**
--- a/src/config/gatewaySettingsKeys.ts
+++ b/src/config/gatewaySettingsKeys.ts
@@ -75,6 +75,16 @@
       '60',
       'Probes that one target may get in a second from all entry VMs together.',
     ),
+    'trial-share': withDefault(
+      decimal({ min: 0, max: 1 }),
+      '0',
+      'Share of a service’s requests that a bad version may get while it is rolled out; 0 where none is.',
+    ),
+    'trial-slack': withDefault(
+      integer({ min: 0, max: 1_000_000 }),
+      '0',
+      'Requests on top that a bad version may get.',
+    ),
     grace: withDefault(span, '6s', 'Time from SIGTERM until the process is killed.'),
     'address-ttl-most': withDefault(
       span,
--- a/src/config/readGatewaySettings.ts
+++ b/src/config/readGatewaySettings.ts
@@ -37,6 +37,10 @@
       },
       cold: { perSecond: bounds['cold-overage'], slack: bounds['cold-slack'] },
       probesPerTargetAndSecond: bounds['probes-per-second'],
+      rollouts:
+        bounds['trial-share'] > 0
+          ? { share: bounds['trial-share'], slack: bounds['trial-slack'] }
+          : undefined,
     },
     graceMs: bounds.grace,
     addressTtlMostMs: bounds['address-ttl-most'],
--- a/src/fleet/FleetMembership.ts
+++ b/src/fleet/FleetMembership.ts
@@ -16,15 +16,14 @@
  */
 const NEEDED_FIRST_MS = 250;
 
-/** What a VM that restarts needs besides the other VMs to serve callers. */
-const OLD_AT_RESTART: readonly Section[] = ['configuration', 'targets', 'zonesOut'];
-
 /** What membership works with. */
 export interface FleetMembershipParts extends AnnouncementParts {
   /** Whether all VMs start together for the first time. */
   readonly isFirstStart: boolean;
   readonly store: FleetStore;
   readonly log: EventLog;
+  /** Parts of the store that this VM goes by. */
+  readonly sections: readonly Section[];
   random(): number;
   /** Told once it is known which other VMs there are, as far as that can be known now. */
   onKnown(): void;
@@ -53,13 +52,14 @@
    * to work at once; on the first start it waits until those that start with it are known too.
    */
   async join(): Promise<void> {
-    const { self, view, log, isFirstStart, onKnown } = this.parts;
+    const { self, view, log, sections, isFirstStart, onKnown } = this.parts;
     try {
       if (isFirstStart) {
         await this.joinFirst();
         return;
       }
-      const needed = Promise.all(OLD_AT_RESTART.map((section) => this.readOld(section)));
+      const old = sections.filter((section) => section !== 'vms');
+      const needed = Promise.all(old.map((section) => this.readOld(section)));
       await Promise.race([needed, sleep(this.parts.clock, NEEDED_FIRST_MS)]);
       await this.readVms('mayBeOld');
       onKnown();
--- a/src/fleet/FleetStore.ts
+++ b/src/fleet/FleetStore.ts
@@ -1,4 +1,5 @@
 import type { RoutingTable, TargetEntry, VmRoster } from '../balancing/index.js';
+import type { RolloutOrder, RolloutState } from '../rollouts/index.js';
 
 /** What lies in the store, by the part of it that is read and watched as a whole. */
 export interface SectionValues {
@@ -6,6 +7,8 @@
   readonly targets: TargetEntry;
   /** Availability zones that operators have taken out; the name says it all. */
   readonly zonesOut: true;
+  /** Orders to move a service to another version, by service. */
+  readonly rollouts: RolloutOrder;
   /** By the VM that has announced them. */
   readonly vms: VmRoster;
 }
@@ -13,7 +16,18 @@
 /** Parts of the store. */
 export type Section = keyof SectionValues;
 
-export const SECTIONS: readonly Section[] = ['configuration', 'targets', 'zonesOut', 'vms'];
+export const SECTIONS: readonly Section[] = [
+  'configuration',
+  'targets',
+  'zonesOut',
+  'rollouts',
+  'vms',
+];
+
+/** Sections where operators order no rollouts. */
+export const SECTIONS_WITHOUT_ROLLOUTS: readonly Section[] = SECTIONS.filter(
+  (section) => section !== 'rollouts',
+);
 
 /** One object of a section. */
 export interface StoredItem<S extends Section> {
@@ -56,6 +70,13 @@
    * @param hasAnnounced - Whether it is thought to have announced some before; saves a call if so.
    */
   announce(announcer: string, roster: VmRoster, hasAnnounced: boolean): Promise<void>;
+  /**
+   * Writes how a rollout stands, unless its order was changed after the revision that is known.
+   * @param order - The order.
+   * @param state - How it stands.
+   * @returns Whether it was written.
+   */
+  writeRolloutState(order: RolloutOrder, state: RolloutState): Promise<boolean>;
 }
 
 /** Why a call to the store gave nothing. */
--- a/src/fleet/FleetSync.ts
+++ b/src/fleet/FleetSync.ts
@@ -4,7 +4,7 @@
 import type { Clock, TimerService } from '../timing/index.js';
 import { FeedClient } from './FeedClient.js';
 import { FEED_AGE_MS, FeedServer } from './FeedServer.js';
-import type { FleetStore } from './FleetStore.js';
+import type { FleetStore, Section } from './FleetStore.js';
 import type { FleetView } from './FleetView.js';
 import type { FollowedVm } from './FollowTree.js';
 import { findTreePlace, makeSeedVms, sortForTree } from './FollowTree.js';
@@ -36,6 +36,8 @@
   readonly view: FleetView;
   readonly clock: Clock;
   readonly log: EventLog;
+  /** Parts of the store that are watched. */
+  readonly sections: readonly Section[];
   random(): number;
 }
 
@@ -89,9 +91,10 @@
 
   /** @param parts - What the synchronisation works with. */
   constructor(private readonly parts: FleetSyncParts) {
-    const { view, log, store, clock, random } = parts;
+    const { view, log, store, clock, sections, random } = parts;
     this.mirror = new StoreMirror({
       store,
+      sections,
       view,
       clock,
       log,
--- a/src/fleet/FleetView.ts
+++ b/src/fleet/FleetView.ts
@@ -1,4 +1,5 @@
 import type { RoutingTable, TargetEntry, VmEntry, VmRoster } from '../balancing/index.js';
+import type { RolloutOrder } from '../rollouts/index.js';
 import type { Clock } from '../timing/index.js';
 import type { Section, StoredItem } from './FleetStore.js';
 import { mergeRosters } from './mergeRosters.js';
@@ -46,6 +47,9 @@
 
   readonly zonesOut = new Map<string, true>();
 
+  /** Orders to move a service to another version, by service. */
+  readonly rollouts = new Map<string, RolloutOrder>();
+
   /** Announcements of entry VMs, by the VM that made them. */
   readonly rosters = new Map<string, VmRoster>();
 
@@ -180,7 +184,8 @@
       (item) => this.isNew(section, item) || (revision > known && this.isReturn(change, item)),
     );
     const items = this.withoutHeld(section, changed, revision);
-    if (items.length === 0) return;
+    // That there is nothing is news to those who wait to know it.
+    if (items.length === 0 && known >= 0) return;
     for (const { name, value } of items) this.take(section, name, value);
     const taken = { section, items, revision, isWhole: false } as SectionChange<Section>;
     for (const listener of this.listeners) listener(taken);
--- a/src/fleet/Neighbours.ts
+++ b/src/fleet/Neighbours.ts
@@ -34,6 +34,8 @@
   /** Whether this VM takes callers. */
   isReady(): boolean;
   onChange(): void;
+  /** Told of each datagram that is no word of this watch. */
+  onMessage?(text: string, address: string): void;
 }
 
 /**
@@ -63,7 +65,7 @@
   start(timers: TimerService): void {
     const { listen, log } = this.parts;
     this.socket.on('message', (data, { address, port }) =>
-      this.hear(data.toString('latin1'), `${address}:${port}`),
+      this.hear(data.toString(), `${address}:${port}`),
     );
     this.socket.on('error', (err) =>
       log.write('neighbours.socketFailed', { message: err.message }),
@@ -119,6 +121,18 @@
     for (const address of this.askers.keys()) this.say('leaving', address);
   }
 
+  /**
+   * Sends a datagram to any VM.
+   * @param text - What it says.
+   * @param address - Peer address.
+   */
+  send(text: string, address: string): void {
+    const [host, port] = address.split(':');
+    this.socket.send(text, Number(port), host, (err) => {
+      if (err) this.parts.log.write('neighbours.sendFailed', { address, message: err.message });
+    });
+  }
+
   /** Ends the watch. */
   stop(): void {
     this.socket.close();
@@ -140,8 +154,11 @@
 
   /** @internal */
   private hear(word: string, address: string): void {
-    if (!WORDS.has(word)) return;
-    const { clock, isReady } = this.parts;
+    const { clock, isReady, onMessage } = this.parts;
+    if (!WORDS.has(word)) {
+      onMessage?.(word, address);
+      return;
+    }
     if (word === 'ping') {
       this.askers.set(address, clock.now());
       this.say(isReady() ? 'ready' : 'leaving', address);
@@ -155,9 +172,6 @@
 
   /** @internal */
   private say(word: Word, address: string): void {
-    const [host, port] = address.split(':');
-    this.socket.send(word, Number(port), host, (err) => {
-      if (err) this.parts.log.write('neighbours.sendFailed', { address, message: err.message });
-    });
+    this.send(word, address);
   }
 }
--- a/src/fleet/StoreMirror.ts
+++ b/src/fleet/StoreMirror.ts
@@ -14,6 +14,7 @@
   configuration: 700,
   targets: 700,
   zonesOut: 1_500,
+  rollouts: 2_500,
   vms: 3_000,
 };
 
@@ -26,6 +27,7 @@
   configuration: 100,
   targets: 300,
   zonesOut: 100,
+  rollouts: 50,
   vms: 300,
 };
 
@@ -42,6 +44,8 @@
   readonly view: FleetView;
   readonly clock: Clock;
   readonly log: EventLog;
+  /** What is watched; all of it if left out. */
+  readonly sections?: readonly Section[];
   random(): number;
   /** Told of each call that gave nothing. */
   onFailure?(): void;
@@ -93,7 +97,8 @@
     this.isRunning = true;
     this.run += 1;
     this.revisions.clear();
-    for (const section of SECTIONS) this.begin(section, this.run, how);
+    const { sections = SECTIONS } = this.parts;
+    for (const section of sections) this.begin(section, this.run, how);
   }
 
   /** Ends all watches once they return. */
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -1,15 +1,24 @@
 import type { BalancerEffect, BalancerState } from '../balancing/index.js';
-import { countTargets, createBalancerState } from '../balancing/index.js';
+import {
+  countOldRequests,
+  countTargets,
+  createBalancerState,
+  getStage,
+} from '../balancing/index.js';
 import type { GatewaySettings } from '../config/index.js';
 import { CallerServer } from '../entry/api/CallerServer.js';
 import { FeedClient } from '../fleet/FeedClient.js';
 import { FleetMembership } from '../fleet/FleetMembership.js';
+import { SECTIONS, SECTIONS_WITHOUT_ROLLOUTS } from '../fleet/FleetStore.js';
 import { FleetSync } from '../fleet/FleetSync.js';
 import { FleetView } from '../fleet/FleetView.js';
 import { Neighbours } from '../fleet/Neighbours.js';
+import type { OwnRollout } from '../fleet/RolloutSync.js';
+import { RolloutSync } from '../fleet/RolloutSync.js';
 import type { EventLog } from '../logging/EventLog.js';
 import { ObjectStore } from '../platform/index.js';
 import type { Section } from '../fleet/FleetStore.js';
+import type { ExposureBound, RolloutOrder } from '../rollouts/index.js';
 import type { Clock } from '../timing/index.js';
 import { TimerService } from '../timing/index.js';
 import { BalancerLoop } from './BalancerLoop.js';
@@ -69,6 +78,9 @@
   /** @internal */
   private readonly neighbours: Neighbours;
 
+  /** Undefined where operators order no rollouts. @internal */
+  private readonly rollouts: RolloutSync | undefined;
+
   /** @internal */
   private readonly loop: BalancerLoop;
 
@@ -104,10 +116,13 @@
     this.store = new ObjectStore(settings.storeAddress, (section, name, reason) =>
       log.write('store.unreadable', { section, name, reason }),
     );
-    this.view = new FleetView(clock, `${settings.self.name}/${random()}`);
+    const run = `${settings.self.name}/${random()}`;
+    this.view = new FleetView(clock, run);
     const { self, listen, seeds } = settings;
     const { store, view } = this;
-    const fleetParts = { self, store, view, clock, log, random };
+    const { rollouts: bound } = settings.balancing;
+    const sections = bound === undefined ? SECTIONS_WITHOUT_ROLLOUTS : SECTIONS;
+    const fleetParts = { self, store, view, clock, log, sections, random };
     this.sync = new FleetSync({ ...fleetParts, listen: listen.peers, seeds });
     this.membership = new FleetMembership({
       ...fleetParts,
@@ -154,6 +169,27 @@
       log,
       isReady: () => this.isReady,
       onChange: () => this.tellVms(),
+      onMessage: (text, address) => this.rollouts?.take(text, address),
+    });
+    this.rollouts = bound && this.createRolloutSync(run, bound);
+  }
+
+  /** @internal */
+  private createRolloutSync(run: string, bound: ExposureBound): RolloutSync {
+    const { settings, clock, log } = this.parts;
+    const { store, view } = this;
+    return new RolloutSync({
+      self: settings.self,
+      run,
+      store,
+      view,
+      clock,
+      log,
+      bound,
+      send: (text, address) => this.neighbours.send(text, address),
+      getOwn: (order) => this.getOwnRollout(order),
+      onGuidance: (order, guidance, until) =>
+        this.loop.dispatch({ kind: 'rolloutGuided', order, guidance, until }),
     });
   }
 
@@ -165,6 +201,7 @@
     await this.listen();
     this.sync.start(this.timers);
     this.neighbours.start(this.timers);
+    this.rollouts?.start(this.timers);
     const { self } = settings;
     log.write('process.started', { ...self, storeAddress: settings.storeAddress, at: clock.now() });
   }
@@ -252,12 +289,27 @@
       case 'zonesOut':
         dispatch({ kind: 'zonesOutRead', zones: [...view.zonesOut.keys()] });
         break;
+      case 'rollouts':
+        dispatch({ kind: 'rolloutsRead', orders: [...view.rollouts.values()] });
+        break;
       default:
         this.neighbours.update(view.vms.values());
         this.tellVms();
     }
   }
 
+  /** What this VM reports of an order. @internal */
+  private getOwnRollout({ id, service }: RolloutOrder): OwnRollout | undefined {
+    const rollout = this.state.versions.rollouts.get(service);
+    if (rollout === undefined || rollout.order.id !== id) return undefined;
+    const stage = getStage(rollout, this.parts.clock.now());
+    return {
+      phase: stage === 'paused' || stage === 'completed' ? 'trial' : stage,
+      oldRequests: countOldRequests(this.state, rollout),
+      counts: rollout.evidence.totals,
+    };
+  }
+
   /** @internal */
   private applyLimits(): void {
     const { table, vms } = this.view;
--- a/src/lab/index.ts
+++ b/src/lab/index.ts
@@ -5,3 +5,7 @@
 export { LAB_PLANS } from './plans.js';
 export type { LabResult } from './playLab.js';
 export { playLab } from './playLab.js';
+export type { RolloutResult } from './playRollout.js';
+export { playRollout } from './playRollout.js';
+export type { Badness, RolloutPlan } from './RolloutPlan.js';
+export { makeRolloutPlan, ROLLOUT_PLANS } from './RolloutPlan.js';
--- a/src/lab/playLab.ts
+++ b/src/lab/playLab.ts
@@ -55,6 +55,7 @@
       service,
       address: `10.0.${s}.${i + 1}:8080`,
       zone: 'zone-1',
+      version: 'v1',
       bornAt: 1,
       slots,
       isDraining: false,
--- a/src/platform/ObjectStore.ts
+++ b/src/platform/ObjectStore.ts
@@ -12,7 +12,16 @@
   WatchAnswer,
 } from '../fleet/FleetStore.js';
 import { StoreCallError } from '../fleet/FleetStore.js';
-import { DecodeError, decodeRoster, decodeRoutingTable, decodeTarget } from './decode.js';
+import type { RolloutOrder, RolloutState } from '../rollouts/index.js';
+import type { RolloutMetadata } from './decode.js';
+import {
+  DecodeError,
+  decodeRollout,
+  decodeRoster,
+  decodeRoutingTable,
+  decodeTarget,
+  encodeRolloutStatus,
+} from './decode.js';
 
 const PATH = '/masticlink/objects';
 
@@ -29,7 +38,7 @@
 
 /** A stored object as it comes. */
 interface StoredObject {
-  readonly metadata: { readonly name: string; readonly deleting?: boolean };
+  readonly metadata: RolloutMetadata & { readonly deleting?: boolean };
   readonly spec?: unknown;
   readonly status?: unknown;
 }
@@ -68,6 +77,11 @@
     kind: 'evacuations',
     decode: ({ metadata }) => (metadata.deleting === true ? undefined : true),
   },
+  rollouts: {
+    kind: 'rollouts',
+    decode: ({ metadata, spec, status }) =>
+      metadata.deleting === true ? undefined : decodeRollout(metadata, spec, status),
+  },
   vms: { kind: 'entry-vms', decode: ({ spec }) => decodeRoster(spec) },
 };
 
@@ -168,6 +182,17 @@
     throw unexpected('announce', 'vms', CONFLICT);
   }
 
+  async writeRolloutState(order: RolloutOrder, state: RolloutState): Promise<boolean> {
+    const { service: name, version, revision } = order;
+    const object = { metadata: { name, revision }, status: encodeRolloutStatus(version, state) };
+    const path = `${PATH}/${CODECS.rollouts.kind}/${name}/status`;
+    const { status } = await this.call('PUT', path, 'rollouts', object);
+    if (status === OK) return true;
+    // Somebody else has written it, or operators have changed or removed the order.
+    if (status === CONFLICT || status === NOT_FOUND) return false;
+    throw unexpected('write', 'rollouts', status);
+  }
+
   /** @internal */
   private async createRoster(name: string, spec: VmRoster): Promise<number> {
     const object = { metadata: { name }, spec };
--- a/src/platform/decode.ts
+++ b/src/platform/decode.ts
@@ -8,6 +8,7 @@
   VmRoster,
   WeightedService,
 } from '../balancing/index.js';
+import type { RolloutOrder, RolloutState } from '../rollouts/index.js';
 
 /** A field of a stored object is missing or of another type than it should be. */
 export class DecodeError extends Error {
@@ -150,14 +151,14 @@
   if (!STATES.has(status.state)) throw new DecodeError('state is none that is known');
   const address = asText(entry.address, 'address');
   if (!/^\d+\.\d+\.\d+\.\d+:\d+$/.test(address)) throw new DecodeError('address is none');
-  // Not used, but an entry without them is not a target's own.
-  asText(info.version, 'version');
+  // Not used, but an entry without it is not a target's own.
   asNumber(status.sequence, 'sequence');
   return {
     id,
     service: asText(info.service, 'service'),
     address,
     zone: asText(info.zone, 'zone'),
+    version: asText(info.version, 'version'),
     bornAt: entry.born === undefined ? 0 : asWhole(entry.born, 'born'),
     slots: asWhole(info.max_concurrency, 'max_concurrency'),
     isDraining: status.state === 'draining',
@@ -184,3 +185,51 @@
   const { vms } = asFields(spec, 'announcement');
   return { vms: asList(vms, 'vms').map(decodeVm) };
 }
+
+const ROLLOUT_STATES: Readonly<Record<string, RolloutState>> = {
+  running: 'running',
+  completed: 'completed',
+  rolled_back: 'rolledBack',
+};
+
+/** What an order's object says besides its content. */
+export interface RolloutMetadata {
+  readonly name: string;
+  readonly revision?: number;
+  readonly create_revision?: number;
+}
+
+/**
+ * Decodes an operator's order to move a service to another version.
+ * @param metadata - Of the stored object.
+ * @param spec - Its content.
+ * @param status - What was written of how it stands; counts only if it is about the same version.
+ */
+export function decodeRollout(
+  metadata: RolloutMetadata,
+  spec: unknown,
+  status: unknown,
+): RolloutOrder {
+  const order = asFields(spec, 'rollout');
+  const version = asText(order.target_version, 'target_version');
+  const written = typeof status === 'object' && status !== null ? (status as Fields) : {};
+  const isOfVersion = written.target_version === version;
+  return {
+    id: `${metadata.name}@${metadata.create_revision ?? 0}/${version}`,
+    service: asText(order.service, 'service'),
+    version,
+    durationMs: asMs(order.duration, 'duration'),
+    revision: asWhole(metadata.revision, 'revision'),
+    state: isOfVersion ? ROLLOUT_STATES[String(written.state)] : undefined,
+  };
+}
+
+/**
+ * Writes how an order stands.
+ * @param version - Version that it is about.
+ * @param state - How it stands.
+ */
+export function encodeRolloutStatus(version: string, state: RolloutState): unknown {
+  const [word] = Object.entries(ROLLOUT_STATES).find(([, each]) => each === state) ?? [state];
+  return { state: word, target_version: version };
+}
--- a/src/platform/standIn/PlatformStore.ts
+++ b/src/platform/standIn/PlatformStore.ts
@@ -139,7 +139,32 @@
     }
     const body = await readBody(req);
     const id = name ?? body.metadata?.name ?? '';
-    this.handleOne(req.method ?? 'GET', { kind, id, spec: body.spec }, res);
+    const isStatus = PATH.exec(url.pathname)?.[3] !== undefined;
+    if (isStatus && req.method === 'PUT') this.putStatus(kind, id, body, res);
+    else this.handleOne(req.method ?? 'GET', { kind, id, spec: body.spec }, res);
+  }
+
+  /** Replaces a status, unless the object has changed since the revision that the writer names. @internal */
+  private putStatus(
+    kind: string,
+    id: string,
+    { metadata, status }: Partial<StoredObject>,
+    res: ServerResponse,
+  ): void {
+    const known = this.getKind(kind).get(id);
+    const revision = metadata?.revision;
+    if (known === undefined) answer(res, 404, {});
+    else if (revision !== undefined && revision !== known.metadata.revision) {
+      answer(res, 409, known);
+    } else {
+      this.put(kind, id, known.spec, status);
+      answer(res, 200, this.getKind(kind).get(id));
+    }
+  }
+
+  /** An object's status; undefined if there is no such object. */
+  getStatus(kind: string, name: string): unknown {
+    return this.getKind(kind).get(name)?.status;
   }
 
   /** A call that concerns one object. @internal */
--- a/src/platform/standIn/PlatformTarget.ts
+++ b/src/platform/standIn/PlatformTarget.ts
@@ -13,7 +13,7 @@
 } from '../headers.js';
 
 /** How a target behaves. */
-export type TargetMood = 'sound' | 'slow' | 'hangs' | 'cuts' | 'sheds';
+export type TargetMood = 'sound' | 'slow' | 'slowWhenFull' | 'fails' | 'hangs' | 'cuts' | 'sheds';
 
 /** How a target is made. */
 export interface PlatformTargetOptions {
@@ -28,6 +28,9 @@
 /** Work of a slow target takes so many times as long. */
 const SLOW_FACTOR = 5;
 
+/** Part of its answers that a failing target fails, by count: each second one. */
+const FAILS_EACH = 2;
+
 /** Requests that wait for a slot before the target rejects more. */
 const QUEUE = 4;
 
@@ -46,6 +49,9 @@
   /** @internal */
   private running = 0;
 
+  /** @internal */
+  private runs = 0;
+
   /** @internal */
   private readonly waiting: (() => void)[] = [];
 
@@ -102,11 +108,12 @@
     }
     const { workMs, onRun } = this.options;
     this.running += 1;
+    this.runs += 1;
     onRun(requestId);
-    const { mood } = this;
+    const { mood, isSlow } = this;
     const timer = setTimeout(
       () => this.finish(requestId, res, mood),
-      workMs * (mood === 'slow' ? SLOW_FACTOR : 1),
+      workMs * (isSlow ? SLOW_FACTOR : 1),
     );
     res.once('close', () => {
       clearTimeout(timer);
@@ -115,11 +122,18 @@
     });
   }
 
+  /** @internal */
+  private get isSlow(): boolean {
+    const isFull = this.running >= this.options.slots;
+    return this.mood === 'slow' || (this.mood === 'slowWhenFull' && isFull);
+  }
+
   /** @internal */
   private finish(requestId: string, res: ServerResponse, mood: TargetMood): void {
     if (mood === 'hangs') return;
     const body = makeBody(requestId);
-    res.writeHead(200, {
+    const hasFailed = mood === 'fails' && this.runs % FAILS_EACH === 0;
+    res.writeHead(hasFailed ? 500 : 200, {
       [REQUEST_ID]: requestId,
       [SIGNATURE]: `s.${requestId}`,
       'Content-Length': body.length,
--- a/src/platform/standIn/index.ts
+++ b/src/platform/standIn/index.ts
@@ -2,7 +2,9 @@
 export type { TargetMood } from './PlatformTarget.js';
 export { makeBody, PlatformTarget } from './PlatformTarget.js';
 export {
+  getRolloutState,
   putConfiguration,
+  putRollout,
   putTarget,
   readAddresses,
   removeTarget,
--- a/src/platform/standIn/writeStored.ts
+++ b/src/platform/standIn/writeStored.ts
@@ -51,8 +51,8 @@
  * @param entry - What it says of itself.
  */
 export function putTarget(store: PlatformStore, entry: TargetEntry): void {
-  const { id, service, address, zone, bornAt, slots, isDraining, coldMs } = entry;
-  const info = { service, version: 'v1', zone, max_concurrency: slots };
+  const { id, service, address, zone, version, bornAt, slots, isDraining, coldMs } = entry;
+  const info = { service, version, zone, max_concurrency: slots };
   const state = isDraining ? 'draining' : 'ready';
   const status = { state, sequence: 1, warmup_left: writeMs(coldMs) };
   store.put('servers', id, { address, born: bornAt, info }, status);
@@ -69,6 +69,32 @@
   else store.remove('evacuations', zone);
 }
 
+/**
+ * Orders that a service moves to another version, as operators do.
+ * @param store - The store.
+ * @param service - The service.
+ * @param version - Version of the targets that have been started for it.
+ * @param durationMs - Time until the limit, in milliseconds.
+ */
+export function putRollout(
+  store: PlatformStore,
+  service: string,
+  version: string,
+  durationMs: number,
+): void {
+  store.put('rollouts', service, {
+    service,
+    target_version: version,
+    duration: writeMs(durationMs),
+  });
+}
+
+/** How a rollout stands by a stand-in store; undefined if nothing was written. */
+export function getRolloutState(store: PlatformStore, service: string): string | undefined {
+  const status = store.getStatus('rollouts', service) as { state?: string } | null | undefined;
+  return status?.state;
+}
+
 /** Headers of a caller's request. */
 export function writeCallerHeaders(requestId: string, allowedMs: number): Record<string, string> {
   return { [REQUEST_ID]: requestId, [DEADLINE_MS]: String(allowedMs) };
--- a/src/soak/SoakGateway.ts
+++ b/src/soak/SoakGateway.ts
@@ -25,6 +25,10 @@
 /** Time from SIGTERM until a gateway is killed, in milliseconds. */
 const GRACE_MS = 6_000;
 
+/** What a version that turns out to be bad may get. */
+export const TRIAL_SHARE = 0.1;
+export const TRIAL_SLACK = 50;
+
 const MAIN = new URL('../gateway/main.js', import.meta.url).pathname;
 
 /** What ended a process that was asked to stop. */
@@ -121,6 +125,8 @@
       '[bounds]',
       'retry-slack = 60',
       `grace = ${GRACE_MS}ms`,
+      `trial-share = ${TRIAL_SHARE}`,
+      `trial-slack = ${TRIAL_SLACK}`,
     ];
     writeFileSync(join(dir, 'gateway.ini'), `${lines.join('\n')}\n`);
   }
--- a/src/soak/SoakWorld.ts
+++ b/src/soak/SoakWorld.ts
@@ -66,16 +66,22 @@
   /** @internal */
   private born = 0;
 
-  /** @param dir - Folder for settings and logs. */
-  constructor(private readonly dir: string) {}
+  /**
+   * @param dir - Folder for settings and logs.
+   * @param gatewayCount - Gateways to run.
+   */
+  constructor(
+    private readonly dir: string,
+    private readonly gatewayCount = GATEWAYS,
+  ) {}
 
   /** Starts everything. */
   async start(): Promise<void> {
     await this.store.start();
     this.configure();
     for (let i = 0; i < TARGETS; i++) await this.addTarget(ZONES[i % ZONES.length]);
-    const ports = await findPorts(GATEWAYS * 5);
-    for (let i = 0; i < GATEWAYS; i++) {
+    const ports = await findPorts(this.gatewayCount * 5);
+    for (let i = 0; i < this.gatewayCount; i++) {
       const [callers, readiness, addresses, peers, metrics] = ports.slice(i * 5, i * 5 + 5);
       await this.addGateway(i, { callers, readiness, addresses, peers, metrics });
     }
@@ -102,14 +108,14 @@
   }
 
   /** Starts a target under a new id and registers it. */
-  async addTarget(zone: string): Promise<SoakTarget> {
+  async addTarget(zone: string, version = 'v1'): Promise<SoakTarget> {
     this.born += 1;
     const id = `t-${this.born}`;
     const model = new PlatformTarget({
       id,
       slots: SLOTS,
       workMs: WORK_MS,
-      onRun: (requestId) => this.runs.push({ id: requestId, target: id, at: Date.now() }),
+      onRun: (requestId) => this.runs.push({ id: requestId, target: id, version, at: Date.now() }),
     });
     const link = new FaultProxy(await model.start());
     const address = await link.start();
@@ -118,6 +124,7 @@
       service: 'soak',
       address,
       zone,
+      version,
       bornAt: this.born,
       slots: SLOTS,
       isDraining: false,
--- a/src/soak/checkSoak.ts
+++ b/src/soak/checkSoak.ts
@@ -4,6 +4,8 @@
 export interface RunRecord {
   readonly id: string;
   readonly target: string;
+  /** Version of the target. */
+  readonly version?: string;
   readonly at: number;
 }
 
--- a/src/tests/balancing/scene.ts
+++ b/src/tests/balancing/scene.ts
@@ -10,6 +10,7 @@
   TargetEntry,
 } from '../../balancing/index.js';
 import { createBalancerState, reduceBalancer } from '../../balancing/index.js';
+import type { ExposureBound } from '../../rollouts/index.js';
 import { createRandom } from '../../standIns/models/index.js';
 
 /** A route to one service, as a test needs it. */
@@ -40,6 +41,7 @@
     service: 'horaires',
     address: `10.0.0.1:${8_000 + Number(id.replace(/\D/g, ''))}`,
     zone: 'quai',
+    version: 'v1',
     bornAt: 1,
     slots: 2,
     isDraining: false,
@@ -75,8 +77,13 @@
 
   private lastRequest = 0;
 
-  constructor(targets: readonly TargetEntry[], routes: readonly Route[] = [ROUTE], vm = 'vm-1') {
-    this.state = createBalancerState(makeSettings(vm));
+  constructor(
+    targets: readonly TargetEntry[],
+    routes: readonly Route[] = [ROUTE],
+    vm = 'vm-1',
+    rollouts?: ExposureBound,
+  ) {
+    this.state = createBalancerState({ ...makeSettings(vm), rollouts });
     this.dispatch({ kind: 'tableRead', table: { ...TABLE, routes } });
     this.dispatch({ kind: 'targetsRead', targets });
   }
--- /dev/null
+++ b/src/tests/balancing/versions.test.ts
@@ -0,0 +1,136 @@
+import test from 'ava';
+
+import type { RolloutGuidance, RolloutOrder } from '../../rollouts/index.js';
+import { makeReading, makeTarget, Scene } from './scene.js';
+
+const OLD = Array.from({ length: 6 }, (_, i) => makeTarget(`t-${i}`));
+const NEW = Array.from({ length: 6 }, (_, i) => makeTarget(`t-${i + 10}`, { version: 'v2' }));
+const NEW_IDS = new Set(NEW.map(({ id }) => id));
+const REQUESTS = 400;
+
+const ORDER: RolloutOrder = {
+  id: 'horaires@1/v2',
+  service: 'horaires',
+  version: 'v2',
+  durationMs: 12_000,
+  revision: 1,
+  state: undefined,
+};
+
+function makeScene(...orders: readonly RolloutOrder[]): Scene {
+  const scene = new Scene(OLD, undefined, 'vm-1', { share: 0.1, slack: 50 });
+  scene.dispatch({ kind: 'rolloutsRead', orders });
+  scene.dispatch({ kind: 'targetsRead', targets: [...OLD, ...NEW] });
+  return scene;
+}
+
+function guide(scene: Scene, guidance: RolloutGuidance, forMs = 1_000_000): void {
+  const until = scene.now + forMs;
+  scene.dispatch({ kind: 'rolloutGuided', order: ORDER.id, guidance, until });
+}
+
+/** Sends requests, each answered well; gives how many went to the new version. */
+function serve(scene: Scene, count = REQUESTS): number {
+  let fresh = 0;
+  for (let i = 0; i < count; i++) {
+    scene.arrive('/horaires/today');
+    scene.answerProbes();
+    const sent = scene.all('sendAttempt').at(-1);
+    if (sent !== undefined && NEW_IDS.has(sent.to.target)) fresh += 1;
+    scene.now += 100;
+    scene.end({ kind: 'answered', status: 200, reading: makeReading(scene.now, 0) });
+    // What the answer told is no longer fresh with the next request.
+    scene.now += 50;
+  }
+  return fresh;
+}
+
+test('before a coordinator has spoken nothing goes to the version that is ordered', (t) => {
+  t.is(serve(makeScene(ORDER), 50), 0);
+});
+
+test('a trial gets its share of the requests', (t) => {
+  const scene = makeScene(ORDER);
+  guide(scene, { phase: 'trial', share: 0.06 });
+  const fresh = serve(scene);
+  t.true(fresh > 0);
+  t.true(fresh < 0.1 * REQUESTS, `${fresh} of ${REQUESTS}`);
+});
+
+test('a VM that no longer hears of a rollout sends nothing to the new version', (t) => {
+  // It may have been condemned while this VM was cut off.
+  const scene = makeScene(ORDER);
+  guide(scene, { phase: 'moved', share: 1 }, 1_000);
+  t.is(serve(scene, 5), 5);
+  scene.now += 1_001;
+  t.is(serve(scene, 20), 0);
+});
+
+test('a condemned version gets nothing, whatever another coordinator says after it', (t) => {
+  const scene = makeScene(ORDER);
+  guide(scene, { phase: 'stopped', share: 0 });
+  guide(scene, { phase: 'moved', share: 1 });
+  t.is(serve(scene, 50), 0);
+});
+
+test('once it is completed nothing goes to old targets that are still listed', (t) => {
+  // They stop at once, without notice: a booking that is sent to one is lost.
+  const scene = makeScene({ ...ORDER, state: 'completed' });
+  t.is(serve(scene, 50), 50);
+});
+
+test('a version that was taken back gets nothing after its order is removed', (t) => {
+  const scene = makeScene({ ...ORDER, state: 'rolledBack' });
+  scene.dispatch({ kind: 'rolloutsRead', orders: [] });
+  scene.now += 10_000;
+  t.is(serve(scene, 50), 0);
+});
+
+test('targets of a new version get nothing while word of their order may be on its way', (t) => {
+  const scene = makeScene();
+  t.is(serve(scene, 20), 0);
+  scene.now += 3_000;
+  t.true(serve(scene, 50) > 0);
+});
+
+test('a VM that has not read the orders sends to the version that most targets have', (t) => {
+  const scene = new Scene([...OLD, ...NEW.slice(1)], undefined, 'vm-1', { share: 0.1, slack: 50 });
+  scene.now += 5_000;
+  t.is(serve(scene, 50), 0);
+});
+
+test('a request that fails on trial is repeated at an old target', (t) => {
+  const scene = makeScene(ORDER);
+  guide(scene, { phase: 'trial', share: 1 });
+  scene.arrive('/horaires/today');
+  scene.answerProbes();
+  t.true(NEW_IDS.has(scene.all('sendAttempt')[0].to.target));
+  scene.end({ kind: 'answered', status: 500, reading: makeReading(scene.now, 0) });
+  scene.answerProbes();
+  t.false(NEW_IDS.has(scene.all('sendAttempt')[1].to.target));
+});
+
+test('what a version on trial takes is not learnt of the service', (t) => {
+  const scene = makeScene(ORDER);
+  guide(scene, { phase: 'trial', share: 1 });
+  const before = scene.state.work.get(scene.state.table!.routes[0]);
+  scene.arrive('/horaires/today');
+  scene.answerProbes();
+  scene.now += 1_000;
+  scene.end({ kind: 'answered', status: 200, reading: makeReading(scene.now, 0) });
+  t.is(scene.state.work.get(scene.state.table!.routes[0]), before);
+});
+
+test('answers count for and against each version, a late one as soon as it is late', (t) => {
+  const scene = makeScene(ORDER);
+  guide(scene, { phase: 'trial', share: 1 });
+  scene.arrive('/horaires/today');
+  scene.answerProbes();
+  scene.now += 1_500;
+  const [journey] = scene.state.journeys.keys();
+  scene.dispatch({ kind: 'wakeDue', request: journey });
+  const { evidence } = scene.state.versions.rollouts.get('horaires')!;
+  const [[key, count]] = Object.entries(evidence.totals);
+  t.regex(key, /^new\d lookup$/);
+  t.deepEqual(count, { answers: 1, bad: 1 });
+});
--- a/src/tests/config/gatewaySettings.test.ts
+++ b/src/tests/config/gatewaySettings.test.ts
@@ -48,10 +48,12 @@
     .replaceAll('{{seeds}}', '')
     .replaceAll(/\{\{bounds\.(retry_window|grace|ttl_max)\}\}/g, '5s')
     .replaceAll('{{bounds.retry_budget_ratio}}', '0.2')
+    .replaceAll('{{bounds.canary_share}}', '0.1')
     .replaceAll('{{internal_ports.0}}', '7200')
     .replaceAll(/\{\{bounds\.\w+\}\}/g, '7')
     .replaceAll(/\{\{\w+\}\}/g, 'some-name');
   const settings = parseGatewaySettings('gateway.ini', filled);
   t.is(settings.balancing.retries.slack, 7);
   t.is(settings.self.linkMbps, 7);
+  t.deepEqual(settings.balancing.rollouts, { share: 0.1, slack: 7 });
 });
--- a/src/tests/fleet/FleetMembership.test.ts
+++ b/src/tests/fleet/FleetMembership.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 
 import type { FleetStore, ListFreshness, Section, SectionItems } from '../../fleet/FleetStore.js';
-import { StoreCallError } from '../../fleet/FleetStore.js';
+import { SECTIONS_WITHOUT_ROLLOUTS, StoreCallError } from '../../fleet/FleetStore.js';
 import { FleetMembership } from '../../fleet/FleetMembership.js';
 import { FleetView } from '../../fleet/FleetView.js';
 import { EventLog } from '../../logging/EventLog.js';
@@ -20,6 +20,7 @@
   configuration: { items: [{ name: 'main', value: TABLE }], revision: 40 },
   targets: { items: [{ name: 't-1', value: makeTarget('t-1') }], revision: 41 },
   zonesOut: { items: [{ name: 'phare', value: true }], revision: 41 },
+  rollouts: { items: [], revision: 41 },
   vms: { items: [{ name: SELF.name, value: { vms: [SELF] } }], revision: 41 },
 };
 
@@ -49,6 +50,7 @@
       calls.push(`${announcer} ${hasAnnounced ? 'replaces' : 'announces'} ${names}`.trim());
       return Promise.resolve();
     },
+    writeRolloutState: () => Promise.reject(new StoreCallError('unknown', 'not asked')),
   };
   const view = new FleetView(clock);
   const known: true[] = [];
@@ -56,6 +58,7 @@
   const membership = new FleetMembership({
     self: SELF,
     isFirstStart,
+    sections: SECTIONS_WITHOUT_ROLLOUTS,
     store,
     view,
     clock,
--- a/src/tests/fleet/Registrar.test.ts
+++ b/src/tests/fleet/Registrar.test.ts
@@ -23,6 +23,7 @@
       announced.push(vms.map(({ name }) => name).join(' '));
       return Promise.resolve();
     },
+    writeRolloutState: () => Promise.reject(new StoreCallError('unavailable', 'away')),
   };
   const log = new EventLog('vm-1', {
     write: (_text, done) => done(),
--- /dev/null
+++ b/src/tests/fleet/RolloutSync.test.ts
@@ -0,0 +1,276 @@
+import test from 'ava';
+
+import type { VmEntry } from '../../balancing/index.js';
+import type { FleetStore } from '../../fleet/FleetStore.js';
+import { StoreCallError } from '../../fleet/FleetStore.js';
+import { FleetView } from '../../fleet/FleetView.js';
+import type { OwnRollout } from '../../fleet/RolloutSync.js';
+import { RolloutSync } from '../../fleet/RolloutSync.js';
+import { EventLog } from '../../logging/EventLog.js';
+import { VirtualClock } from '../../proof/VirtualClock.js';
+import type { RolloutGuidance, RolloutOrder, RolloutState } from '../../rollouts/index.js';
+import { TimerService } from '../../timing/index.js';
+
+const VMS = 6;
+const DURATION_MS = 12_000;
+const ON_THE_WAY_MS = 2;
+
+type StoreMood = 'sound' | 'away' | 'losesAnswers' | 'conflicts';
+
+interface VmScene {
+  readonly vm: VmEntry;
+  readonly view: FleetView;
+  readonly sync: RolloutSync;
+  readonly timers: TimerService;
+  own: OwnRollout;
+  guidance: RolloutGuidance | undefined;
+  until: number;
+  isCut: boolean;
+}
+
+/** Some VMs with a store between them, in virtual time. */
+class FleetScene {
+  readonly clock = new VirtualClock();
+
+  readonly vms: VmScene[] = [];
+
+  mood: StoreMood = 'sound';
+
+  /** States that the store took, in that order. */
+  readonly written: RolloutState[] = [];
+
+  writes = 0;
+
+  order: RolloutOrder = {
+    id: 'horaires@1/v2',
+    service: 'horaires',
+    version: 'v2',
+    durationMs: DURATION_MS,
+    revision: 1,
+    state: undefined,
+  };
+
+  constructor() {
+    for (let i = 0; i < VMS; i++) this.vms.push(this.start(i));
+    const rosters = this.vms.map(({ vm }) => ({ name: vm.name, value: { vms: [vm] } }));
+    for (const { view } of this.vms) {
+      view.apply({ section: 'vms', items: rosters, revision: 1, isWhole: true });
+    }
+    this.tellOrder();
+  }
+
+  /** VMs that are told to go on with the rollout and may. */
+  get open(): VmScene[] {
+    const now = this.clock.now();
+    return this.vms.filter(({ guidance, until }) => guidance !== undefined && until > now);
+  }
+
+  /** Lets time pass; in each tenth of a second each VM has so many answers, so many of them bad. */
+  async pass(ms: number, bad = 0): Promise<void> {
+    const endsAt = this.clock.now() + ms;
+    while (this.clock.now() < endsAt) {
+      for (const [i, vm] of this.vms.entries()) {
+        const { counts } = vm.own;
+        const old = counts['old lookup'] ?? { answers: 0, bad: 0 };
+        const key = `new${i % 3} lookup`;
+        const fresh = counts[key] ?? { answers: 0, bad: 0 };
+        vm.own = {
+          phase: vm.guidance?.phase ?? 'trial',
+          oldRequests: 0,
+          counts: {
+            ...counts,
+            'old lookup': { answers: old.answers + 4, bad: old.bad },
+            [key]: { answers: fresh.answers + 1, bad: fresh.bad + bad },
+          },
+        };
+      }
+      this.clock.runUntil(this.clock.now() + 100);
+      await new Promise<void>((resolve) => {
+        setImmediate(resolve);
+      });
+    }
+  }
+
+  /** Replaces a VM by one that has just started and knows nothing. */
+  restart(index: number): void {
+    const { timers } = this.vms[index];
+    timers.stop();
+    this.vms[index] = this.start(index);
+    const { view } = this.vms[index];
+    const rosters = this.vms.map(({ vm }) => ({ name: vm.name, value: { vms: [vm] } }));
+    view.apply({ section: 'vms', items: rosters, revision: 1, isWhole: true });
+    this.tellOrder();
+  }
+
+  private tellOrder(): void {
+    const items = [{ name: 'horaires', value: this.order }];
+    const { revision } = this.order;
+    for (const { view } of this.vms) {
+      view.apply({ section: 'rollouts', items, revision, isWhole: true });
+    }
+  }
+
+  private write(order: RolloutOrder, state: RolloutState): Promise<boolean> {
+    this.writes += 1;
+    if (this.mood === 'away') return Promise.reject(new StoreCallError('unavailable', 'away'));
+    if (this.mood === 'conflicts' || order.revision !== this.order.revision) {
+      return Promise.resolve(false);
+    }
+    this.written.push(state);
+    this.order = { ...this.order, state, revision: this.order.revision + 1 };
+    this.clock.after(50, () => this.tellOrder());
+    if (this.mood === 'losesAnswers') return Promise.reject(new StoreCallError('unknown', 'lost'));
+    return Promise.resolve(true);
+  }
+
+  private start(index: number): VmScene {
+    const { clock } = this;
+    const address = `10.0.0.${index + 1}:90`;
+    const vm = { name: `vm-${index}`, zone: 'quai', callers: address, peers: address, linkMbps: 0 };
+    const view = new FleetView(clock, vm.name);
+    const scene: Partial<VmScene> & Pick<VmScene, 'own'> = {
+      vm,
+      view,
+      own: { phase: 'trial', oldRequests: 0, counts: {} },
+      until: 0,
+      isCut: false,
+    };
+    const store = {
+      writeRolloutState: (order: RolloutOrder, state: RolloutState) => this.write(order, state),
+    } as FleetStore;
+    const sync = new RolloutSync({
+      self: vm,
+      run: `${vm.name}/${clock.now()}`,
+      store,
+      view,
+      clock,
+      log: new EventLog(vm.name, {
+        write: (_text, done) => done(),
+        now: () => clock.now(),
+        wallNow: () => 0,
+      }),
+      bound: { share: 0.1, slack: 50 },
+      send: (text, to) => this.send(text, address, to),
+      getOwn: () => scene.own,
+      onGuidance: (_order, guidance, until) => {
+        if (scene.guidance?.phase === 'stopped') return;
+        Object.assign(scene, { guidance, until });
+      },
+    });
+    const timers = new TimerService(clock);
+    sync.start(timers);
+    return Object.assign(scene, { sync, timers }) as VmScene;
+  }
+
+  private send(text: string, from: string, to: string): void {
+    const find = (address: string) => this.vms.find(({ vm }) => vm.peers === address);
+    if (find(from)?.isCut === true || find(to)?.isCut === true) return;
+    this.clock.after(ON_THE_WAY_MS, () => find(to)?.sync.take(text, from));
+  }
+}
+
+test('a good version is completed in time, with two writes', async (t) => {
+  const scene = new FleetScene();
+  await scene.pass(DURATION_MS);
+  t.deepEqual(scene.written, ['running', 'completed']);
+  t.is(scene.writes, 2);
+});
+
+test('a bad version is given up by all VMs at once, and the store told', async (t) => {
+  const scene = new FleetScene();
+  await scene.pass(1_000);
+  await scene.pass(1_200, 1);
+  t.true(scene.vms.every(({ guidance }) => guidance?.phase === 'stopped'));
+  t.deepEqual(scene.written, ['running', 'rolledBack']);
+});
+
+test('a bad version is given up while the store is away, and the store told on its return', async (t) => {
+  const scene = new FleetScene();
+  await scene.pass(1_000);
+  scene.mood = 'away';
+  await scene.pass(1_200, 1);
+  t.true(scene.vms.every(({ guidance }) => guidance?.phase === 'stopped'));
+  t.deepEqual(scene.written, ['running']);
+  scene.mood = 'sound';
+  await scene.pass(3_000);
+  t.deepEqual(scene.written, ['running', 'rolledBack']);
+});
+
+test('a state whose answer is lost is not written a second time', async (t) => {
+  const scene = new FleetScene();
+  scene.mood = 'losesAnswers';
+  await scene.pass(DURATION_MS);
+  t.deepEqual(scene.written, ['running', 'completed']);
+});
+
+test('while the store refuses the revision a writer does not insist', async (t) => {
+  // The order was changed meanwhile, or another VM has written: word of it is on its way.
+  const scene = new FleetScene();
+  scene.mood = 'conflicts';
+  await scene.pass(3_000);
+  t.true(scene.writes <= 6, `${scene.writes} writes`);
+});
+
+test('the VMs that coordinate may be killed in the middle of it', async (t) => {
+  const scene = new FleetScene();
+  await scene.pass(4_000);
+  for (let i = 0; i < VMS / 2; i++) scene.restart(i);
+  await scene.pass(DURATION_MS - 4_000);
+  t.deepEqual(scene.written, ['running', 'completed']);
+});
+
+test('the VMs that coordinate may stay down', async (t) => {
+  const scene = new FleetScene();
+  await scene.pass(4_000);
+  for (const vm of scene.vms.slice(0, 2)) {
+    vm.isCut = true;
+    vm.timers.stop();
+  }
+  await scene.pass(DURATION_MS - 4_000);
+  t.is(scene.written.at(-1), 'completed');
+});
+
+test('a VM that is cut off pauses, and is told of the end when it is back', async (t) => {
+  const scene = new FleetScene();
+  await scene.pass(1_500);
+  t.is(scene.open.length, VMS);
+  const [, , cut] = scene.vms;
+  cut.isCut = true;
+  await scene.pass(2_500);
+  t.true(cut.until <= scene.clock.now());
+  await scene.pass(1_200, 1);
+  cut.isCut = false;
+  await scene.pass(1_000);
+  t.is(cut.guidance?.phase, 'stopped');
+});
+
+test('a VM that starts while the store is away hears that a version is condemned', async (t) => {
+  const scene = new FleetScene();
+  await scene.pass(1_000);
+  scene.mood = 'away';
+  await scene.pass(1_200, 1);
+  scene.restart(VMS - 1);
+  await scene.pass(600);
+  t.is(scene.vms[VMS - 1].guidance?.phase, 'stopped');
+});
+
+test('another order of the same service starts its own trial', async (t) => {
+  const scene = new FleetScene();
+  await scene.pass(1_000);
+  await scene.pass(1_200, 1);
+  scene.order = {
+    ...scene.order,
+    id: 'horaires@9/v3',
+    version: 'v3',
+    revision: 9,
+    state: undefined,
+  };
+  for (const vm of scene.vms) {
+    vm.guidance = undefined;
+    vm.own = { phase: 'trial', oldRequests: 0, counts: {} };
+    const items = [{ name: 'horaires', value: scene.order }];
+    vm.view.apply({ section: 'rollouts', items, revision: 9, isWhole: true });
+  }
+  await scene.pass(DURATION_MS);
+  t.deepEqual(scene.written, ['running', 'rolledBack', 'running', 'completed']);
+});
--- a/src/tests/fleet/StoreFallback.test.ts
+++ b/src/tests/fleet/StoreFallback.test.ts
@@ -68,6 +68,7 @@
     list: fail,
     watch: fail,
     announce: () => fail('announce'),
+    writeRolloutState: () => fail('rollouts'),
   };
   return { calls, store };
 }
--- a/src/tests/fleet/StoreMirror.test.ts
+++ b/src/tests/fleet/StoreMirror.test.ts
@@ -38,6 +38,7 @@
         if (section === 'targets') wake = end;
       }),
     announce: () => Promise.resolve(),
+    writeRolloutState: () => Promise.resolve(false),
   };
   const log = new EventLog('vm-1', {
     write: (_text, done) => done(),
@@ -87,6 +88,7 @@
         return { items: [item], revision } as unknown as SectionItems<S>;
       }),
     announce: () => Promise.resolve(),
+    writeRolloutState: () => Promise.resolve(false),
   };
   const log = new EventLog('vm-1', {
     write: (_text, done) => done(),
--- a/src/tests/fleet/firstStart.test.ts
+++ b/src/tests/fleet/firstStart.test.ts
@@ -4,6 +4,7 @@
 import { FeedClient } from '../../fleet/FeedClient.js';
 import { FleetMembership } from '../../fleet/FleetMembership.js';
 import type { FleetStore, Section, SectionItems } from '../../fleet/FleetStore.js';
+import { SECTIONS_WITHOUT_ROLLOUTS } from '../../fleet/FleetStore.js';
 import { FleetSync } from '../../fleet/FleetSync.js';
 import { FleetView } from '../../fleet/FleetView.js';
 import { EventLog } from '../../logging/EventLog.js';
@@ -32,6 +33,7 @@
       configuration: [{ name: 'main', value: TABLE }],
       targets: [{ name: 't-1', value: makeTarget('t-1') }],
       zonesOut: [],
+      rollouts: [],
       vms: [...this.rosters].map(([name, value]) => ({ name, value })),
     };
     return { items: sections[section], revision: this.revision };
@@ -48,6 +50,11 @@
     this.revision += 1;
     this.rosters.set(announcer, roster);
   }
+
+  async writeRolloutState(): Promise<boolean> {
+    this.calls.push('writeRolloutState');
+    return false;
+  }
 }
 
 test('VMs that start together know one another by a few calls to the store', async (t) => {
@@ -68,7 +75,9 @@
   const vms = entries.map((self, i) => {
     const view = new FleetView(clock, self.name);
     const others = seeds.filter((address) => address !== self.peers);
-    const parts = { self, store, view, clock, log, random: Math.random, seeds: others };
+    const sections = SECTIONS_WITHOUT_ROLLOUTS;
+    const known = { sections, random: Math.random, seeds: others };
+    const parts = { self, store, view, clock, log, ...known };
     const sync = new FleetSync({ ...parts, listen: { host: HOST, port: ports[i] } });
     const timers = new TimerService(clock);
     const membership = new FleetMembership({
--- a/src/tests/gateway/GatewayScene.ts
+++ b/src/tests/gateway/GatewayScene.ts
@@ -106,6 +106,7 @@
       service: 'horaires',
       address,
       zone: 'quai',
+      version: 'v1',
       bornAt: 1,
       slots: SLOTS,
       isDraining: false,
--- a/src/tests/platform/decode.test.ts
+++ b/src/tests/platform/decode.test.ts
@@ -1,6 +1,11 @@
 import test from 'ava';
 
-import { decodeRoutingTable, decodeTarget } from '../../platform/decode.js';
+import {
+  decodeRollout,
+  decodeRoutingTable,
+  decodeTarget,
+  encodeRolloutStatus,
+} from '../../platform/decode.js';
 import { readLoad } from '../../platform/readLoad.js';
 import { readTargetHead, writeTargetHeaders } from '../../platform/index.js';
 
@@ -143,3 +148,14 @@
     't-1',
   ]);
 });
+
+test('a rollout is decoded; its state counts only if it is about the version ordered', (t) => {
+  const spec = { service: 'huvo11a', target_version: 'v2', duration: '12s' };
+  const metadata = { name: 'huvo11a', revision: 12, create_revision: 9 };
+  t.snapshot(decodeRollout(metadata, spec, null));
+  const status = { state: 'rolled_back', target_version: 'v2' };
+  t.is(decodeRollout(metadata, spec, status).state, 'rolledBack');
+  t.is(decodeRollout(metadata, { ...spec, target_version: 'v3' }, status).state, undefined);
+  t.throws(() => decodeRollout(metadata, { ...spec, duration: 12 }, null));
+  t.deepEqual(encodeRolloutStatus('v2', 'rolledBack'), status);
+});
