Take bounds that are fractions

The platform gives a small deployment its part of a bound, such as a retry slack of 22.045, and every process ended at its start: the checker took whole numbers only.

--- a/src/config/gatewaySettingsKeys.ts
+++ b/src/config/gatewaySettingsKeys.ts
@@ -5,7 +5,6 @@
   choice,
   decimal,
   duration,
-  integer,
   LISTEN_ADDRESS,
   VM_NAME,
 } from './valueTypes.js';
@@ -56,7 +55,7 @@
     ),
     'retry-window': withDefault(span, '10s', 'Sliding window in which repeats are counted.'),
     'retry-slack': withDefault(
-      integer({ min: 0, max: 1_000_000 }),
+      decimal({ min: 0, max: 1_000_000 }),
       '20',
       'Repeats in a window on top, all entry VMs together.',
     ),
@@ -66,12 +65,12 @@
       'Times the rate that a cold target bears which all entry VMs together may send.',
     ),
     'cold-slack': withDefault(
-      integer({ min: 0, max: 10_000 }),
+      decimal({ min: 0, max: 10_000 }),
       '5',
       'Requests on top to a cold target in any second.',
     ),
     'probes-per-second': withDefault(
-      integer({ min: 1, max: 10_000 }),
+      decimal({ min: 1, max: 10_000 }),
       '60',
       'Probes that one target may get in a second from all entry VMs together.',
     ),
@@ -81,7 +80,7 @@
       'Share of a service’s requests that a bad version may get while it is rolled out; 0 where none is.',
     ),
     'trial-slack': withDefault(
-      integer({ min: 0, max: 1_000_000 }),
+      decimal({ min: 0, max: 1_000_000 }),
       '0',
       'Requests on top that a bad version may get.',
     ),
--- a/src/tests/config/gatewaySettings.test.ts
+++ b/src/tests/config/gatewaySettings.test.ts
@@ -57,3 +57,13 @@
   t.is(settings.self.linkMbps, 7);
   t.deepEqual(settings.balancing.rollouts, { share: 0.1, slack: 7 });
 });
+
+test('a bound that is shared out may be a fraction', (t) => {
+  // A platform that runs a part of a deployment gives that part of its bounds. Taken for whole numbers
+  // only, every process ended at its start.
+  const { balancing } = parseGatewaySettings(
+    'node.ini',
+    TEXT.replace('retry-slack = 58', 'retry-slack = 22.04\ncold-slack = 0.9\ntrial-slack = 5.6'),
+  );
+  t.is(balancing.retries.slack, 22.04);
+});
