Log targets that come or go together in one line

One line for each reading now, with all of them.

Tried beside it and left: the bundle's compiled code kept in a file beside it.

--- a/src/balancing/fleetHandlers.ts
+++ b/src/balancing/fleetHandlers.ts
@@ -33,16 +33,21 @@
   return groups;
 }
 
-function logTarget(
-  event: 'target.added' | 'target.removed' | 'target.draining',
-  { id, service, version, address, bornAt, zone, coldMs }: TargetEntry,
-): BalancerEffect {
-  const fields = { target: id, service, version, address, bornAt, zone, coldMs };
-  return { kind: 'log', event, fields };
+type TargetEvent = 'target.added' | 'target.removed' | 'target.draining';
+
+function describe({ id, service, version, address, bornAt, zone, coldMs }: TargetEntry): string {
+  return `${id} ${service} ${version} ${address} ${zone} born ${bornAt} cold ${coldMs}`;
+}
+
+/** One line for all targets that one reading is about: a VM that starts learns of hundreds at once. */
+function logTargets(event: TargetEvent, entries: readonly TargetEntry[]): BalancerEffect[] {
+  if (entries.length === 0) return [];
+  const fields = { count: entries.length, targets: entries.map(describe) };
+  return [{ kind: 'log', event, fields }];
 }
 
-/** Takes one registered target in. */
-function takeEntry(state: BalancerState, entry: TargetEntry, now: number): BalancerEffect[] {
+/** Takes one registered target in; gives what is to be logged of it. */
+function takeEntry(state: BalancerState, entry: TargetEntry, now: number): TargetEvent | undefined {
   const known = state.targets.get(entry.id);
   const isSame =
     known !== undefined &&
@@ -56,13 +61,13 @@
     for (const request of known?.probeWaiters ?? []) {
       state.journeys.get(request)?.round?.waitingFor.delete(entry.id);
     }
-    return [logTarget('target.added', entry)];
+    return 'target.added';
   }
   const turnedDraining = entry.isDraining && !known.entry.isDraining;
   const changed = known.entry.coldMs !== entry.coldMs;
   known.entry = entry;
   if (changed && entry.coldMs > 0) known.coldUntil = Math.max(known.coldUntil, now + entry.coldMs);
-  return turnedDraining ? [logTarget('target.draining', entry)] : [];
+  return turnedDraining ? 'target.draining' : undefined;
 }
 
 /** The registered targets were read. */
@@ -71,7 +76,7 @@
   { targets }: TargetsRead,
   context: BalancerContext,
 ): BalancerEffect[] {
-  const effects: BalancerEffect[] = [];
+  const removed: TargetEntry[] = [];
   const present = new Set(targets.map(({ id }) => id));
   for (const [id, record] of state.targets) {
     if (present.has(id)) continue;
@@ -79,9 +84,10 @@
     for (const request of record.probeWaiters) {
       state.journeys.get(request)?.round?.waitingFor.delete(id);
     }
-    effects.push(logTarget('target.removed', record.entry));
+    removed.push(record.entry);
   }
-  for (const entry of targets) effects.push(...takeEntry(state, entry, context.now));
+  const events = targets.map((entry) => takeEntry(state, entry, context.now));
+  const select = (event: TargetEvent) => targets.filter((_, i) => events[i] === event);
   const { vm, zone } = state.settings;
   const groups = groupByService(state.targets.values());
   state.byService = new Map(
@@ -89,7 +95,11 @@
   );
   for (const [service, group] of groups) state.versions.sortNew(service, group);
   state.cold.keepOnly(state.targets);
-  return effects;
+  return [
+    ...logTargets('target.removed', removed),
+    ...logTargets('target.added', select('target.added')),
+    ...logTargets('target.draining', select('target.draining')),
+  ];
 }
 
 /** Availability zones were taken out or back. */
