Count what coordinators report to themselves, and try each route as the fleet's mix asks

With it, trials of rare routes went by what each VM had seen of the mix itself, too few requests on a fleet of 17: coordinators, which know the whole mix, now say each route's share. New targets of a trial have a group of their own each, since two that shared one looked like one ill target.

On loopback under a load of 12 one request was refused a second before the order; the trial counts requests from the order on, and those that were refused apart, since they may come back.

--- a/src/balancing/ServiceVersions.ts
+++ b/src/balancing/ServiceVersions.ts
@@ -12,9 +12,6 @@
 /** New targets of a trial at least: one that is ill by itself must not be all there is. */
 const LEAST_TRIAL_TARGETS = 3;
 
-/** A route gets at most this share of its requests tried on the new version, however rare they are. */
-const MOST_ROUTE_SHARE = 0.5;
-
 /** What this VM goes by for one running order. */
 export interface ServiceRollout {
   order: RolloutOrder;
@@ -136,16 +133,10 @@
 }
 
 /**
- * Share of a route's requests that are tried on the new version. In a trial each route has as many
- * tried as any other, as far as that goes: a version may fail on a single one, and a rare one.
+ * Share of a route's requests that are tried on the new version.
  * @param rollout - The rollout.
  * @param route - Name of the route.
  */
-export function getRouteShare({ guidance, evidence }: ServiceRollout, route: string): number {
-  if (guidance === undefined) return 0;
-  const { phase, share } = guidance;
-  const part = evidence.getRouteShare(route);
-  if (phase !== 'trial' || part === undefined || part === 0) return share;
-  const even = share / (evidence.routeCount * part);
-  return Math.min(Math.max(share, MOST_ROUTE_SHARE), even);
+export function getRouteShare({ guidance }: ServiceRollout, route: string): number {
+  return guidance?.routeShares?.[route] ?? guidance?.share ?? 0;
 }
--- a/src/balancing/versions.ts
+++ b/src/balancing/versions.ts
@@ -168,7 +168,8 @@
   // A cold target is slow whatever its version.
   if (rollout === undefined || (basis.isCold && isBad)) return;
   const isNew = target.entry.version === rollout.order.version;
-  rollout.evidence.note(route.name, isNew ? target.entry.id : undefined, isBad);
+  const place = Math.max(0, rollout.newTargets.indexOf(target.entry.id));
+  rollout.evidence.note(route.name, isNew ? place : undefined, isBad);
 }
 
 /**
--- a/src/fleet/RolloutSync.ts
+++ b/src/fleet/RolloutSync.ts
@@ -214,10 +214,11 @@
   }
 
   /** @internal */
-  private hear(running: RunningOrder, { phase, share, ageMs }: GuidanceMessage, address: string) {
+  private hear(running: RunningOrder, message: GuidanceMessage, address: string): void {
+    const { phase, share, routeShares, ageMs } = message;
     const now = this.parts.clock.now();
     running.orderedAt = Math.min(running.orderedAt, now - ageMs);
-    running.heard.set(address, { phase, share, at: now });
+    running.heard.set(address, { phase, share, routeShares, at: now });
     this.obey(running);
   }
 
@@ -233,7 +234,7 @@
       .find((word) => word !== undefined && now - word.at < GUIDANCE_MS);
     const word = stop ?? first;
     if (word === undefined) return;
-    const { phase, share, at } = word;
-    onGuidance(order.id, { phase, share }, at + GUIDANCE_MS);
+    const { at, ...guidance } = word;
+    onGuidance(order.id, guidance, at + GUIDANCE_MS);
   }
 }
--- a/src/lab/playRollout.ts
+++ b/src/lab/playRollout.ts
@@ -256,7 +256,7 @@
     const workMs = plan.workMs * (0.7 + 0.6 * random());
     if (!isNew) this.oldRequests[vm] += 1;
     const note = (): void => {
-      this.vms[vm].evidence.note(route, isNew ? target.id : undefined, isBad);
+      this.vms[vm].evidence.note(route, isNew ? this.fresh.indexOf(target) : undefined, isBad);
       if (!isNew || !isBad) return;
       this.bad += 1;
       if (this.bad === COUNTED_BAD) this.badAt = clock.now();
--- a/src/rollouts/RolloutCoordinator.ts
+++ b/src/rollouts/RolloutCoordinator.ts
@@ -11,12 +11,15 @@
 import type { VersionTest } from './VersionTest.js';
 
 /** Part of the exposure that operators allow which a trial uses: VMs learn late that it is over. */
-const SHARE_USED = 0.6;
-const SLACK_USED = 0.4;
+const SHARE_USED = 0.7;
+const SLACK_USED = 0.6;
 
 /** Largest share of a trial, for services with few requests. */
 const MOST_TRIAL_SHARE = 0.3;
 
+/** Largest share of one route's requests that a trial takes, however rare they are. */
+const MOST_ROUTE_SHARE = 0.8;
+
 /** A trial that has used up so much of the exposure that operators allow gets no more requests. */
 const EXPOSURE_USED_UP = 0.8;
 
@@ -170,7 +173,9 @@
     this.isHeard = this.getHeard(now).length >= LEAST_HEARD_SHARE * vmCount;
     if (!this.isHeard || now - this.startedAt < HEARING_MS) return undefined;
     this.advance(now);
-    return { phase: this.phase, share: this.getShare(now) };
+    const share = this.getShare(now);
+    if (this.phase !== 'trial' || share === 0) return { phase: this.phase, share };
+    return { phase: this.phase, share, routeShares: this.getRouteShares(share) };
   }
 
   /**
@@ -268,6 +273,19 @@
     return Math.min(MOST_TRIAL_SHARE, SHARE_USED * share + bySlack);
   }
 
+  /**
+   * Each route has as many requests tried as any other, as far as that goes: a version may fail on a
+   * single one, and a rare one.
+   * @internal
+   */
+  private getRouteShares(share: number): Readonly<Record<string, number>> {
+    const parts = this.judge.routeParts;
+    const even = share / Math.max(1, parts.size);
+    return Object.fromEntries(
+      [...parts].map(([route, part]) => [route, Math.min(MOST_ROUTE_SHARE, even / part)]),
+    );
+  }
+
   /** Whether old targets may stop without a loss, or have to since the limit is near. @internal */
   private isMoveDone(now: number): boolean {
     const movedMs = now - this.phaseSince;
--- a/src/rollouts/VersionJudge.ts
+++ b/src/rollouts/VersionJudge.ts
@@ -7,7 +7,7 @@
 const LEAST_ANSWERS = 20;
 
 /** The same for each route that has a share of the old targets' answers of at least this. */
-const LEAST_ROUTE_ANSWERS = 5;
+const LEAST_ROUTE_ANSWERS = 6;
 const COUNTED_ROUTE_SHARE = 0.05;
 
 /** With more suspicion than this a version is not taken for good. */
@@ -88,6 +88,14 @@
     return [...this.routes].find(([, { test }]) => test.suspicion === most)?.[0];
   }
 
+  /** Part of all answers that came on each route, without routes that hardly any came on. */
+  get routeParts(): ReadonlyMap<string, number> {
+    const all = this.all.old + this.all.new;
+    const parts = [...this.routes].map(([name, route]) => [name, (route.old + route.new) / all]);
+    const counted = (parts as [string, number][]).filter(([, part]) => part >= COUNTED_ROUTE_SHARE);
+    return new Map(counted);
+  }
+
   /** @internal */
   private createRoute(): JudgedRoute {
     return { test: this.createTest(), old: 0, new: 0 };
--- a/src/rollouts/evidence.ts
+++ b/src/rollouts/evidence.ts
@@ -1,8 +1,9 @@
-import { hashText } from '../core/hash.js';
-import type { TargetId } from '../core/model/index.js';
 import type { EvidenceCounts } from './model.js';
 
-/** New targets are told apart by so many groups, which bounds what a VM reports. */
+/**
+ * New targets are told apart by so many groups, which bounds what a VM reports; those of a trial, the
+ * first few, each have one of their own.
+ */
 const TARGET_GROUPS = 6;
 
 /** Routes that a VM reports apart; answers of further ones are counted together. */
@@ -38,13 +39,13 @@
   /**
    * Counts one answer.
    * @param route - Route of the request.
-   * @param target - The target that was asked, if it is of the new version.
+   * @param newTarget - Place of the target among the new ones; undefined if it is an old one.
    * @param isBad - Whether it failed, or takes far longer than expected of any target.
    */
-  note(route: string, target: TargetId | undefined, isBad: boolean): void {
+  note(route: string, newTarget: number | undefined, isBad: boolean): void {
     if (this.routes.size < MOST_ROUTES) this.routes.add(route);
     const name = this.routes.has(route) ? route : OTHER_ROUTES;
-    const group = target === undefined ? 'old' : `new${hashText(target) % TARGET_GROUPS}`;
+    const group = newTarget === undefined ? 'old' : `new${newTarget % TARGET_GROUPS}`;
     const key = `${group} ${name}`;
     const known = this.counts.get(key) ?? { answers: 0, bad: 0 };
     known.answers += 1;
@@ -52,24 +53,8 @@
     this.counts.set(key, known);
   }
 
-  /** Totals so far. */
+  /** Totals so far; later answers don't change what was given. */
   get totals(): EvidenceCounts {
-    return Object.fromEntries(this.counts);
-  }
-
-  /** Part of all answers so far that came on a route; undefined while there are too few to tell. */
-  getRouteShare(route: string): number | undefined {
-    let all = 0;
-    let own = 0;
-    for (const [key, { answers }] of this.counts) {
-      all += answers;
-      if (parseEvidenceKey(key).route === route) own += answers;
-    }
-    return all < 20 ? undefined : own / all;
-  }
-
-  /** Routes on which answers came. */
-  get routeCount(): number {
-    return Math.max(1, this.routes.size);
+    return Object.fromEntries([...this.counts].map(([key, count]) => [key, { ...count }]));
   }
 }
--- a/src/rollouts/model.ts
+++ b/src/rollouts/model.ts
@@ -36,6 +36,8 @@
   readonly phase: RolloutPhase;
   /** Share of requests that go to the new version, 0 to 1. */
   readonly share: number;
+  /** The same for routes that differ from it, by their names. */
+  readonly routeShares?: Readonly<Record<string, number>>;
 }
 
 /** Answers of one kind, and how many of them were failures or took too long. */
--- a/src/soak/rolloutMain.ts
+++ b/src/soak/rolloutMain.ts
@@ -35,10 +35,10 @@
     onState: (state, atMs) =>
       process.stdout.write(`${(atMs / 1_000).toFixed(1)} s after the order: ${state}\n`),
   });
-  const { exposed, allowed, runs, failed, requests, dir } = result;
+  const { exposed, allowed, runs, lost, refused, requests, dir } = result;
   process.stdout.write(
     `${exposed} of ${runs} requests went to the new version (a bad one may get ${Math.floor(allowed)})\n` +
-      `${failed} of ${requests} requests had no good answer; logs in ${dir}\n`,
+      `${lost} of ${requests} requests were lost, ${refused} refused; logs in ${dir}\n`,
   );
 }
 
--- a/src/soak/runRolloutTrial.ts
+++ b/src/soak/runRolloutTrial.ts
@@ -21,6 +21,9 @@
 
 const LOOK_MS = 50;
 
+const SERVED = 200;
+const REFUSED = 503;
+
 /** How a rollout is tried. */
 export interface RolloutTrialOptions {
   readonly gateways: number;
@@ -50,8 +53,9 @@
   readonly allowed: number;
   /** Runs at the new version from one second after it was taken back. */
   readonly afterRollBack: number;
-  /** Requests that had no good answer. */
-  readonly failed: number;
+  /** Requests since the order that were cut, or failed: one that is refused may come back. */
+  readonly lost: number;
+  readonly refused: number;
   readonly requests: number;
   /** Folder with the gateways' settings and logs. */
   readonly dir: string;
@@ -141,7 +145,9 @@
     const after = world.runs.filter(
       ({ at, version }) => version === NEW_VERSION && at > endedAt + 1_000,
     );
-    const { records } = callers;
+    const records = callers.records.filter(({ sentAt }) => sentAt >= orderedAt);
+    const refused = records.filter(({ status }) => status === REFUSED).length;
+    const served = records.filter(({ status }) => status === SERVED).length;
     return {
       state,
       endedAtMs,
@@ -149,7 +155,8 @@
       runs: counted.length,
       allowed: TRIAL_SHARE * counted.length + TRIAL_SLACK,
       afterRollBack: state === 'rolled_back' ? after.length : 0,
-      failed: records.filter(({ status }) => status !== 200).length,
+      lost: records.length - refused - served,
+      refused,
       requests: records.length,
       dir,
     };
