Explain from logs how rollouts went, and requests beside lines about many targets

`masticlink explain rollouts` tells by which answers of how many VMs a version was judged, when VMs followed and what the store was told. Lines that name many targets at once, which the batching of target lines brought, are told of the target that a request went to; until now such lines were passed over.

--- a/src/cli/commands/explainCommand.ts
+++ b/src/cli/commands/explainCommand.ts
@@ -2,6 +2,7 @@
 import { createInterface } from 'node:readline';
 
 import { explainRequest } from '../../report/explainRequest.js';
+import { explainRollouts } from '../../report/explainRollouts.js';
 import { LossSummary } from '../../report/LossSummary.js';
 import type { Command } from '../Command.js';
 import type { CommandIo } from '../CommandIo.js';
@@ -11,6 +12,9 @@
 /** In place of an id: all requests that were late, refused or failed, summed up. */
 const ALL = 'all';
 
+/** In place of an id: how versions were rolled out. */
+const ROLLOUTS = 'rollouts';
+
 /** File that stands for standard input. */
 const STANDARD_INPUT = '-';
 
@@ -48,12 +52,26 @@
   return summary.write();
 }
 
+/** What is said if logs tell nothing. */
+const NOTHING: Readonly<Record<string, string>> = {
+  [ALL]: 'no line tells how a request ended; give the logs of gateways with --log',
+  [ROLLOUTS]: 'no line tells of a rollout; give the logs of all gateways with --log',
+};
+const ELSEWHERE = 'look at the logs of all gateways, for the time of the request';
+
+async function explain(id: string, logs: readonly string[], io: CommandIo): Promise<string[]> {
+  if (id === ALL) return sumUp(logs, io);
+  const lines = logs.flatMap(readLog);
+  return id === ROLLOUTS ? explainRollouts(lines) : explainRequest(lines, id);
+}
+
 /** Tells what became of a request, and why. */
 export const explainCommand: Command = {
   name: 'explain',
   args: ['id'],
   description:
-    'Explain what became of a request, or sum up all that were lost, from the logs of gateways.',
+    'Explain what became of a request, how rollouts went, or sum up all requests that were lost, from the ' +
+    'logs of gateways.',
   options: [
     {
       name: 'log',
@@ -61,19 +79,18 @@
       description: 'Log file, several times for several; - if left out',
     },
   ],
-  examples: ['explain 9c41d07be2a35f68 --log gateways.log', 'explain all --log gateways.log'],
+  examples: [
+    'explain 9c41d07be2a35f68 --log gateways.log',
+    'explain all --log gateways.log',
+    'explain rollouts --log gateways.log',
+  ],
   async run(args, io) {
     const [id] = args.positional;
     const files = args.getList('log');
     const logs = files.length === 0 ? [STANDARD_INPUT] : files;
-    const explained =
-      id === ALL ? await sumUp(logs, io) : explainRequest(logs.flatMap(readLog), id);
+    const explained = await explain(id, logs, io);
     if (explained.length === 0) {
-      io.err(
-        id === ALL
-          ? 'no line tells how a request ended; give the logs of gateways with --log'
-          : `no line names request ${id}; look at the logs of all gateways, for the time of the request`,
-      );
+      io.err(NOTHING[id] ?? `no line names request ${id}; ${ELSEWHERE}`);
       return EXIT_CODES.failed;
     }
     for (const line of explained) io.out(line);
--- a/src/report/explainRequest.ts
+++ b/src/report/explainRequest.ts
@@ -78,6 +78,14 @@
   return `${time} ${vm} ${event}: ${text}`;
 }
 
+/** A line about some targets with those alone that are asked for; undefined if it names none of them. */
+function selectTargets(line: LogLine, ids: ReadonlySet<unknown>): LogLine | undefined {
+  const { target, targets } = line.fields;
+  if (!Array.isArray(targets)) return ids.has(target) ? line : undefined;
+  const named = targets.filter((each) => ids.has(String(each).split(' ')[0]));
+  return named.length === 0 ? undefined : { ...line, fields: { targets: named } };
+}
+
 /** Lines of one VM that bear on its request, in the order in which the VM wrote them. */
 function explainAtVm(lines: readonly LogLine[], id: string): string[] {
   const first = lines.findIndex(({ fields }) => fields.id === id);
@@ -93,10 +101,11 @@
     beliefs.delete(line.event);
     beliefs.set(line.event, line);
   }
-  const around = lines.filter((line) => {
-    if (!line.event.startsWith('target.') || !targets.has(line.fields.target)) return false;
+  const around = lines.flatMap((line) => {
     const at = Date.parse(line.time);
-    return at >= startsAt - BEFORE_MS && at <= endsAt;
+    const isNear = at >= startsAt - BEFORE_MS && at <= endsAt;
+    if (!isNear || !line.event.startsWith('target.')) return [];
+    return selectTargets(line, targets) ?? [];
   });
   return [
     ...[...beliefs.values()].map((line) => `  went by  ${write(line)}`),
--- a/src/rollouts/VersionJudge.ts
+++ b/src/rollouts/VersionJudge.ts
@@ -85,6 +85,7 @@
   /** Route that speaks most against the version; undefined if no single one does. */
   get suspectRoute(): string | undefined {
     const most = this.suspicion;
+    if (most === 0) return undefined;
     return [...this.routes].find(([, { test }]) => test.suspicion === most)?.[0];
   }
 
