--- a/src/soak/SoakWorld.ts
+++ b/src/soak/SoakWorld.ts
@@ -16,6 +16,9 @@
 
 export const ZONES = ['z-1', 'z-2', 'z-3'] as const;
 
+/** The only service. */
+export const SERVICE = 'soak';
+
 const GATEWAYS = 4;
 const TARGETS = 6;
 const SLOTS = 4;
@@ -57,8 +60,17 @@
 
   readonly bans: Ban[] = [];
 
+  /** Version that targets are started with. */
+  version = 'v1';
+
+  /** Whether operators are moving to another one. */
+  isRollingOut = false;
+
   /** @internal */
-  private version = 1;
+  private lastVersion = 1;
+
+  /** Version of the configuration. @internal */
+  private configuration = 1;
 
   /** @internal */
   private readonly extraRoutes: string[] = [];
@@ -99,16 +111,27 @@
     await this.store.stop();
   }
 
+  /** A stretch of time in which no gateway was disturbed, so that bounds hold for all of them. */
+  get isCalm(): boolean {
+    return this.gateways.every((gateway) => gateway.isUp && Date.now() > gateway.disturbedUntil);
+  }
+
+  /** Name of a version that no target had. */
+  nextVersion(): string {
+    this.lastVersion += 1;
+    return `v${this.lastVersion}`;
+  }
+
   /** Puts a configuration with one more route into force; gives the route's path. */
   addRoute(): string {
-    const name = `extra-${this.version}`;
+    const name = `extra-${this.configuration}`;
     this.extraRoutes.push(name);
     this.configure();
     return `/${name}/x`;
   }
 
   /** Starts a target under a new id and registers it. */
-  async addTarget(zone: string, version = 'v1'): Promise<SoakTarget> {
+  async addTarget(zone: string, version = this.version): Promise<SoakTarget> {
     this.born += 1;
     const id = `t-${this.born}`;
     const model = new PlatformTarget({
@@ -152,9 +175,9 @@
 
   /** @internal */
   private configure(): void {
-    this.version += 1;
+    this.configuration += 1;
     putConfiguration(this.store, {
-      version: this.version,
+      version: this.configuration,
       routes: [
         makeRoute('read', true),
         makeRoute('book', false),
--- a/src/soak/faults.ts
+++ b/src/soak/faults.ts
@@ -41,11 +41,6 @@
   gateway.disturbedUntil = Math.max(gateway.disturbedUntil, Date.now() + ms + SETTLE_MS);
 }
 
-/** A stretch of time in which no gateway was disturbed, so that bounds hold for all of them. */
-function isCalm(world: SoakWorld): boolean {
-  return world.gateways.every((gateway) => gateway.isUp && Date.now() > gateway.disturbedUntil);
-}
-
 function disturbStoreLink(mood: LinkMood): Fault {
   return async ({ world, random }) => {
     const index = Math.floor(random() * world.gateways.length);
@@ -174,11 +169,11 @@
     await world.addTarget(target.entry.zone);
     target.entry = { ...target.entry, isDraining: true };
     putTarget(world.store, target.entry);
-    const wasCalm = isCalm(world);
+    const wasCalm = world.isCalm;
     await wait(IN_FORCE_MS);
     const from = Date.now();
     await wait(1_000);
-    if (wasCalm && isCalm(world)) {
+    if (wasCalm && world.isCalm) {
       world.bans.push({
         target: target.entry.id,
         from,
@@ -195,7 +190,7 @@
     await wait(ZONE_OUT_MS);
     const from = Date.now();
     await wait(1_000);
-    if (isCalm(world)) {
+    if (world.isCalm) {
       for (const { entry } of world.targets.filter((each) => each.entry.zone === zone)) {
         world.bans.push({ target: entry.id, from, until: Date.now(), reason: `${zone} was out` });
       }
--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -14,11 +14,13 @@
   const seeds = readNumber('seeds', 1);
   const faultsMs = readNumber('seconds', 15) * 1_000;
   const isVerbose = process.argv.includes('--verbose');
+  const hasRollouts = process.argv.includes('--rollouts');
   let failed = 0;
   for (let seed = first; seed < first + seeds; seed++) {
     const { broken, requests, served, faults, dir } = await runSoak({
       seed,
       faultsMs,
+      hasRollouts,
       onFault: (name, atMs) => {
         if (isVerbose) process.stdout.write(`  ${(atMs / 1_000).toFixed(2)} s ${name}\n`);
       },
--- a/src/soak/runSoak.ts
+++ b/src/soak/runSoak.ts
@@ -6,6 +6,7 @@
 import { checkSoak } from './checkSoak.js';
 import type { FaultContext } from './faults.js';
 import { FAULTS } from './faults.js';
+import { orderRollout } from './rolloutFault.js';
 import { SoakCallers } from './SoakCallers.js';
 import { SoakWorld } from './SoakWorld.js';
 
@@ -14,6 +15,8 @@
   readonly seed: number;
   /** How long faults come, in milliseconds. */
   readonly faultsMs: number;
+  /** Whether versions are rolled out beside the faults. Seeds without it bring the same faults as ever. */
+  readonly hasRollouts?: boolean;
   /** Told of each fault as it begins. */
   readonly onFault?: (name: string, atMs: number) => void;
 }
@@ -50,18 +53,20 @@
 /** Brings faults about one after the other, without waiting for their ends. */
 async function bringFaults(
   context: FaultContext,
-  { faultsMs, onFault }: SoakOptions,
+  { faultsMs, hasRollouts = false, onFault }: SoakOptions,
   startedAt: number,
 ): Promise<string[]> {
   const names: string[] = [];
   const pending: Promise<void>[] = [];
   const endsAt = Date.now() + faultsMs;
+  const faults = hasRollouts ? { ...FAULTS, orderRollout } : FAULTS;
+  if (hasRollouts) pending.push(orderRollout(context));
   while (Date.now() < endsAt) {
-    const all = Object.keys(FAULTS);
+    const all = Object.keys(faults);
     const name = all[Math.floor(context.random() * all.length)];
     names.push(name);
     onFault?.(name, Date.now() - startedAt);
-    pending.push(FAULTS[name](context));
+    pending.push(faults[name](context));
     await wait(context.random() * MOST_GAP_MS);
   }
   await Promise.all(pending);
--- a/src/tests/soak/soak.test.ts
+++ b/src/tests/soak/soak.test.ts
@@ -71,3 +71,10 @@
   t.deepEqual(world.targets, [second]);
   await world.stop();
 });
+
+test('a version that is rolled out beside other faults is judged rightly', async (t) => {
+  // A bad version that is completed takes the old targets away from all callers.
+  t.timeout(90_000);
+  const { broken } = await runSoak({ seed: 3001, faultsMs: 3_000, hasRollouts: true });
+  t.deepEqual(broken, []);
+});
