Leave versions alone that a VM finds as it starts and knows no order of

A VM that restarts in the middle of a rollout reads orders that may be some seconds old beside targets that are newer. It took all versions that it found at first for usual ones. The version that most of a service's targets have is the usual one now, others wait 2.5 s as those do that come later. Found by reading; the test fails without it. A state is written under the stored order's own name, which need not be the service's.

--- a/src/balancing/fleetHandlers.ts
+++ b/src/balancing/fleetHandlers.ts
@@ -8,7 +8,7 @@
 import { sortByPreference } from './preference.js';
 import type { TargetRecord } from './TargetRecord.js';
 import { createTargetRecord, noteOutcome } from './TargetRecord.js';
-import { getHoldUntil } from './versions.js';
+import { holdNewVersions } from './versions.js';
 
 /** A configuration was read: it is adopted unless a later one is in force. */
 export function handleTable(state: BalancerState, { table }: TableRead): BalancerEffect[] {
@@ -56,7 +56,6 @@
     known.entry.service === entry.service;
   if (!isSame) {
     const record = createTargetRecord(entry, now);
-    record.heldUntil = getHoldUntil(state, entry, now);
     state.targets.set(entry.id, record);
     for (const request of known?.probeWaiters ?? []) {
       state.journeys.get(request)?.round?.waitingFor.delete(entry.id);
@@ -89,8 +88,10 @@
   }
   const events = targets.map((entry) => takeEntry(state, entry, context.now));
   const select = (event: TargetEvent) => targets.filter((_, i) => events[i] === event);
+  const added = select('target.added');
   const { vm, zone } = state.settings;
   const groups = groupByService(state.targets.values());
+  holdNewVersions(state, groups, new Set(added.map(({ id }) => id)), context.now);
   state.byService = new Map(
     [...groups].map(([service, group]) => [service, sortByPreference(group, vm, zone)]),
   );
@@ -98,7 +99,7 @@
   state.cold.keepOnly(state.targets);
   return [
     ...logTargets('target.removed', removed),
-    ...logTargets('target.added', select('target.added')),
+    ...logTargets('target.added', added),
     ...logTargets('target.draining', select('target.draining')),
   ];
 }
--- a/src/balancing/versions.ts
+++ b/src/balancing/versions.ts
@@ -3,7 +3,6 @@
 import type { BalancerEffect } from './effects.js';
 import type { RolloutGuided, RolloutsRead } from './events.js';
 import type { Journey, Sending } from './Journey.js';
-import type { TargetEntry } from './model.js';
 import type { ServiceRollout } from './ServiceVersions.js';
 import { getRouteShare, getStage, getTargetsInUse } from './ServiceVersions.js';
 import type { TargetRecord } from './TargetRecord.js';
@@ -173,19 +172,29 @@
 }
 
 /**
- * Until when a target that has just registered is left alone since its version is new to the service.
- * @param state - What is known.
- * @param entry - The target.
+ * Leaves targets alone for a while that have just become known, if their version is new to the service.
+ * A process that has just started takes the version that most targets have for the usual one.
+ * @param state - What is known, with targets by service as they were before.
+ * @param groups - Targets by service as they are now.
+ * @param added - Ids of those that have just become known.
  * @param now - Monotonic milliseconds.
  */
-export function getHoldUntil(
+export function holdNewVersions(
   { versions, byService }: BalancerState,
-  { service, version }: TargetEntry,
+  groups: ReadonlyMap<ServiceName, readonly TargetRecord[]>,
+  added: ReadonlySet<TargetId>,
   now: number,
-): number {
-  const known = byService.get(service) ?? [];
-  if (!versions.isUsed || known.length === 0) return 0;
-  return known.some(({ entry }) => entry.version === version) ? 0 : now + UNORDERED_HOLD_MS;
+): void {
+  if (!versions.isUsed) return;
+  for (const [service, group] of groups) {
+    const before = byService.get(service) ?? [];
+    const known = new Set(before.map(({ entry }) => entry.version));
+    if (known.size === 0) known.add(getMainVersion(group) ?? '');
+    for (const record of group) {
+      const isNew = added.has(record.entry.id) && !known.has(record.entry.version);
+      if (isNew) record.heldUntil = now + UNORDERED_HOLD_MS;
+    }
+  }
 }
 
 /** Requests at targets of other versions than the one that a service moves to. */
--- a/src/lab/playRollout.ts
+++ b/src/lab/playRollout.ts
@@ -101,6 +101,7 @@
     const newTargets = this.fresh.map(({ id }) => id);
     const order = {
       id: 'o-1',
+      name: 'lab',
       service: 'lab',
       version: 'v2',
       durationMs: plan.durationMs,
--- a/src/platform/ObjectStore.ts
+++ b/src/platform/ObjectStore.ts
@@ -195,7 +195,7 @@
   }
 
   async writeRolloutState(order: RolloutOrder, state: RolloutState): Promise<boolean> {
-    const { service: name, version, revision } = order;
+    const { name, version, revision } = order;
     const object = { metadata: { name, revision }, status: encodeRolloutStatus(version, state) };
     const path = `${PATH}/${CODECS.rollouts.kind}/${name}/status`;
     const { status } = await this.call('PUT', path, 'rollouts', object);
--- a/src/platform/decode.ts
+++ b/src/platform/decode.ts
@@ -216,6 +216,7 @@
   const isOfVersion = written.target_version === version;
   return {
     id: `${metadata.name}@${metadata.create_revision ?? 0}/${version}`,
+    name: metadata.name,
     service: asText(order.service, 'service'),
     version,
     durationMs: asMs(order.duration, 'duration'),
--- a/src/rollouts/model.ts
+++ b/src/rollouts/model.ts
@@ -7,6 +7,8 @@
 export interface RolloutOrder {
   /** Tells an order apart from earlier ones of the same service. */
   readonly id: string;
+  /** Name of the stored order. */
+  readonly name: string;
   readonly service: ServiceName;
   /** Version to move to. */
   readonly version: string;
--- a/src/tests/balancing/versions.test.ts
+++ b/src/tests/balancing/versions.test.ts
@@ -10,6 +10,7 @@
 
 const ORDER: RolloutOrder = {
   id: 'horaires@1/v2',
+  name: 'horaires',
   service: 'horaires',
   version: 'v2',
   durationMs: 12_000,
@@ -134,3 +135,11 @@
   t.regex(key, /^new\d lookup$/);
   t.deepEqual(count, { answers: 1, bad: 1 });
 });
+
+test('a VM that starts in the middle of a rollout sends nothing to a version that it knows no order of', (t) => {
+  // Its list of orders may be seconds old, and that of targets newer.
+  const scene = new Scene([], undefined, 'vm-1', { share: 0.1, slack: 50 });
+  scene.dispatch({ kind: 'rolloutsRead', orders: [] });
+  scene.dispatch({ kind: 'targetsRead', targets: [...OLD, ...NEW.slice(1)] });
+  t.is(serve(scene, 15), 0);
+});
--- a/src/tests/fleet/RolloutSync.test.ts
+++ b/src/tests/fleet/RolloutSync.test.ts
@@ -43,6 +43,7 @@
 
   order: RolloutOrder = {
     id: 'horaires@1/v2',
+    name: 'horaires',
     service: 'horaires',
     version: 'v2',
     durationMs: DURATION_MS,
--- a/src/tests/rollouts/RolloutCoordinator.test.ts
+++ b/src/tests/rollouts/RolloutCoordinator.test.ts
@@ -10,6 +10,7 @@
 
 const ORDER = {
   id: 'horaires@1/v2',
+  name: 'horaires',
   service: 'horaires',
   version: 'v2',
   durationMs: DURATION_MS,
