Complete nothing that VMs no longer report on

A coordinator that VMs had left for others kept what it heard last: its list of fresh reports was empty, so that each of none had moved, and it would have told the store that the rollout is complete. Found by reading the code; the test fails without it.

--- a/src/rollouts/RolloutCoordinator.ts
+++ b/src/rollouts/RolloutCoordinator.ts
@@ -119,8 +119,8 @@
   /** @internal */
   private phaseSince: number;
 
-  /** Whether enough VMs report. @internal */
-  private isHeard = false;
+  /** Entry VMs that there are, by the last decision. @internal */
+  private vmCount = Number.POSITIVE_INFINITY;
 
   /** Index in `MOVE_SHARES`. @internal */
   private step = 0;
@@ -170,8 +170,8 @@
     this.judge.take(this.tally.takeSteps(), now);
     if (this.phase !== 'stopped' && this.judge.verdict === 'bad') this.enter('stopped', now);
     if (this.phase === 'stopped') return { phase: 'stopped', share: 0 };
-    this.isHeard = this.getHeard(now).length >= LEAST_HEARD_SHARE * vmCount;
-    if (!this.isHeard || now - this.startedAt < HEARING_MS) return undefined;
+    this.vmCount = vmCount;
+    if (!this.isHeard(now) || now - this.startedAt < HEARING_MS) return undefined;
     this.advance(now);
     const share = this.getShare(now);
     if (this.phase !== 'trial' || share === 0) return { phase: this.phase, share };
@@ -184,9 +184,8 @@
    */
   getDueState(now: number): RolloutState | undefined {
     if (this.phase === 'stopped') return 'rolledBack';
-    if (this.phase === 'moved') {
-      return this.isHeard && this.isMoveDone(now) ? 'completed' : undefined;
-    }
+    if (!this.isHeard(now)) return undefined;
+    if (this.phase === 'moved') return this.isMoveDone(now) ? 'completed' : undefined;
     return this.isDoubtOver(now) ? 'rolledBack' : undefined;
   }
 
@@ -253,6 +252,11 @@
     return [...this.vms.values()].filter(({ at }) => now - at < REPORT_FRESH_MS);
   }
 
+  /** Whether enough VMs report. @internal */
+  private isHeard(now: number): boolean {
+    return this.getHeard(now).length >= LEAST_HEARD_SHARE * this.vmCount;
+  }
+
   /** Age of the order at which the move may begin, in milliseconds. @internal */
   private get moveAt(): number {
     const { durationMs } = this.order;
--- a/src/tests/rollouts/RolloutCoordinator.test.ts
+++ b/src/tests/rollouts/RolloutCoordinator.test.ts
@@ -233,3 +233,13 @@
   t.is(scene.coordinator.decide(scene.now, 10), undefined);
   t.is(scene.coordinator.getDueState(scene.now), undefined);
 });
+
+test('a coordinator that VMs no longer report to completes nothing', (t) => {
+  // They may be cut off from it and have gone on to others, which have condemned the version meanwhile.
+  const scene = new CoordinatorScene();
+  scene.pass(9_500);
+  scene.vm.oldRequests = 1;
+  scene.report();
+  t.is(scene.vm.phase, 'moved');
+  t.is(scene.coordinator.getDueState(scene.now + 5_000), undefined);
+});
