--- a/src/tests/balancing/versions.test.ts
+++ b/src/tests/balancing/versions.test.ts
@@ -140,6 +140,6 @@
   // Its list of orders may be seconds old, and that of targets newer.
   const scene = new Scene([], undefined, 'vm-1', { share: 0.1, slack: 50 });
   scene.dispatch({ kind: 'rolloutsRead', orders: [] });
-  scene.dispatch({ kind: 'targetsRead', targets: [...OLD, ...NEW.slice(1)] });
+  scene.dispatch({ kind: 'targetsRead', targets: [...NEW.slice(1), ...OLD] });
   t.is(serve(scene, 15), 0);
 });
