--- a/src/balancing/index.ts
+++ b/src/balancing/index.ts
@@ -10,4 +10,5 @@
 export type { ServiceRollout, VersionStage } from './ServiceVersions.js';
 export { getRouteShare, getStage, getTargetsInUse } from './ServiceVersions.js';
 export * from './settings.js';
-export { countOldRequests } from './versions.js';
+export type { RolloutFigures } from './versions.js';
+export { countOldRequests, getRolloutFigures } from './versions.js';
--- a/src/balancing/versions.ts
+++ b/src/balancing/versions.ts
@@ -3,7 +3,8 @@
 import type { BalancerEffect } from './effects.js';
 import type { RolloutGuided, RolloutsRead } from './events.js';
 import type { Journey, Sending } from './Journey.js';
-import type { ServiceRollout } from './ServiceVersions.js';
+import type { AnswerCounts } from '../rollouts/index.js';
+import type { ServiceRollout, VersionStage } from './ServiceVersions.js';
 import { getRouteShare, getStage, getTargetsInUse } from './ServiceVersions.js';
 import type { TargetRecord } from './TargetRecord.js';
 
@@ -206,6 +207,42 @@
   return count;
 }
 
+/** What metrics tell of a rollout. */
+export interface RolloutFigures {
+  readonly version: string;
+  readonly stage: VersionStage;
+  /** Share of the requests that go to the new version. */
+  readonly share: number;
+  /** Answers of old and of new targets. */
+  readonly counts: Readonly<Record<'old' | 'new', AnswerCounts>>;
+}
+
+const ALL_OR_NONE: Readonly<Partial<Record<VersionStage, number>>> = {
+  paused: 0,
+  stopped: 0,
+  moved: 1,
+  completed: 1,
+};
+
+/**
+ * Rollouts that this VM knows of, by service.
+ * @param state - What is known.
+ * @param now - Monotonic milliseconds.
+ */
+export function getRolloutFigures(
+  { versions }: BalancerState,
+  now: number,
+): ReadonlyMap<ServiceName, RolloutFigures> {
+  const figures = new Map<ServiceName, RolloutFigures>();
+  for (const [service, rollout] of versions.rollouts) {
+    const stage = getStage(rollout, now);
+    const share = ALL_OR_NONE[stage] ?? rollout.guidance?.share ?? 0;
+    const { version } = rollout.order;
+    figures.set(service, { version, stage, share, counts: rollout.evidence.sums });
+  }
+  return figures;
+}
+
 /** The orders were read. */
 export function handleRollouts(
   state: BalancerState,
--- a/src/gateway/GatewayMetrics.ts
+++ b/src/gateway/GatewayMetrics.ts
@@ -1,6 +1,6 @@
 import type { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
-import type { LearntCurve, LogEffect, TargetStanding } from '../balancing/index.js';
+import type { LearntCurve, LogEffect, RolloutFigures, TargetStanding } from '../balancing/index.js';
 import { TARGET_STANDINGS } from '../balancing/index.js';
 
 /** Observations kept until the library is loaded; later ones push out the oldest. */
@@ -23,6 +23,8 @@
   readonly feedMessages: Counter;
   readonly learntSlowdown: Gauge;
   readonly learntWeight: Gauge;
+  readonly rolloutShare: Gauge;
+  readonly rolloutAnswers: Gauge;
 }
 
 interface Observation {
@@ -38,6 +40,8 @@
   getTargets(): ReadonlyMap<string, Readonly<Record<TargetStanding, number>>>;
   /** What is learnt of each service's targets. */
   getCurves(): ReadonlyMap<string, LearntCurve>;
+  /** Rollouts that this VM knows of, by service. */
+  getRollouts(): ReadonlyMap<string, RolloutFigures>;
   /** Time since the store's word was last confirmed, in milliseconds. */
   getStoreAgeMs(): number;
   /** Requests that have no answer yet. */
@@ -46,6 +50,28 @@
   getFeedMessages(): number;
 }
 
+type Prom = typeof import('prom-client');
+
+function createRolloutGauges(
+  prom: Prom,
+  registers: Registry[],
+): Pick<Loaded, 'rolloutShare' | 'rolloutAnswers'> {
+  return {
+    rolloutShare: new prom.Gauge({
+      name: 'masticlink_gateway_rollout_share',
+      help: 'Share of a service’s requests that go to the version which is rolled out, by stage.',
+      labelNames: ['service', 'version', 'stage'],
+      registers,
+    }),
+    rolloutAnswers: new prom.Gauge({
+      name: 'masticlink_gateway_rollout_answers',
+      help: 'Answers that this VM counted for and against a version while it is rolled out.',
+      labelNames: ['service', 'targets', 'outcome'],
+      registers,
+    }),
+  };
+}
+
 async function loadMetrics(): Promise<Loaded> {
   const prom = await import('prom-client');
   const registry = new prom.Registry();
@@ -109,6 +135,7 @@
       labelNames: ['service'],
       registers,
     }),
+    ...createRolloutGauges(prom, registers),
   };
 }
 
@@ -152,6 +179,7 @@
     this.takeCounts(loaded);
     this.takeStandings(loaded);
     this.takeLearnt(loaded);
+    this.takeRollouts(loaded);
     const { registry } = loaded;
     return { type: registry.contentType, text: await registry.metrics() };
   }
@@ -186,6 +214,19 @@
     }
   }
 
+  /** @internal */
+  private takeRollouts({ rolloutShare, rolloutAnswers }: Loaded): void {
+    rolloutShare.reset();
+    rolloutAnswers.reset();
+    for (const [service, { version, stage, share, counts }] of this.sources.getRollouts()) {
+      rolloutShare.set({ service, version, stage }, share);
+      for (const [targets, { answers, bad }] of Object.entries(counts)) {
+        rolloutAnswers.set({ service, targets, outcome: 'good' }, answers - bad);
+        rolloutAnswers.set({ service, targets, outcome: 'bad' }, bad);
+      }
+    }
+  }
+
   /** @internal */
   private takeStandings({ targets, storeAge, requests }: Loaded): void {
     targets.reset();
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -3,6 +3,7 @@
   countOldRequests,
   countTargets,
   createBalancerState,
+  getRolloutFigures,
   getStage,
 } from '../balancing/index.js';
 import type { GatewaySettings } from '../config/index.js';
@@ -149,6 +150,7 @@
       getTargets: () => countTargets(this.state, clock.now()),
       getCurves: () =>
         new Map([...this.state.curves].map(([service, { learnt }]) => [service, learnt])),
+      getRollouts: () => getRolloutFigures(this.state, clock.now()),
       getStoreAgeMs: () => view.getAgeMs(),
       getRequests: () => this.sendings.size,
       getFeedMessages: () => this.sync.sentMessages,
--- a/src/rollouts/evidence.ts
+++ b/src/rollouts/evidence.ts
@@ -1,4 +1,4 @@
-import type { EvidenceCounts } from './model.js';
+import type { AnswerCounts, EvidenceCounts } from './model.js';
 
 /**
  * New targets are told apart by so many groups, which bounds what a VM reports; those of a trial, the
@@ -57,4 +57,15 @@
   get totals(): EvidenceCounts {
     return Object.fromEntries([...this.counts].map(([key, count]) => [key, { ...count }]));
   }
+
+  /** Totals of old and of new targets. */
+  get sums(): Readonly<Record<'old' | 'new', AnswerCounts>> {
+    const sums = { old: { answers: 0, bad: 0 }, new: { answers: 0, bad: 0 } };
+    for (const [key, { answers, bad }] of this.counts) {
+      const sum = sums[parseEvidenceKey(key).group === undefined ? 'old' : 'new'];
+      sum.answers += answers;
+      sum.bad += bad;
+    }
+    return sums;
+  }
 }
--- a/src/tests/gateway/GatewayMetrics.test.ts
+++ b/src/tests/gateway/GatewayMetrics.test.ts
@@ -8,6 +8,18 @@
     getProbes: () => 7,
     getTargets: () =>
       new Map([['horaires', { draining: 1, zoneOut: 0, dead: 2, cold: 0, usable: 9 }]]),
+    getRollouts: () =>
+      new Map([
+        [
+          'horaires',
+          {
+            version: 'v2',
+            stage: 'trial' as const,
+            share: 0.08,
+            counts: { old: { answers: 90, bad: 2 }, new: { answers: 8, bad: 1 } },
+          },
+        ],
+      ]),
     getCurves: () =>
       new Map([
         [
@@ -40,6 +52,7 @@
     getProbes: () => 0,
     getTargets: () => new Map(),
     getCurves: () => new Map(),
+    getRollouts: () => new Map(),
     getStoreAgeMs: () => Number.POSITIVE_INFINITY,
     getRequests: () => 0,
     getFeedMessages: () => 0,
