--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -1,11 +1,5 @@
 import type { BalancerEffect, BalancerState } from '../balancing/index.js';
-import {
-  countOldRequests,
-  countTargets,
-  createBalancerState,
-  getRolloutFigures,
-  getStage,
-} from '../balancing/index.js';
+import { countTargets, createBalancerState, getRolloutFigures } from '../balancing/index.js';
 import type { GatewaySettings } from '../config/index.js';
 import { CallerServer } from '../entry/api/CallerServer.js';
 import { FeedClient } from '../fleet/FeedClient.js';
@@ -14,18 +8,18 @@
 import { FleetSync } from '../fleet/FleetSync.js';
 import { FleetView } from '../fleet/FleetView.js';
 import { Neighbours } from '../fleet/Neighbours.js';
-import type { OwnRollout } from '../fleet/RolloutSync.js';
 import { RolloutSync } from '../fleet/RolloutSync.js';
 import type { EventLog } from '../logging/EventLog.js';
 import { ObjectStore } from '../platform/index.js';
 import type { Section } from '../fleet/FleetStore.js';
-import type { ExposureBound, RolloutOrder } from '../rollouts/index.js';
+import type { ExposureBound } from '../rollouts/index.js';
 import type { Clock } from '../timing/index.js';
 import { TimerService } from '../timing/index.js';
 import { BalancerLoop } from './BalancerLoop.js';
 import { CallerDoor } from './CallerDoor.js';
 import { GatewayMetrics } from './GatewayMetrics.js';
 import { GatewayPages } from './GatewayPages.js';
+import { getOwnRollout } from './getOwnRollout.js';
 import { Prober } from './Prober.js';
 import { Sendings } from './Sendings.js';
 import { TargetAgents } from './TargetAgents.js';
@@ -189,7 +183,7 @@
       log,
       bound,
       send: (text, address) => this.neighbours.send(text, address),
-      getOwn: (order) => this.getOwnRollout(order),
+      getOwn: (order) => getOwnRollout(this.state, order, clock.now()),
       onGuidance: (order, guidance, until) =>
         this.loop.dispatch({ kind: 'rolloutGuided', order, guidance, until }),
     });
@@ -304,18 +298,6 @@
     }
   }
 
-  /** What this VM reports of an order. @internal */
-  private getOwnRollout({ id, service }: RolloutOrder): OwnRollout | undefined {
-    const rollout = this.state.versions.rollouts.get(service);
-    if (rollout === undefined || rollout.order.id !== id) return undefined;
-    const stage = getStage(rollout, this.parts.clock.now());
-    return {
-      phase: stage === 'paused' || stage === 'completed' ? 'trial' : stage,
-      oldRequests: countOldRequests(this.state, rollout),
-      counts: rollout.evidence.totals,
-    };
-  }
-
   /** @internal */
   private applyLimits(): void {
     const { table, vms } = this.view;
--- a/src/rollouts/RolloutCoordinator.ts
+++ b/src/rollouts/RolloutCoordinator.ts
@@ -7,22 +7,11 @@
 } from './model.js';
 import { ROLLOUT_PHASES } from './model.js';
 import { RolloutTally } from './RolloutTally.js';
+import type { ExposureBound } from './trialShare.js';
+import { getRouteShares, getTrialShare } from './trialShare.js';
 import { MOST_SUSPICION, VersionJudge } from './VersionJudge.js';
 import type { VersionTest } from './VersionTest.js';
 
-/** Part of the exposure that operators allow which a trial uses: VMs learn late that it is over. */
-const SHARE_USED = 0.7;
-const SLACK_USED = 0.6;
-
-/** Largest share of a trial, for services with few requests. */
-const MOST_TRIAL_SHARE = 0.3;
-
-/** Largest share of one route's requests that a trial takes, however rare they are. */
-const MOST_ROUTE_SHARE = 0.8;
-
-/** A trial that has used up so much of the exposure that operators allow gets no more requests. */
-const EXPOSURE_USED_UP = 0.8;
-
 /** A coordinator that has just begun hears from all VMs first, in milliseconds. */
 const HEARING_MS = 600;
 
@@ -64,14 +53,6 @@
 /** A version that is still in doubt after so many times the ordered time is taken back. */
 const DOUBT_ENDS_AFTER = 2;
 
-/** What operators allow a version that turns out to be bad. */
-export interface ExposureBound {
-  /** Share of a service's requests from the order to its limit. */
-  readonly share: number;
-  /** Requests on top. */
-  readonly slack: number;
-}
-
 interface KnownVm {
   readonly phase: RolloutPhase;
   readonly oldRequests: number;
@@ -175,7 +156,7 @@
     this.advance(now);
     const share = this.getShare(now);
     if (this.phase !== 'trial' || share === 0) return { phase: this.phase, share };
-    return { phase: this.phase, share, routeShares: this.getRouteShares(share) };
+    return { phase: this.phase, share, routeShares: getRouteShares(share, this.judge.routeParts) };
   }
 
   /**
@@ -267,27 +248,7 @@
   private getShare(now: number): number {
     if (this.phase === 'moved') return 1;
     if (this.phase === 'moving') return MOVE_SHARES[this.step];
-    const { share, slack } = this.bound;
-    const { old, new: fresh } = this.tally.totals;
-    const requests = old.answers + fresh.answers;
-    if (fresh.answers > EXPOSURE_USED_UP * (share * requests + slack)) return 0;
-    const ageMs = Math.max(1, this.getAge(now));
-    const expected = Math.max(requests, (requests * this.order.durationMs) / ageMs);
-    const bySlack = requests === 0 ? 0 : (SLACK_USED * slack) / expected;
-    return Math.min(MOST_TRIAL_SHARE, SHARE_USED * share + bySlack);
-  }
-
-  /**
-   * Each route has as many requests tried as any other, as far as that goes: a version may fail on a
-   * single one, and a rare one.
-   * @internal
-   */
-  private getRouteShares(share: number): Readonly<Record<string, number>> {
-    const parts = this.judge.routeParts;
-    const even = share / Math.max(1, parts.size);
-    return Object.fromEntries(
-      [...parts].map(([route, part]) => [route, Math.min(MOST_ROUTE_SHARE, even / part)]),
-    );
+    return getTrialShare(this.bound, this.tally.totals, this.getAge(now), this.order.durationMs);
   }
 
   /** Whether old targets may stop without a loss, or have to since the limit is near. @internal */
