Log which limits targets name, and under which one a request is sent

For the incident on targets that name a limit: no line and no metric said what a target asks for, so the logs could not tell VMs that do not know from VMs that each keep to a limit alone. Nothing decides by it yet.

--- a/src/balancing/TargetRecord.ts
+++ b/src/balancing/TargetRecord.ts
@@ -26,6 +26,8 @@
   outstanding: number;
   /** Until when it is cold; monotonic milliseconds. */
   coldUntil: number;
+  /** Requests a second that it said it takes from all entry VMs together; undefined if it names none. */
+  limitPerSecond: number | undefined;
   /** No request is sent, and no probe, before this time: it took no connection. */
   deadUntil: number;
   /** Times in a row that it took no connection or answered no probe. */
@@ -55,6 +57,7 @@
     sentSinceReading: 0,
     outstanding: 0,
     coldUntil: entry.coldMs > 0 ? now + entry.coldMs : 0,
+    limitPerSecond: undefined,
     deadUntil: 0,
     deadTimes: 0,
     failures: 0,
--- a/src/balancing/events.ts
+++ b/src/balancing/events.ts
@@ -1,6 +1,6 @@
 import type { AttemptId, RequestId, TargetId, ZoneName } from '../core/model/index.js';
 import type { RolloutGuidance, RolloutOrder } from '../rollouts/index.js';
-import type { LoadReading, RoutingTable, TargetEntry } from './model.js';
+import type { LoadReading, NamedLimit, RoutingTable, TargetEntry } from './model.js';
 
 /** A caller's request is here as a whole. */
 export interface RequestArrived {
@@ -25,7 +25,12 @@
 
 /** How a probe ended. */
 export type ProbeEnd =
-  | { readonly kind: 'answered'; readonly reading: LoadReading; readonly coldMs: number }
+  | {
+      readonly kind: 'answered';
+      readonly reading: LoadReading;
+      readonly coldMs: number;
+      readonly limit?: NamedLimit;
+    }
   /** Another target has the address, or the same one has started anew. */
   | { readonly kind: 'stranger' }
   | { readonly kind: 'refused' }
@@ -43,9 +48,14 @@
 /** How a sending ended. */
 export type AttemptEnd =
   /** A whole answer that belongs to the request, ready to be delivered. */
-  | { readonly kind: 'answered'; readonly status: number; readonly reading?: LoadReading }
+  | {
+      readonly kind: 'answered';
+      readonly status: number;
+      readonly reading?: LoadReading;
+      readonly limit?: NamedLimit;
+    }
   /** The target said that it has not run the request and never will. */
-  | { readonly kind: 'rejected'; readonly reading?: LoadReading }
+  | { readonly kind: 'rejected'; readonly reading?: LoadReading; readonly limit?: NamedLimit }
   /** Another target has the address; it has not run the request. */
   | { readonly kind: 'misdirected' }
   /** No connection came about, so nothing was sent. */
--- a/src/balancing/learning.ts
+++ b/src/balancing/learning.ts
@@ -3,6 +3,7 @@
 import type { BalancerEffect } from './effects.js';
 import type { AttemptEnd } from './events.js';
 import type { Journey, Sending } from './Journey.js';
+import { noteLimit } from './limits.js';
 import { DEAD_MOST_MS, DEAD_MS, FIRST_FAILURE, GOOD_SLOWDOWN } from './settings.js';
 import type { TargetRecord } from './TargetRecord.js';
 import { noteOutcome, noteSlowness } from './TargetRecord.js';
@@ -78,6 +79,8 @@
   now: number,
 ): BalancerEffect[] {
   const { target } = sending;
+  const effects =
+    end.kind === 'answered' || end.kind === 'rejected' ? noteLimit(target, end.limit) : [];
   if (end.kind === 'unsent' || end.kind === 'misdirected') return markDead(target, now);
   if ((end.kind === 'answered' || end.kind === 'rejected') && end.reading !== undefined) {
     target.reading = end.reading;
@@ -87,8 +90,10 @@
   noteOutcome(target, !isSuccess, now);
   const isCounted = sending.isOverdue || end.kind === 'rejected';
   if (!isCounted) noteVersionAnswer(state, journey, sending, !isSuccess);
-  if (!isSuccess) return [];
+  if (!isSuccess) return effects;
   const tookMs = now - sending.sentAt;
   noteSlowness(target, tookMs / Math.max(1, sending.expectedMs), now);
-  return isOnTrial(state, target) ? [] : learnTimes(state, journey, sending, tookMs);
+  return isOnTrial(state, target)
+    ? effects
+    : [...effects, ...learnTimes(state, journey, sending, tookMs)];
 }
--- a/src/balancing/model.ts
+++ b/src/balancing/model.ts
@@ -101,3 +101,9 @@
   readonly slowdown: number;
   readonly isHealthy: boolean;
 }
+
+/**
+ * What an answer says of the requests a second that its target takes from all entry VMs together:
+ * undefined if it names no limit.
+ */
+export type NamedLimit = number | 'unreadable' | undefined;
--- a/src/balancing/placing.ts
+++ b/src/balancing/placing.ts
@@ -143,6 +143,7 @@
         slowdown: reading?.slowdown,
         readingAgeMs: reading === undefined ? undefined : Math.round(now - reading.at),
         isCold,
+        limitPerSecond: record.limitPerSecond,
         allowedMs: Math.round(journey.deadlineAt - now),
         sinceFirstMs: journey.sinceFirstMs,
         failures: Number(getScores(record, now).failures.toFixed(2)),
--- a/src/gateway/Prober.ts
+++ b/src/gateway/Prober.ts
@@ -72,7 +72,10 @@
       }
       if (head.target !== undefined && head.target !== to.target) finish({ kind: 'stranger' });
       else if (head.reading === undefined) finish({ kind: 'broken' });
-      else finish({ kind: 'answered', reading: head.reading, coldMs: head.coldMs });
+      else {
+        const { reading, coldMs, limit } = head;
+        finish({ kind: 'answered', reading, coldMs, limit });
+      }
       res.resume();
     });
     req.once('error', () => {
--- a/src/gateway/TargetSending.ts
+++ b/src/gateway/TargetSending.ts
@@ -174,7 +174,7 @@
   /** What the head alone decides; undefined if the body is to be read. @internal */
   private judgeHead(status: number, head: TargetHead): AttemptEnd | undefined {
     const { callerRequestId } = this.parts;
-    if (head.hasNotRun) return { kind: 'rejected', reading: head.reading };
+    if (head.hasNotRun) return { kind: 'rejected', reading: head.reading, limit: head.limit };
     if (status === MISDIRECTED) return { kind: 'misdirected' };
     // A late answer to an earlier request on this connection; its own answer may yet be made.
     if (callerRequestId !== undefined && head.callerRequestId !== callerRequestId) {
@@ -190,7 +190,7 @@
     status: number,
     res: IncomingMessage,
     chunks: readonly Buffer[],
-    { reading }: TargetHead,
+    { reading, limit }: TargetHead,
     rest: IncomingMessage | undefined,
   ): void {
     if (this.isOver) return;
@@ -203,7 +203,7 @@
       body: isFalse ? Buffer.alloc(0) : Buffer.concat(chunks),
       rest: isFalse ? undefined : rest,
     };
-    this.finish({ kind: 'answered', status, reading });
+    this.finish({ kind: 'answered', status, reading, limit });
   }
 
   /**
--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -21,5 +21,8 @@
 /** Running, waiting, slots and, as a fourth figure, slowdown of the target's VM in percent. */
 export const LOAD = 'x-masticlink-server-load';
 
+/** Requests a second that the target takes from all entry VMs together, while it says so. */
+export const LIMIT = 'server-limit';
+
 /** How much longer a target stays cold, in milliseconds; only in answers to probes. */
 export const COLD_MS = 'x-masticlink-warmup-ms';
--- a/src/platform/requests.ts
+++ b/src/platform/requests.ts
@@ -1,16 +1,18 @@
 import type { IncomingHttpHeaders } from 'node:http';
 
-import type { LoadReading } from '../balancing/index.js';
+import type { LoadReading, NamedLimit } from '../balancing/index.js';
 import {
   COLD_MS,
   DEADLINE_MS,
   EXPECTED_TARGET,
+  LIMIT,
   LOAD,
   NOT_EXECUTED,
   REQUEST_ID,
   SIGNATURE,
   TARGET_ID,
 } from './headers.js';
+import { readLimit } from './readLimit.js';
 import { readLoad } from './readLoad.js';
 
 /** What a caller's request says of itself. */
@@ -84,6 +86,8 @@
   readonly reading: LoadReading | undefined;
   /** How much longer the target stays cold, in milliseconds. */
   readonly coldMs: number;
+  /** Requests a second that it takes from all entry VMs together. */
+  readonly limit: NamedLimit;
 }
 
 function getText(headers: IncomingHttpHeaders, name: string): string | undefined {
@@ -111,5 +115,6 @@
     isEncoded: headers['content-encoding'] !== undefined,
     reading: readLoad(getText(headers, LOAD), isHealthy, now),
     coldMs: Number.isFinite(coldMs) ? coldMs : 0,
+    limit: readLimit(getText(headers, LIMIT)),
   };
 }
--- a/src/report/explainRequest.ts
+++ b/src/report/explainRequest.ts
@@ -59,7 +59,14 @@
 const SENTENCES: Readonly<Record<string, Sentence>> = {
   'request.sent': (f) =>
     `sent to ${say(f.target)}: running ${say(f.running)}, waiting ${say(f.waiting)}, slowdown ` +
-    `${say(f.slowdown)}, read ${say(f.readingAgeMs)} ms before; expected ${say(f.expectedMs)} ms`,
+    `${say(f.slowdown)}, read ${say(f.readingAgeMs)} ms before; expected ${say(f.expectedMs)} ms${
+      f.limitPerSecond === undefined ? '' : `; it takes ${say(f.limitPerSecond)} requests a second`
+    }`,
+  'target.limited': (f) => {
+    const before = f.before === undefined ? '' : `, before ${say(f.before)}`;
+    return `${say(f.target)} takes ${say(f.perSecond)} requests a second from all VMs together${before}`;
+  },
+  'target.unlimited': (f) => `${say(f.target)} names no limit any more, before ${say(f.before)}`,
   'attempt.failed': (f) =>
     `${say(f.target)} failed it after ${say(f.tookMs)} ms: ${say(f.end)}${
       f.status === undefined ? '' : ` with ${say(f.status)}`
