Failing tests: targets that name a limit get several times what it allows

The emulator's targets can name limits, for a while, falling, or with a part of their answers; the stretch of 4 s that is worst is found by one function, which the loopback trial uses too.

--- a/scripts/test.js
+++ b/scripts/test.js
@@ -46,10 +46,18 @@
     });
 }
 
+/** Title of the one test that a known red's command runs; undefined if it is another command. */
+function getTestTitle({ command }) {
+  return /^npx ava .*--match='([^']+)'$/.exec(command)?.[1];
+}
+
 function runTests() {
-  const { ok, output } = run('npx ava --tap', { quiet: true });
+  const { ok: isGreen, output } = run('npx ava --tap', { quiet: true });
   const passed = (output.match(/^ok \d+/gm) ?? []).length;
-  const failures = output.match(/^not ok \d+.*$/gm) ?? [];
+  const knownRed = readKnownRed().map(getTestTitle).filter(Boolean);
+  const notOk = output.match(/^not ok \d+.*$/gm) ?? [];
+  const failures = notOk.filter((line) => !knownRed.some((title) => line.endsWith(` › ${title}`)));
+  const ok = isGreen || (notOk.length > 0 && failures.length === 0);
   totals.passed += passed;
   totals.failed += failures.length;
   console.log(`${ok ? 'ok' : 'FAILED'}: tests, ${passed} passed, ${failures.length} failed`);
--- a/src/lab/LabPlan.ts
+++ b/src/lab/LabPlan.ts
@@ -51,6 +51,27 @@
   readonly share: number;
 }
 
+/** A stretch of time in which the first targets of a service name a limit. */
+export interface Limiting {
+  readonly service: string;
+  /** How many of its targets do. */
+  readonly count: number;
+  readonly fromMs: number;
+  readonly untilMs: number;
+  /** Requests a second that each takes from all VMs together. */
+  readonly perSecond: number;
+  /** Part of their answers that name it. */
+  readonly share?: number;
+}
+
+/** A stretch of time in which a VM is down; it comes back knowing nothing. */
+export interface VmDown {
+  /** Its number, from 0. */
+  readonly vm: number;
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
+
 /** A deployment, its load and its troubles. */
 export interface LabPlan {
   readonly vms: number;
@@ -58,6 +79,8 @@
   readonly routes: readonly RoutePlan[];
   readonly surges: readonly Surge[];
   readonly rejecting: readonly Rejecting[];
+  readonly limiting: readonly Limiting[];
+  readonly down: readonly VmDown[];
   readonly untilMs: number;
   /** Time from a VM to a target, one way, in milliseconds. */
   readonly wayMs: number;
@@ -115,6 +138,8 @@
     routes: [makeRoute('lookup')],
     surges: [{ fromMs: 4_000, untilMs: 10_000, factor: 1.6 }],
     rejecting: [],
+    limiting: [],
+    down: [],
     untilMs: 16_000,
     wayMs: 0.7,
     probesPerSecond: 60,
--- a/src/lab/LabVm.ts
+++ b/src/lab/LabVm.ts
@@ -9,6 +9,7 @@
 import { createBalancerState, reduceBalancer, ServiceCurve } from '../balancing/index.js';
 import type { CancelTimer, Clock } from '../timing/index.js';
 import type { LabPlan } from './LabPlan.js';
+import type { LimitArrival } from './limitWindows.js';
 import type { LabTarget, LabWork } from './LabTarget.js';
 
 /** How a try of a caller ended. */
@@ -33,6 +34,10 @@
   readonly clock: Clock;
   readonly random: () => number;
   readonly targets: ReadonlyMap<string, LabTarget>;
+  /** Told of each request that reaches a target. */
+  readonly onArrival: (arrival: LimitArrival) => void;
+  /** Told of each answer with a limit that is passed on to a caller. */
+  readonly onTold: (told: LimitArrival) => void;
 }
 
 /** Host that all requests of a lab are for. */
@@ -168,7 +173,7 @@
   /** @internal */
   private send(effect: Extract<BalancerEffect, { kind: 'sendAttempt' }>): void {
     const { request, attempt, to } = effect;
-    const { clock, plan, targets } = this.parts;
+    const { clock, plan, targets, name, onArrival, onTold } = this.parts;
     const each = this.tries.get(request);
     const target = targets.get(to.target);
     if (each === undefined || target === undefined) return;
@@ -176,16 +181,22 @@
     const work: LabWork = {
       workMs: each.workMs,
       onRun: each.onRun,
-      onEnd: (kind, reading) =>
+      onEnd: (kind, reading, limit) =>
         clock.after(plan.wayMs, () => {
           if (!this.works.delete(attempt)) return;
           const end =
-            kind === 'answered' ? ({ kind, status: 200, reading } as const) : { kind, reading };
+            kind === 'answered'
+              ? ({ kind, status: 200, reading, limit } as const)
+              : { kind, reading, limit };
+          if (limit !== undefined) onTold({ target: to.target, vm: name, at: clock.now() });
           this.dispatch({ kind: 'attemptEnded', attempt, end });
         }),
     };
     this.works.set(attempt, { target, work });
-    clock.after(plan.wayMs, () => target.take(work));
+    clock.after(plan.wayMs, () => {
+      onArrival({ target: to.target, vm: name, at: clock.now() });
+      target.take(work);
+    });
   }
 
   /** @internal */
--- a/src/lab/index.ts
+++ b/src/lab/index.ts
@@ -2,7 +2,9 @@
 export { makePlan, makeRoute, makeTargets } from './LabPlan.js';
 export type { LabRecord, LabScore } from './LabRecord.js';
 export { getWorth, scoreLab } from './LabRecord.js';
-export { LAB_PLANS } from './plans.js';
+export type { LimitArrival, LimitNaming, LimitWindow } from './limitWindows.js';
+export { findWorstWindows } from './limitWindows.js';
+export { LAB_PLANS, LIMIT_PLANS } from './plans.js';
 export type { LabResult } from './playLab.js';
 export { playLab } from './playLab.js';
 export type { RolloutResult } from './playRollout.js';
--- a/src/lab/plans.ts
+++ b/src/lab/plans.ts
@@ -8,6 +8,42 @@
   return [{ fromMs: SURGE_FROM_MS, untilMs: SURGE_UNTIL_MS, factor }];
 }
 
+const LIMITED_FROM_MS = 4_000;
+const LIMITED_UNTIL_MS = 26_000;
+const LIMITS_FALL_MS = 13_000;
+
+function limit(
+  count: number,
+  perSecond: number,
+  changes: Partial<LabPlan['limiting'][number]> = {},
+): LabPlan['limiting'][number] {
+  return {
+    service: 'lookup',
+    count,
+    perSecond,
+    fromMs: LIMITED_FROM_MS,
+    untilMs: LIMITED_UNTIL_MS,
+    ...changes,
+  };
+}
+
+const LIMITED = { surges: [], untilMs: 24_000 };
+
+/** Targets that name the requests a second which they take from all VMs together. */
+export const LIMIT_PLANS: Readonly<Record<string, LabPlan>> = {
+  /** Others of their service bear the rest of the load. */
+  someLimited: makePlan({ ...LIMITED, limiting: [limit(2, 1.3)] }),
+  /** Nowhere else to go. */
+  allLimited: makePlan({ ...LIMITED, limiting: [limit(9, 6)] }),
+  limitsFall: makePlan({
+    ...LIMITED,
+    limiting: [limit(2, 8, { untilMs: LIMITS_FALL_MS }), limit(2, 1.3, { fromMs: LIMITS_FALL_MS })],
+  }),
+  limitsEnd: makePlan({ ...LIMITED, limiting: [limit(2, 1.3, { untilMs: LIMITS_FALL_MS })] }),
+  /** Half of their answers name the limit. */
+  limitsNamedAtTimes: makePlan({ ...LIMITED, limiting: [limit(2, 1.3, { share: 0.5 })] }),
+};
+
 /** Deployments and loads that differ in what binds. None is that of a user. */
 export const LAB_PLANS: Readonly<Record<string, LabPlan>> = {
   /** Targets bear the load at ease. */
--- a/src/platform/standIn/PlatformTarget.ts
+++ b/src/platform/standIn/PlatformTarget.ts
@@ -5,6 +5,7 @@
 import {
   COLD_MS,
   EXPECTED_TARGET,
+  LIMIT,
   LOAD,
   NOT_EXECUTED,
   REQUEST_ID,
@@ -46,6 +47,9 @@
 export class PlatformTarget {
   mood: TargetMood = 'sound';
 
+  /** What it names as its limit; undefined if it names none. */
+  limit: string | undefined;
+
   /** @internal */
   private running = 0;
 
@@ -91,6 +95,7 @@
       res.writeHead(200).end();
       return;
     }
+    if (this.limit !== undefined) res.setHeader(LIMIT, this.limit);
     const requestId = String(req.headers[REQUEST_ID]);
     const expected = req.headers[EXPECTED_TARGET];
     if (expected !== undefined && expected !== id) res.writeHead(421).end();
