Share out the limits that targets name, by permits of three VMs a target

What callers saw: nothing yet; a target in need that named 1.3 requests a second got 19 to 23 in 4 s from VMs that it had told (allowed 13), and would have broken down under it.

Cause: no decision knew of the limit: the header was not read (hypothesis 1). Evidence: the rate of the two targets does not change at the naming on any VM, and grep finds no reader; hypothesis 2 (each VM alone keeps to it) is refuted by single VMs that send more than the limit. Class of fault: a bound on the sum over all VMs that no VM's decision carries.

Change: what an answer names is told to all VMs (datagrams to six neighbours, news at once, confirmed each second). A request goes to a limited target only with a permit. Three VMs a target, by rendezvous hash, issue a third of the limit each from a bucket so small that the bound holds with a fourth that stands in for a silent one; any VM may ask, and gives back what it does not use. While all that may be used is limited and no permit can be had, the caller is refused at once with the time of the next one. The end of a limit is believed 4 s after the last naming, and what the target gets doubles each second from there. Targets are probed only with a permit. Cold targets use the same buckets; their bound is as it was.

--- a/src/balancing/BalancerState.ts
+++ b/src/balancing/BalancerState.ts
@@ -4,6 +4,7 @@
 import type { RequestArrived } from './events.js';
 import type { Journey, Sending } from './Journey.js';
 import type { RoutingTable, ServiceRules } from './model.js';
+import { LimitBook, PermitIssuer, PermitPool } from '../limits/index.js';
 import { ProbeBudget } from './ProbeBudget.js';
 import { RetryBudget } from './RetryBudget.js';
 import { ServiceVersions } from './ServiceVersions.js';
@@ -42,6 +43,11 @@
   lastAttempt: AttemptId;
   readonly retries: RetryBudget;
   readonly cold: ColdAllowance;
+  /** Requests a second that targets say they take from all entry VMs together. */
+  readonly limits: LimitBook;
+  /** Leave to send to limited targets, that this VM holds, and that it gives. */
+  readonly permits: PermitPool;
+  readonly issuer: PermitIssuer;
   readonly probes: ProbeBudget;
   readonly work: WorkTimes;
   /** What is learnt of each service's targets. */
@@ -77,6 +83,9 @@
     lastAttempt: 0,
     retries: new RetryBudget(settings.retries),
     cold: new ColdAllowance(settings.cold),
+    limits: new LimitBook(),
+    permits: new PermitPool(),
+    issuer: new PermitIssuer(),
     probes: new ProbeBudget(settings.probesPerTargetAndSecond),
     work: new WorkTimes(),
     curves: new Map(),
--- a/src/balancing/ColdAllowance.ts
+++ b/src/balancing/ColdAllowance.ts
@@ -1,5 +1,6 @@
-import { hashText } from '../core/hash.js';
 import type { TargetId } from '../core/model/index.js';
+import type { BucketSize } from '../limits/index.js';
+import { getOwners, TokenBuckets } from '../limits/index.js';
 
 /** Entry VMs that may send to one cold target: one of them may be down without idling it. */
 const OWNERS = 3;
@@ -16,18 +17,14 @@
 }
 
 /**
- * The VMs that may send to a target while it is cold (rendezvous hashing).
+ * The VMs that may send to a target while it is cold.
  * @param target - The cold target.
  * @param vms - Names of the entry VMs that are up.
  * @example
  * getColdOwners('t-1', ['vm-a', 'vm-b', 'vm-c', 'vm-d']).length; // 3
  */
 export function getColdOwners(target: TargetId, vms: readonly string[]): readonly string[] {
-  return vms
-    .map((vm) => ({ vm, weight: hashText(`${vm}|${target}`) }))
-    .sort((a, b) => b.weight - a.weight)
-    .slice(0, OWNERS)
-    .map(({ vm }) => vm);
+  return getOwners(target, vms, OWNERS);
 }
 
 /**
@@ -38,15 +35,15 @@
  * bound, so that the sum holds while their views of the fleet differ.
  */
 export class ColdAllowance {
-  /** Tokens left and when they were counted, by target. @internal */
-  private readonly tokens = new Map<TargetId, { left: number; at: number }>();
+  /** @internal */
+  private readonly buckets = new TokenBuckets(1);
 
   /** @param bound - What all entry VMs together may send. */
   constructor(private readonly bound: ColdBound) {}
 
   /** Forgets targets that are gone. */
   keepOnly(targets: ReadonlyMap<TargetId, unknown>): void {
-    for (const id of this.tokens.keys()) if (!targets.has(id)) this.tokens.delete(id);
+    this.buckets.keepOnly((target) => targets.has(target));
   }
 
   /**
@@ -56,7 +53,7 @@
    * @param now - Monotonic milliseconds.
    */
   has(target: TargetId, coldPerSecond: number, now: number): boolean {
-    return this.count(target, coldPerSecond, now) >= 1;
+    return this.buckets.count(target, this.getSize(coldPerSecond), now) >= 1;
   }
 
   /**
@@ -66,17 +63,13 @@
    * @param now - Monotonic milliseconds.
    */
   take(target: TargetId, coldPerSecond: number, now: number): void {
-    const left = this.count(target, coldPerSecond, now);
-    this.tokens.set(target, { left: left - 1, at: now });
+    this.buckets.take(target, this.getSize(coldPerSecond), now);
   }
 
   /** @internal */
-  private count(target: TargetId, coldPerSecond: number, now: number): number {
+  private getSize(coldPerSecond: number): BucketSize {
     const perWindow = coldPerSecond * this.bound.perSecond + this.bound.slack;
     // A second holds what has been saved up, at most one, and what accrues in it.
-    const rate = Math.max(0, perWindow / OWNERS_COUNTED - 1);
-    const known = this.tokens.get(target);
-    if (known === undefined) return 1;
-    return Math.min(1, known.left + ((now - known.at) / 1_000) * rate);
+    return { perSecond: Math.max(0, perWindow / OWNERS_COUNTED - 1), burst: 1 };
   }
 }
--- a/src/balancing/Journey.ts
+++ b/src/balancing/Journey.ts
@@ -23,8 +23,10 @@
 /** Targets asked for their load on behalf of one request. */
 export interface ProbeRound {
   readonly startedAt: number;
-  /** Probes that are still out. */
+  /** Targets whose probe, or leave to send to them, is awaited. */
   readonly waitingFor: Set<TargetId>;
+  /** Targets that leave was asked for. */
+  readonly leaves: Set<TargetRecord>;
 }
 
 /** A request's way from its arrival to its answer. */
--- a/src/balancing/TargetRecord.ts
+++ b/src/balancing/TargetRecord.ts
@@ -26,8 +26,6 @@
   outstanding: number;
   /** Until when it is cold; monotonic milliseconds. */
   coldUntil: number;
-  /** Requests a second that it said it takes from all entry VMs together; undefined if it names none. */
-  limitPerSecond: number | undefined;
   /** No request is sent, and no probe, before this time: it took no connection. */
   deadUntil: number;
   /** Times in a row that it took no connection or answered no probe. */
@@ -39,7 +37,7 @@
   scoredAt: number;
   /** When the probe that is out was sent; undefined if none is. */
   probeSentAt: number | undefined;
-  /** Requests that wait for a probe of it. */
+  /** Requests that wait for a probe of it, or for leave to send to it. */
   readonly probeWaiters: Set<RequestId>;
 }
 
@@ -57,7 +55,6 @@
     sentSinceReading: 0,
     outstanding: 0,
     coldUntil: entry.coldMs > 0 ? now + entry.coldMs : 0,
-    limitPerSecond: undefined,
     deadUntil: 0,
     deadTimes: 0,
     failures: 0,
--- a/src/balancing/countTargets.ts
+++ b/src/balancing/countTargets.ts
@@ -1,9 +1,10 @@
 import type { ServiceName } from '../core/model/index.js';
 import type { BalancerState } from './BalancerState.js';
+import { getLimit } from './limits.js';
 import type { TargetRecord } from './TargetRecord.js';
 
 /** How a target stands; the first that fits, in this order. */
-export type TargetStanding = 'draining' | 'zoneOut' | 'dead' | 'cold' | 'usable';
+export type TargetStanding = 'draining' | 'zoneOut' | 'dead' | 'cold' | 'limited' | 'usable';
 
 /** All standings, in the order in which they are looked for. */
 export const TARGET_STANDINGS: readonly TargetStanding[] = [
@@ -11,6 +12,7 @@
   'zoneOut',
   'dead',
   'cold',
+  'limited',
   'usable',
 ];
 
@@ -18,7 +20,8 @@
   if (record.entry.isDraining) return 'draining';
   if (state.zonesOut.has(record.entry.zone)) return 'zoneOut';
   if (record.deadUntil > now) return 'dead';
-  return record.coldUntil > now ? 'cold' : 'usable';
+  if (record.coldUntil > now) return 'cold';
+  return getLimit(state, record, now) === undefined ? 'usable' : 'limited';
 }
 
 /**
@@ -38,7 +41,7 @@
   const counts = new Map<ServiceName, Record<TargetStanding, number>>();
   // A service without any target has to show as zero, not be missing.
   for (const service of [...state.services.keys(), ...state.byService.keys()]) {
-    counts.set(service, { draining: 0, zoneOut: 0, dead: 0, cold: 0, usable: 0 });
+    counts.set(service, { draining: 0, zoneOut: 0, dead: 0, cold: 0, limited: 0, usable: 0 });
   }
   for (const record of state.targets.values()) {
     const count = counts.get(record.entry.service);
--- a/src/balancing/endings.ts
+++ b/src/balancing/endings.ts
@@ -2,6 +2,7 @@
 import type { BalancerContext, BalancerState } from './BalancerState.js';
 import type { BalancerEffect, OwnReason } from './effects.js';
 import type { Journey, Sending } from './Journey.js';
+import { getOpenAt, giveLeavesBack } from './limits.js';
 
 /**
  * A refused caller comes back after this part of what is left to it, at the least and at the most:
@@ -26,6 +27,7 @@
   noRoute: 404,
   stopping: 503,
   noTarget: 503,
+  limited: 503,
   overloaded: 503,
   rejected: 503,
   rejectedWithRoom: 503,
@@ -38,6 +40,7 @@
   'notConfigured',
   'stopping',
   'noTarget',
+  'limited',
   'overloaded',
   'rejected',
   'rejectedWithRoom',
@@ -86,19 +89,23 @@
   const soonMs = SOON_LEAST_MS + (SOON_MOST_MS - SOON_LEAST_MS) * random();
   const isInTime = now + soonMs < getLateAt(journey, state.work.get(journey.route));
   if (reason === 'rejectedWithRoom' && isInTime) return Math.round(soonMs);
-  return getRetryAfterMs(journey.callerLeavesAt - now, random());
+  const usualMs = getRetryAfterMs(journey.callerLeavesAt - now, random());
+  if (reason !== 'limited') return usualMs;
+  return Math.max(usualMs, Math.ceil(getOpenAt(state, journey.service, now) - now));
 }
 
 /**
  * Ends a request's round of probes; later answers to them are of use to others.
  * @param state - What is known.
  * @param journey - The request.
+ * @param now - Monotonic milliseconds.
  */
-export function endRound(state: BalancerState, journey: Journey): void {
-  for (const id of journey.round?.waitingFor ?? []) {
-    state.targets.get(id)?.probeWaiters.delete(journey.request);
-  }
+export function endRound(state: BalancerState, journey: Journey, now: number): BalancerEffect[] {
+  const { round } = journey;
+  if (round === undefined) return [];
+  for (const id of round.waitingFor) state.targets.get(id)?.probeWaiters.delete(journey.request);
   journey.round = undefined;
+  return giveLeavesBack(state, round.leaves, now);
 }
 
 /**
@@ -114,7 +121,7 @@
   reason: OwnReason,
   context: BalancerContext,
 ): BalancerEffect[] {
-  endRound(state, journey);
+  const given = endRound(state, journey, context.now);
   const cancelled = cancelSendings(state, journey);
   state.journeys.delete(journey.request);
   const isRefusal = REFUSALS.has(reason);
@@ -122,6 +129,7 @@
   const { request } = journey;
   const status = STATUS_BY_REASON[reason];
   return [
+    ...given,
     ...cancelled,
     { kind: 'answer', request, status, reason, retryAfterMs },
     {
@@ -165,9 +173,10 @@
  * Forgets a request whose caller has its answer or has left.
  * @param state - What is known.
  * @param journey - The request.
+ * @param now - Monotonic milliseconds.
  */
-export function endJourney(state: BalancerState, journey: Journey): BalancerEffect[] {
-  endRound(state, journey);
+export function endJourney(state: BalancerState, journey: Journey, now: number): BalancerEffect[] {
+  const given = endRound(state, journey, now);
   state.journeys.delete(journey.request);
-  return cancelSendings(state, journey);
+  return [...given, ...cancelSendings(state, journey)];
 }
--- a/src/balancing/events.ts
+++ b/src/balancing/events.ts
@@ -1,4 +1,5 @@
 import type { AttemptId, RequestId, TargetId, ZoneName } from '../core/model/index.js';
+import type { LimitedTarget, LimitWord, PermitAnswer, PermitAsk } from '../limits/index.js';
 import type { RolloutGuidance, RolloutOrder } from '../rollouts/index.js';
 import type { LoadReading, NamedLimit, RoutingTable, TargetEntry } from './model.js';
 
@@ -119,6 +120,32 @@
   readonly vms: readonly string[];
 }
 
+/** Another VM told what targets said of their limits. */
+export interface LimitsHeard {
+  readonly kind: 'limitsHeard';
+  readonly words: readonly LimitWord[];
+}
+
+/** Another VM asks for leave to send a request to a limited target. */
+export interface PermitAsked {
+  readonly kind: 'permitAsked';
+  readonly ask: PermitAsk;
+  /** Peer address of the VM that asks. */
+  readonly from: string;
+}
+
+/** Another VM gives a permit back. */
+export interface PermitReturned {
+  readonly kind: 'permitReturned';
+  readonly target: LimitedTarget;
+}
+
+/** An issuer answered. */
+export interface PermitAnswered {
+  readonly kind: 'permitAnswered';
+  readonly answer: PermitAnswer;
+}
+
 /** A planned stop began. */
 export interface StopAsked {
   readonly kind: 'stopAsked';
@@ -137,4 +164,8 @@
   | RolloutsRead
   | RolloutGuided
   | VmsChanged
+  | LimitsHeard
+  | PermitAsked
+  | PermitAnswered
+  | PermitReturned
   | StopAsked;
--- a/src/balancing/fleetHandlers.ts
+++ b/src/balancing/fleetHandlers.ts
@@ -3,6 +3,7 @@
 import type { BalancerEffect } from './effects.js';
 import type { ProbeEnded, TableRead, TargetsRead, VmsChanged, ZonesOutRead } from './events.js';
 import { markDead } from './learning.js';
+import { forgetLimits, noteLimit } from './limits.js';
 import type { TargetEntry } from './model.js';
 import { place, placeWaiting } from './placing.js';
 import { sortByPreference } from './preference.js';
@@ -97,6 +98,7 @@
   );
   for (const [service, group] of groups) state.versions.sortNew(service, group);
   state.cold.keepOnly(state.targets);
+  forgetLimits(state, context.now);
   return [
     ...logTargets('target.removed', removed),
     ...logTargets('target.added', added),
@@ -127,11 +129,18 @@
   return [{ kind: 'log', event: 'target.cold', fields: { target: id, service, coldMs } }];
 }
 
-function takeProbeEnd(record: TargetRecord, { end }: ProbeEnded, now: number): BalancerEffect[] {
+function takeProbeEnd(
+  state: BalancerState,
+  record: TargetRecord,
+  { end }: ProbeEnded,
+  now: number,
+): BalancerEffect[] {
   if (end.kind === 'answered') {
     record.reading = end.reading;
     record.sentSinceReading = 0;
-    const effects = noteCold(record, end.coldMs, now);
+    // A probe's answer without a limit ends none: only answers to requests are sure to name it.
+    const limits = end.limit === undefined ? [] : noteLimit(state, record, end.limit, now);
+    const effects = [...limits, ...noteCold(record, end.coldMs, now)];
     if (record.deadTimes === 0) return effects;
     record.deadTimes = 0;
     const { id, service } = record.entry;
@@ -144,6 +153,27 @@
   return markDead(record, now);
 }
 
+/**
+ * Places requests that waited for a probe of a target, or for leave to send to it.
+ * @param state - What is known.
+ * @param record - The target.
+ * @param context - Time and chance.
+ */
+export function placeWaiters(
+  state: BalancerState,
+  record: TargetRecord,
+  context: BalancerContext,
+): BalancerEffect[] {
+  const waiters = [...record.probeWaiters];
+  record.probeWaiters.clear();
+  return waiters.flatMap((request) => {
+    const journey = state.journeys.get(request);
+    if (journey?.round === undefined) return [];
+    journey.round.waitingFor.delete(record.entry.id);
+    return place(state, journey, context);
+  });
+}
+
 /** A probe is over: requests that wait for it are placed. */
 export function handleProbeEnded(
   state: BalancerState,
@@ -153,15 +183,8 @@
   const record = state.targets.get(event.target);
   if (record === undefined || record.entry.bornAt !== event.bornAt) return [];
   record.probeSentAt = undefined;
-  const effects = takeProbeEnd(record, event, context.now);
-  const waiters = [...record.probeWaiters];
-  record.probeWaiters.clear();
-  for (const request of waiters) {
-    const journey = state.journeys.get(request);
-    if (journey?.round === undefined) continue;
-    journey.round.waitingFor.delete(event.target);
-    effects.push(...place(state, journey, context));
-  }
+  const effects = takeProbeEnd(state, record, event, context.now);
+  effects.push(...placeWaiters(state, record, context));
   if (event.end.kind === 'answered') {
     effects.push(...placeWaiting(state, record.entry.service, context));
   }
--- a/src/balancing/learning.ts
+++ b/src/balancing/learning.ts
@@ -80,7 +80,9 @@
 ): BalancerEffect[] {
   const { target } = sending;
   const effects =
-    end.kind === 'answered' || end.kind === 'rejected' ? noteLimit(target, end.limit) : [];
+    end.kind === 'answered' || end.kind === 'rejected'
+      ? noteLimit(state, target, end.limit, now)
+      : [];
   if (end.kind === 'unsent' || end.kind === 'misdirected') return markDead(target, now);
   if ((end.kind === 'answered' || end.kind === 'rejected') && end.reading !== undefined) {
     target.reading = end.reading;
--- a/src/balancing/limits.ts
+++ b/src/balancing/limits.ts
@@ -1,23 +1,200 @@
+import type { ServiceName } from '../core/model/index.js';
+import type { LimitedTarget, LimitWord, PermitVerdict } from '../limits/index.js';
+import type { BalancerState } from './BalancerState.js';
 import type { BalancerEffect } from './effects.js';
 import type { NamedLimit } from './model.js';
 import type { TargetRecord } from './TargetRecord.js';
 
+function toLimited({ entry }: TargetRecord): LimitedTarget {
+  return { target: entry.id, bornAt: entry.bornAt };
+}
+
+/**
+ * Takes what a target said of its limit.
+ * @param state - What is known.
+ * @param words - What it said, to this VM or to another one.
+ * @param source - Who heard it.
+ * @param now - Monotonic milliseconds.
+ * @returns Lines of the log, and what is to be told on.
+ */
+export function takeLimitWords(
+  state: BalancerState,
+  words: readonly LimitWord[],
+  source: 'answer' | 'vm',
+  now: number,
+): BalancerEffect[] {
+  return words.flatMap((word): BalancerEffect[] => {
+    const before = state.limits.getNamed(word);
+    const change = state.limits.take(word, now);
+    if (change === undefined || change === 'confirmed') return [];
+    const { target, perSecond, ageMs } = word;
+    const service = state.targets.get(target)?.entry.service;
+    const fields = { target, service, perSecond, before, source, ageMs };
+    const event = change === 'named' ? 'target.limited' : 'target.unlimited';
+    return [
+      { kind: 'spreadLimits', words: [word] },
+      { kind: 'log', event, fields },
+    ];
+  });
+}
+
 /**
  * Notes what an answer says of the requests a second that its target takes.
- * @param record - The target; changed here.
+ * @param state - What is known.
+ * @param record - The target.
  * @param limit - What the answer names.
+ * @param now - Monotonic milliseconds.
  */
-export function noteLimit(record: TargetRecord, limit: NamedLimit): BalancerEffect[] {
-  const { id: target, service } = record.entry;
+export function noteLimit(
+  state: BalancerState,
+  record: TargetRecord,
+  limit: NamedLimit,
+  now: number,
+): BalancerEffect[] {
   if (limit === 'unreadable') {
+    const { id: target, service } = record.entry;
     return [{ kind: 'log', event: 'target.limitUnreadable', fields: { target, service } }];
   }
-  const before = record.limitPerSecond;
-  if (limit === before) return [];
-  record.limitPerSecond = limit;
-  if (limit === undefined) {
-    return [{ kind: 'log', event: 'target.unlimited', fields: { target, service, before } }];
+  const word = { ...toLimited(record), perSecond: limit, ageMs: 0 };
+  return takeLimitWords(state, [word], 'answer', now);
+}
+
+/** Requests a second that all VMs together may send to a target now; undefined if it is not limited. */
+export function getLimit(
+  { limits }: BalancerState,
+  record: TargetRecord,
+  now: number,
+): number | undefined {
+  return limits.size === 0 ? undefined : limits.getRate(toLimited(record), now);
+}
+
+/**
+ * Whether a request may be sent to a target, as far as its limit is concerned.
+ * @param state - What is known.
+ * @param record - The target.
+ * @param now - Monotonic milliseconds.
+ */
+export function hasLeave(state: BalancerState, record: TargetRecord, now: number): boolean {
+  if (getLimit(state, record, now) === undefined) return true;
+  return state.permits.has(toLimited(record), now);
+}
+
+/**
+ * Whether a target's limit is used up, so that no leave can be had before a time that is known.
+ * @param state - What is known.
+ * @param record - The target.
+ * @param now - Monotonic milliseconds.
+ */
+export function isClosed(state: BalancerState, record: TargetRecord, now: number): boolean {
+  if (hasLeave(state, record, now)) return false;
+  const { permits, vms } = state;
+  const target = toLimited(record);
+  return !permits.isAsking(target, now) && permits.findIssuer(target, vms, now) === undefined;
+}
+
+/** When leave can be had for a target of a service again; monotonic milliseconds. */
+export function getOpenAt(state: BalancerState, service: ServiceName, now: number): number {
+  const times = (state.byService.get(service) ?? [])
+    .filter((record) => isClosed(state, record, now))
+    .map((record) => state.permits.getOpenAt(toLimited(record), state.vms, now));
+  return times.length === 0 ? now : Math.min(...times);
+}
+
+/** Uses leave up as a request is sent; gives the limit that it is sent under. */
+export function useLeave(
+  state: BalancerState,
+  record: TargetRecord,
+  now: number,
+): number | undefined {
+  const perSecond = getLimit(state, record, now);
+  if (perSecond !== undefined) state.permits.take(toLimited(record), now);
+  return perSecond;
+}
+
+/**
+ * Has this VM's own issuer decide on one request.
+ * @param state - What is known.
+ * @param target - The target.
+ * @param now - Monotonic milliseconds.
+ */
+export function issue(state: BalancerState, target: LimitedTarget, now: number): PermitVerdict {
+  const perSecond = state.limits.getRate(target, now);
+  if (perSecond === undefined) return { isGranted: true, waitMs: 0 };
+  return state.issuer.ask(target, perSecond, state.vms.length, now);
+}
+
+/** Asks this VM's own issuer; gives whether it gave leave. */
+function askSelf(state: BalancerState, target: LimitedTarget, now: number): boolean {
+  const { isGranted, waitMs } = issue(state, target, now);
+  if (isGranted) state.permits.add(target, state.settings.vm, now);
+  else state.permits.noteDenied(target, state.settings.vm, waitMs, now);
+  return isGranted;
+}
+
+/**
+ * Asks for leave to send one request to a limited target, unless it is being asked for. It may be had
+ * at once if this VM issues permits for the target itself.
+ * @param state - What is known.
+ * @param record - The target.
+ * @param now - Monotonic milliseconds.
+ */
+export function askLeave(
+  state: BalancerState,
+  record: TargetRecord,
+  now: number,
+): BalancerEffect[] {
+  const { permits, vms, settings, limits } = state;
+  const target = toLimited(record);
+  const effects: BalancerEffect[] = [];
+  const silent = permits.takeSilent(target, now);
+  if (silent !== undefined) {
+    const fields = { vm: silent, target: target.target };
+    effects.push({ kind: 'log', event: 'permit.issuerSilent', fields });
   }
-  const fields = { target, service, perSecond: limit, before };
-  return [{ kind: 'log', event: 'target.limited', fields }];
+  if (permits.isAsking(target, now)) return effects;
+  let vm = permits.findIssuer(target, vms, now);
+  if (vm === settings.vm) {
+    if (askSelf(state, target, now)) return effects;
+    vm = permits.findIssuer(target, vms, now);
+  }
+  if (vm === undefined || vm === settings.vm) return effects;
+  const ask = permits.noteAsked(target, vm, now);
+  const words = limits.getWords(target, now);
+  return [...effects, { kind: 'askPermit', vm, ask: { kind: 'permitAsk', ask, ...target, words } }];
+}
+
+/** Takes a permit back that this VM issued. */
+export function takePermitBack(state: BalancerState, target: LimitedTarget, now: number): void {
+  const perSecond = state.limits.getRate(target, now);
+  if (perSecond === undefined) return;
+  state.issuer.takeBack(target, perSecond, state.vms.length, now);
+}
+
+/**
+ * Gives leave back that was asked for on behalf of a request and that neither it nor another one needs.
+ * @param state - What is known.
+ * @param leaves - Targets that leave was asked for.
+ * @param now - Monotonic milliseconds.
+ */
+export function giveLeavesBack(
+  state: BalancerState,
+  leaves: Iterable<TargetRecord>,
+  now: number,
+): BalancerEffect[] {
+  const { permits, settings } = state;
+  return [...leaves].flatMap((record): BalancerEffect[] => {
+    const target = toLimited(record);
+    const vm = record.probeWaiters.size === 0 ? permits.take(target, now) : undefined;
+    if (vm === undefined) return [];
+    if (vm !== settings.vm) return [{ kind: 'returnPermit', vm, target }];
+    takePermitBack(state, target, now);
+    return [];
+  });
+}
+
+/** Forgets limits that nobody has confirmed for long, and all that hangs on them. */
+export function forgetLimits({ limits, permits, issuer }: BalancerState, now: number): void {
+  limits.forgetOld(now);
+  permits.keepOnly(limits.isLimited);
+  issuer.keepOnly(limits.isLimited);
 }
--- a/src/balancing/placing.ts
+++ b/src/balancing/placing.ts
@@ -2,25 +2,22 @@
 import { isHopeless } from './admission.js';
 import type { BalancerContext, BalancerState } from './BalancerState.js';
 import type { Candidate } from './candidates.js';
-import { drawTargets, findBest, getUsable } from './candidates.js';
+import { findBest, getUsable } from './candidates.js';
 import type { BalancerEffect } from './effects.js';
 import { answerRefused, endRound } from './endings.js';
 import type { Journey, ProbeRound, Sending } from './Journey.js';
+import { isClosed, useLeave } from './limits.js';
+import { startRound, toDestination } from './probing.js';
 import {
-  FIRST_PROBES,
-  FURTHER_PROBES,
   HEDGE_AFTER,
   HEDGE_GAIN,
   HEDGE_MIN_MS,
   PROBE_ROUND_MS,
   PROBE_TIMEOUT_MS,
   PREFERRED_ROUNDS,
-  PREFERRED_TARGETS,
-  READING_FRESH_MS,
   READING_USABLE_MS,
   ROUND_PAUSE_MS,
 } from './settings.js';
-import type { TargetRecord } from './TargetRecord.js';
 import { getScores } from './TargetRecord.js';
 import { leaveTrial } from './versions.js';
 
@@ -30,53 +27,6 @@
 /** Least time that a target is given, in milliseconds; with less the answer can't come back. */
 const LEAST_ALLOWED_MS = 10;
 
-function toDestination({ entry }: TargetRecord) {
-  return { target: entry.id, bornAt: entry.bornAt, address: entry.address };
-}
-
-function startProbe(state: BalancerState, record: TargetRecord, now: number): BalancerEffect {
-  record.probeSentAt = now;
-  const path = state.services.get(record.entry.service)?.healthPath ?? '/health';
-  return { kind: 'probe', to: toDestination(record), path };
-}
-
-/** Asks some targets for their load. */
-function startRound(
-  state: BalancerState,
-  journey: Journey,
-  usable: readonly TargetRecord[],
-  context: BalancerContext,
-): BalancerEffect[] {
-  const { now } = context;
-  const round = { startedAt: now, waitingFor: new Set<string>() };
-  journey.round = round;
-  const effects: BalancerEffect[] = [];
-  const isFirst = journey.rounds === 0;
-  const pool = journey.rounds < PREFERRED_ROUNDS ? usable.slice(0, PREFERRED_TARGETS) : usable;
-  journey.rounds += 1;
-  const drawn = drawTargets(
-    pool,
-    isFirst ? FIRST_PROBES : FURTHER_PROBES,
-    state.settings.zone,
-    context,
-  );
-  const stale = drawn.filter(
-    ({ reading, probeSentAt }) =>
-      probeSentAt === undefined && (reading === undefined || now - reading.at > READING_FRESH_MS),
-  );
-  const targets = state.byService.get(journey.service)?.length ?? 0;
-  const { probes, vms } = state;
-  const allowed = probes.take(journey.service, stale.length, targets, vms.length, now);
-  effects.push(...stale.slice(0, allowed).map((record) => startProbe(state, record, now)));
-  for (const record of drawn) {
-    if (record.probeSentAt === undefined) continue;
-    round.waitingFor.add(record.entry.id);
-    record.probeWaiters.add(journey.request);
-  }
-  effects.push({ kind: 'wake', request: journey.request, at: now + PROBE_ROUND_MS });
-  return effects;
-}
-
 /**
  * When a request has to be looked at again if nothing happens before.
  * @param journey - The request.
@@ -97,7 +47,8 @@
   context: BalancerContext,
 ): BalancerEffect[] {
   const { now } = context;
-  endRound(state, journey);
+  const limitPerSecond = useLeave(state, record, now);
+  const given = endRound(state, journey, now);
   const { id, service } = record.entry;
   const isCold = record.coldUntil > now;
   if (isCold) state.cold.take(id, state.services.get(service)?.coldRequestsPerSecond ?? 0, now);
@@ -122,6 +73,7 @@
   record.sentSinceReading += 1;
   const { reading } = record;
   return [
+    ...given,
     {
       kind: 'sendAttempt',
       request: journey.request,
@@ -143,7 +95,7 @@
         slowdown: reading?.slowdown,
         readingAgeMs: reading === undefined ? undefined : Math.round(now - reading.at),
         isCold,
-        limitPerSecond: record.limitPerSecond,
+        limitPerSecond,
         allowedMs: Math.round(journey.deadlineAt - now),
         sinceFirstMs: journey.sinceFirstMs,
         failures: Number(getScores(record, now).failures.toFixed(2)),
@@ -195,13 +147,22 @@
 }
 
 /** Whether a target that is left alone now may be back before the request's time is over. */
-function hasHope(state: BalancerState, journey: Journey): boolean {
+function hasHope(state: BalancerState, journey: Journey, now: number): boolean {
   return (state.byService.get(journey.service) ?? []).some(
-    ({ entry, deadUntil }) =>
-      !entry.isDraining &&
-      !state.zonesOut.has(entry.zone) &&
-      !journey.tried.has(entry.id) &&
-      deadUntil < journey.deadlineAt,
+    (record) =>
+      !record.entry.isDraining &&
+      !state.zonesOut.has(record.entry.zone) &&
+      !journey.tried.has(record.entry.id) &&
+      record.deadUntil < journey.deadlineAt &&
+      !isClosed(state, record, now),
+  );
+}
+
+/** Whether it is limits that keep a request from some of the targets that are up. */
+function isLimited(state: BalancerState, { service, tried }: Journey, now: number): boolean {
+  return (state.byService.get(service) ?? []).some(
+    (record) =>
+      record.deadUntil <= now && !tried.has(record.entry.id) && isClosed(state, record, now),
   );
 }
 
@@ -221,12 +182,12 @@
   if (best !== undefined && isWorthSending(journey, best, now)) {
     return send(state, journey, best, context);
   }
-  endRound(state, journey);
+  const given = endRound(state, journey, now);
   if (journey.sendings.size > 0) {
-    return [{ kind: 'wake', request: journey.request, at: getNextWake(journey) }];
+    return [...given, { kind: 'wake', request: journey.request, at: getNextWake(journey) }];
   }
   journey.nextRoundAt = now + Math.max(LEAST_PAUSE_MS, getPause(journey));
-  return [{ kind: 'wake', request: journey.request, at: journey.nextRoundAt }];
+  return [...given, { kind: 'wake', request: journey.request, at: journey.nextRoundAt }];
 }
 
 function lookAgain(
@@ -238,13 +199,14 @@
   if (journey.rounds >= PREFERRED_ROUNDS) leaveTrial(state, journey, context.now);
   const usable = getUsable(state, journey, context.now);
   if (journey.sendings.size > 0 && usable.length === 0) return [];
-  const hopeless = usable.length === 0 && !hasHope(state, journey);
+  const hopeless = usable.length === 0 && !hasHope(state, journey, context.now);
   const isAtTarget = journey.sendings.size > 0;
   if (
     !isAtTarget &&
     (hopeless || isHopeless(journey, usable, state.work.get(journey.route), context.now))
   ) {
-    return answerRefused(state, journey, hopeless ? 'noTarget' : 'overloaded', context);
+    const reason = isLimited(state, journey, context.now) ? 'limited' : 'noTarget';
+    return answerRefused(state, journey, hopeless ? reason : 'overloaded', context);
   }
   const effects = startRound(state, journey, usable, context);
   // All that would be asked was asked a moment ago, for this request or another.
@@ -306,15 +268,15 @@
     return send(state, journey, best, context);
   }
   if (!isOver) return [];
+  const given = endRound(state, journey, now);
   if (isAsked) {
-    endRound(state, journey);
     if (journey.sendings.size > 0) {
-      return [{ kind: 'wake', request: journey.request, at: getNextWake(journey) }];
+      return [...given, { kind: 'wake', request: journey.request, at: getNextWake(journey) }];
     }
     journey.nextRoundAt = now + getPause(journey);
   }
   if (now < journey.nextRoundAt) {
-    return [{ kind: 'wake', request: journey.request, at: journey.nextRoundAt }];
+    return [...given, { kind: 'wake', request: journey.request, at: journey.nextRoundAt }];
   }
-  return lookAgain(state, journey, context);
+  return [...given, ...lookAgain(state, journey, context)];
 }
--- a/src/balancing/reduceBalancer.ts
+++ b/src/balancing/reduceBalancer.ts
@@ -14,6 +14,8 @@
   handleCallerLeft,
   handleWake,
 } from './requestHandlers.js';
+import { handleLimitsHeard, handlePermitAnswered, handlePermitAsked } from './limitHandlers.js';
+import { takePermitBack } from './limits.js';
 import { takeEarly } from './starting.js';
 import { handleGuidance, handleRollouts } from './versions.js';
 
@@ -49,6 +51,13 @@
   ],
   rolloutGuided: handleGuidance,
   vmsChanged: handleVms,
+  limitsHeard: handleLimitsHeard,
+  permitAsked: handlePermitAsked,
+  permitAnswered: handlePermitAnswered,
+  permitReturned: (state, { target }, { now }) => {
+    takePermitBack(state, target, now);
+    return [];
+  },
   stopAsked: (state, _event, { now }) => {
     state.stopAskedAt ??= now;
     return [];
--- a/src/balancing/requestHandlers.ts
+++ b/src/balancing/requestHandlers.ts
@@ -98,10 +98,11 @@
   if (early !== undefined) return forgetEarly(state, early, context);
   const journey = state.journeys.get(event.request);
   if (journey === undefined) return [];
-  const tookMs = Math.round(context.now - journey.arrivedAt);
+  const { now } = context;
+  const tookMs = Math.round(now - journey.arrivedAt);
   const tried = [...journey.tried];
   return [
-    ...endJourney(state, journey),
+    ...endJourney(state, journey, now),
     {
       kind: 'log',
       event: 'request.callerLeft',
@@ -130,7 +131,7 @@
   const { request, route, arrivedAt } = journey;
   return [
     { kind: 'deliver', request, attempt: sending.attempt },
-    ...endJourney(state, journey),
+    ...endJourney(state, journey, now),
     {
       kind: 'log',
       event: 'request.answered',
--- a/src/fleet/Neighbours.ts
+++ b/src/fleet/Neighbours.ts
@@ -133,6 +133,14 @@
     });
   }
 
+  /**
+   * Sends a datagram to each neighbour.
+   * @param text - What it says.
+   */
+  sendToAll(text: string): void {
+    for (const { peers } of this.chosen) this.send(text, peers);
+  }
+
   /** Ends the watch. */
   stop(): void {
     this.socket.close();
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -7,6 +7,7 @@
 import { SECTIONS, SECTIONS_WITHOUT_ROLLOUTS } from '../fleet/FleetStore.js';
 import { FleetSync } from '../fleet/FleetSync.js';
 import { FleetView } from '../fleet/FleetView.js';
+import { LimitSync } from '../fleet/LimitSync.js';
 import { Neighbours } from '../fleet/Neighbours.js';
 import { RolloutSync } from '../fleet/RolloutSync.js';
 import type { EventLog } from '../logging/EventLog.js';
@@ -73,6 +74,9 @@
   /** @internal */
   private readonly neighbours: Neighbours;
 
+  /** @internal */
+  private readonly limits: LimitSync;
+
   /** Undefined where operators order no rollouts. @internal */
   private readonly rollouts: RolloutSync | undefined;
 
@@ -165,11 +169,26 @@
       log,
       isReady: () => this.isReady,
       onChange: () => this.tellVms(),
-      onMessage: (text, address) => this.rollouts?.take(text, address),
+      onMessage: (text, address) => {
+        if (!this.limits.take(text, address)) this.rollouts?.take(text, address);
+      },
     });
+    this.limits = this.createLimitSync();
     this.rollouts = bound && this.createRolloutSync(run, bound);
   }
 
+  /** @internal */
+  private createLimitSync(): LimitSync {
+    const { clock, log } = this.parts;
+    return new LimitSync({
+      view: this.view,
+      log,
+      neighbours: this.neighbours,
+      getFreshWords: () => this.state.limits.getFreshWords(clock.now()),
+      dispatch: this.loop.dispatch,
+    });
+  }
+
   /** @internal */
   private createRolloutSync(run: string, bound: ExposureBound): RolloutSync {
     const { settings, clock, log } = this.parts;
@@ -197,6 +216,7 @@
     await this.listen();
     this.sync.start(this.timers);
     this.neighbours.start(this.timers);
+    this.limits.start(this.timers);
     this.rollouts?.start(this.timers);
     const { self } = settings;
     log.write('process.started', { ...self, storeAddress: settings.storeAddress, at: clock.now() });
@@ -341,6 +361,12 @@
       case 'wake':
         this.wakes.set(effect.request, effect.at);
         break;
+      case 'askPermit':
+      case 'answerPermit':
+      case 'returnPermit':
+      case 'spreadLimits':
+        this.limits.run(effect);
+        break;
       default:
         this.metrics.note(effect);
         this.parts.log.write(effect.event, effect.fields);
--- a/src/lab/LabCallers.ts
+++ b/src/lab/LabCallers.ts
@@ -91,7 +91,8 @@
     const onRun = (): void => {
       record.runs += 1;
     };
-    const vm = vms[Math.floor(random() * vms.length)];
+    const up = vms.filter(({ isDown }) => !isDown);
+    const vm = up[Math.floor(random() * up.length)];
     vm.ask({ path: `/${route.name}/x`, workMs, allowedMs: leftMs, onRun, onEnd });
   }
 }
--- a/src/lab/LabVm.ts
+++ b/src/lab/LabVm.ts
@@ -7,6 +7,8 @@
   TargetEntry,
 } from '../balancing/index.js';
 import { createBalancerState, reduceBalancer, ServiceCurve } from '../balancing/index.js';
+import type { LimitWord } from '../limits/index.js';
+import { getOwners } from '../limits/index.js';
 import type { CancelTimer, Clock } from '../timing/index.js';
 import type { LabPlan } from './LabPlan.js';
 import type { LimitArrival } from './limitWindows.js';
@@ -38,18 +40,32 @@
   readonly onArrival: (arrival: LimitArrival) => void;
   /** Told of each answer with a limit that is passed on to a caller. */
   readonly onTold: (told: LimitArrival) => void;
+  /** All VMs by name. */
+  readonly peers: ReadonlyMap<string, LabVm>;
 }
 
+/** How often limits that were confirmed are told again, in milliseconds. */
+const SPREAD_MS = 1_000;
+
+/** VMs that each one tells news of limits. */
+const NEIGHBOURS = 6;
+
 /** Host that all requests of a lab are for. */
 export const LAB_HOST = 'lab.example';
 
 /** One VM: the product's own decisions, with everything around them in virtual time. */
 export class LabVm {
-  readonly state: BalancerState;
+  state: BalancerState;
 
   /** Probes sent so far. */
   probes = 0;
 
+  /** Messages sent to other VMs so far. */
+  messages = 0;
+
+  /** Whether it is down: it takes no callers and hears nobody. */
+  isDown = false;
+
   /** Requests sent to targets so far. */
   sent = 0;
 
@@ -73,15 +89,41 @@
 
   /** @param parts - What it works with. */
   constructor(private readonly parts: LabVmParts) {
-    const { name, plan } = parts;
-    this.state = createBalancerState({
+    this.state = this.start();
+    if (parts.plan.isTold) this.tellCurves();
+    parts.clock.after(SPREAD_MS, () => this.spreadAgain());
+  }
+
+  /** Ends all that it does; it forgets what it knew. */
+  kill(): void {
+    this.isDown = true;
+    for (const cancel of this.wakes.values()) cancel();
+    for (const attempt of this.works.keys()) this.cancel(attempt);
+    for (const each of this.tries.values()) each.onEnd({ kind: 'failed' });
+    this.wakes.clear();
+    this.works.clear();
+    this.tries.clear();
+    this.state = this.start();
+  }
+
+  /** @internal */
+  private start(): BalancerState {
+    const { name, plan, clock } = this.parts;
+    const settings = {
       vm: name,
       zone: 'zone-1',
       retries: { ratio: 0.2, windowMs: 10_000, slack: 60 },
       cold: { perSecond: 1.5, slack: 5 },
       probesPerTargetAndSecond: plan.probesPerSecond,
-    });
-    if (plan.isTold) this.tellCurves();
+    };
+    return createBalancerState(settings, clock.now());
+  }
+
+  /** @internal */
+  private spreadAgain(): void {
+    const { clock } = this.parts;
+    if (!this.isDown) this.spread(this.state.limits.getFreshWords(clock.now()));
+    clock.after(SPREAD_MS, () => this.spreadAgain());
   }
 
   /** @internal */
@@ -98,6 +140,11 @@
     this.dispatch({ kind: 'vmsChanged', vms });
   }
 
+  /** Tells it which VMs are up. */
+  tellVms(vms: readonly string[]): void {
+    this.dispatch({ kind: 'vmsChanged', vms });
+  }
+
   /** Takes a try of a caller. */
   ask(each: LabTry): void {
     this.lastRequest += 1;
@@ -116,6 +163,7 @@
 
   /** @internal */
   private dispatch(event: BalancerEvent): void {
+    if (this.isDown) return;
     this.events.push(event);
     if (this.isRunning) return;
     this.isRunning = true;
@@ -153,10 +201,44 @@
       case 'wake':
         this.wake(effect.request, effect.at);
         break;
+      case 'askPermit':
+        this.tell(effect.vm, { kind: 'permitAsked', ask: effect.ask, from: this.parts.name });
+        break;
+      case 'answerPermit':
+        this.tell(effect.to, { kind: 'permitAnswered', answer: effect.answer });
+        break;
+      case 'returnPermit':
+        this.tell(effect.vm, { kind: 'permitReturned', target: effect.target });
+        break;
+      case 'spreadLimits':
+        this.spread(effect.words);
+        break;
       default:
     }
   }
 
+  /** Tells neighbours what targets said of their limits. */
+  spread(words: readonly LimitWord[]): void {
+    if (words.length === 0) return;
+    const { name, peers } = this.parts;
+    const others = [...peers.keys()].filter((vm) => vm !== name);
+    // Which VMs are neighbours is drawn by a hash, as in the product.
+    for (const vm of getOwners(name, others, NEIGHBOURS)) {
+      this.tell(vm, { kind: 'limitsHeard', words });
+    }
+  }
+
+  /** Sends a message to another VM; none arrives at one that is down. @internal */
+  private tell(vm: string, event: BalancerEvent): void {
+    const { clock, plan, peers } = this.parts;
+    this.messages += 1;
+    if (this.isDown) return;
+    clock.after(plan.wayMs, () => {
+      const peer = peers.get(vm);
+      if (peer !== undefined && !peer.isDown) peer.dispatch(event);
+    });
+  }
+
   /** @internal */
   private probe({ to }: Extract<BalancerEffect, { kind: 'probe' }>): void {
     const { clock, plan, targets } = this.parts;
--- a/src/lab/plans.ts
+++ b/src/lab/plans.ts
@@ -40,6 +40,17 @@
     limiting: [limit(2, 8, { untilMs: LIMITS_FALL_MS }), limit(2, 1.3, { fromMs: LIMITS_FALL_MS })],
   }),
   limitsEnd: makePlan({ ...LIMITED, limiting: [limit(2, 1.3, { untilMs: LIMITS_FALL_MS })] }),
+  /** VMs that issue permits among those that die and come back; others differ on who is up. */
+  allLimitedVmsDie: makePlan({
+    ...LIMITED,
+    vms: 6,
+    limiting: [limit(9, 6)],
+    down: [
+      { vm: 0, fromMs: 9_000, untilMs: 13_000 },
+      { vm: 1, fromMs: 11_000, untilMs: 16_000 },
+      { vm: 2, fromMs: 17_000, untilMs: 18_000 },
+    ],
+  }),
   /** Half of their answers name the limit. */
   limitsNamedAtTimes: makePlan({ ...LIMITED, limiting: [limit(2, 1.3, { share: 0.5 })] }),
 };
--- a/src/report/explainRequest.ts
+++ b/src/report/explainRequest.ts
@@ -29,6 +29,8 @@
   noRoute: 'no route of the configuration in force matches its host and path',
   stopping: 'the VM was in a planned stop and took no more requests',
   noTarget: 'no target of the service could be used',
+  limited:
+    'all targets that were up had named limits, and no request was left of what those allow just then',
   overloaded:
     'every target that was asked was full, slow or cold, and waiting would not have helped',
   rejected: 'targets rejected it, and the route or the retry budget allowed no further sending',
