Soak gateways with targets that name limits

A run is put down to the gateway that took the request, and counted from half a second after that one had passed a limit on; kills, pauses and stops of its process excuse a gateway, cuts of the store do not.

--- a/src/soak/SoakGateway.ts
+++ b/src/soak/SoakGateway.ts
@@ -44,6 +44,9 @@
   /** Until when what it does may be put down to a fault; Unix milliseconds. */
   disturbedUntil = 0;
 
+  /** Times at which its process was stopped, paused or killed, or has just started; Unix milliseconds. */
+  readonly excused: { readonly from: number; readonly until: number }[] = [];
+
   /** @internal */
   private child: ChildProcess | undefined;
 
--- a/src/soak/SoakWorld.ts
+++ b/src/soak/SoakWorld.ts
@@ -1,6 +1,7 @@
 import { join } from 'node:path';
 
 import type { RoutingTable, TargetEntry } from '../balancing/index.js';
+import type { LimitNaming } from '../lab/index.js';
 import {
   PlatformStore,
   PlatformTarget,
@@ -60,6 +61,9 @@
 
   readonly bans: Ban[] = [];
 
+  /** Limits that targets named, in order. */
+  readonly namings: LimitNaming[] = [];
+
   /** Version that targets are started with. */
   version = 'v1';
 
--- a/src/soak/checkSoak.ts
+++ b/src/soak/checkSoak.ts
@@ -1,3 +1,5 @@
+import type { LimitNaming } from '../lab/index.js';
+import { findWorstWindows } from '../lab/index.js';
 import type { CallerRecord } from './SoakCallers.js';
 
 /** One run of a request at a target. */
@@ -22,6 +24,14 @@
   readonly callers: readonly CallerRecord[];
   readonly runs: readonly RunRecord[];
   readonly bans: readonly Ban[];
+  /** Limits that targets named, in order. */
+  readonly namings?: readonly LimitNaming[];
+  /** When a gateway, by its port, is excused from limits. */
+  readonly excused?: readonly {
+    readonly port: number;
+    readonly from: number;
+    readonly until: number;
+  }[];
   /** Broken promises that were noticed at once. */
   readonly noticed: readonly string[];
   /** From when on no fault was in force. */
@@ -55,6 +65,27 @@
   return broken;
 }
 
+/** Requests that targets got although they had named a limit to the gateways that sent them. */
+function checkLimits({ callers, runs, namings = [], excused = [] }: SoakObservations): string[] {
+  const byId = new Map(callers.map((record) => [record.id, record]));
+  const arrivals = runs.flatMap(({ id, target, at }) => {
+    const record = byId.get(id);
+    return record === undefined ? [] : [{ target, at, vm: String(record.port), record }];
+  });
+  const told = arrivals.flatMap(({ target, at, vm, record: { endedAt, status } }) => {
+    const named = namings.filter((each) => each.target === target && each.at <= at).at(-1);
+    const isTold = named?.perSecond !== undefined && endedAt !== undefined && status === 200;
+    return isTold ? [{ target, vm, at: endedAt }] : [];
+  });
+  const excuses = excused.map(({ port, from, until }) => ({ vm: String(port), from, until }));
+  return findWorstWindows({ arrivals, namings, told, excused: excuses })
+    .filter(({ got, allowed }) => got > allowed)
+    .map(({ target, got, allowed }) => {
+      const most = allowed.toFixed(1);
+      return `${target} named a limit and got ${got} requests in 4 s, allowed are ${most}`;
+    });
+}
+
 /**
  * Holds what callers and targets saw against the promises.
  * @param seen - What was seen.
@@ -72,6 +103,7 @@
       broken.push(`${target} got ${late.id} ${late.at - from} ms too late: ${reason}`);
     }
   }
+  broken.push(...checkLimits(seen));
   const calm = seen.callers.filter(({ sentAt }) => sentAt >= seen.calmFrom);
   const served = calm.filter(({ status }) => status === 200).length;
   if (calm.length > 0 && served < CALM_SHARE * calm.length) {
--- a/src/soak/faults.ts
+++ b/src/soak/faults.ts
@@ -41,6 +41,12 @@
   gateway.disturbedUntil = Math.max(gateway.disturbedUntil, Date.now() + ms + SETTLE_MS);
 }
 
+/** The same for what befalls its process, which excuses it from limits too. */
+function disturbProcess(gateway: SoakGateway, ms: number): void {
+  disturb(gateway, ms);
+  gateway.excused.push({ from: Date.now(), until: Date.now() + ms + SETTLE_MS });
+}
+
 function disturbStoreLink(mood: LinkMood): Fault {
   return async ({ world, random }) => {
     const index = Math.floor(random() * world.gateways.length);
@@ -103,7 +109,7 @@
   async gatewayKilled({ world, random }) {
     const gateway = pick(world.gateways, random);
     const downMs = random() * 1_000;
-    disturb(gateway, downMs);
+    disturbProcess(gateway, downMs);
     gateway.kill();
     await wait(downMs);
     gateway.start();
@@ -112,7 +118,7 @@
   async gatewayPaused({ world, random }) {
     const gateway = pick(world.gateways, random);
     const ms = 200 + random() * 2_500;
-    disturb(gateway, ms);
+    disturbProcess(gateway, ms);
     gateway.signal('SIGSTOP');
     await wait(ms);
     gateway.signal('SIGCONT');
@@ -131,7 +137,7 @@
     const before = callers.records.filter(
       (each) => each.port === port && each.endedAt === undefined,
     );
-    disturb(gateway, 7_000);
+    disturbProcess(gateway, 7_000);
     const end = await gateway.stop();
     if (isUndisturbed && end === 'bySignal') {
       notice(`${gateway.options.name} had to be killed after SIGTERM`);
--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -15,12 +15,14 @@
   const faultsMs = readNumber('seconds', 15) * 1_000;
   const isVerbose = process.argv.includes('--verbose');
   const hasRollouts = process.argv.includes('--rollouts');
+  const hasLimits = process.argv.includes('--limits');
   let failed = 0;
   for (let seed = first; seed < first + seeds; seed++) {
     const { broken, requests, served, faults, dir } = await runSoak({
       seed,
       faultsMs,
       hasRollouts,
+      hasLimits,
       onFault: (name, atMs) => {
         if (isVerbose) process.stdout.write(`  ${(atMs / 1_000).toFixed(2)} s ${name}\n`);
       },
--- a/src/soak/runSoak.ts
+++ b/src/soak/runSoak.ts
@@ -4,8 +4,9 @@
 
 import { createRandom } from '../standIns/models/index.js';
 import { checkSoak } from './checkSoak.js';
-import type { FaultContext } from './faults.js';
+import type { Fault, FaultContext } from './faults.js';
 import { FAULTS } from './faults.js';
+import { nameLimit } from './limitFault.js';
 import { orderRollout } from './rolloutFault.js';
 import { SoakCallers } from './SoakCallers.js';
 import { SoakWorld } from './SoakWorld.js';
@@ -17,6 +18,8 @@
   readonly faultsMs: number;
   /** Whether versions are rolled out beside the faults. Seeds without it bring the same faults as ever. */
   readonly hasRollouts?: boolean;
+  /** Whether targets name limits beside the faults. */
+  readonly hasLimits?: boolean;
   /** Told of each fault as it begins. */
   readonly onFault?: (name: string, atMs: number) => void;
 }
@@ -53,14 +56,19 @@
 /** Brings faults about one after the other, without waiting for their ends. */
 async function bringFaults(
   context: FaultContext,
-  { faultsMs, hasRollouts = false, onFault }: SoakOptions,
+  { faultsMs, hasRollouts = false, hasLimits = false, onFault }: SoakOptions,
   startedAt: number,
 ): Promise<string[]> {
   const names: string[] = [];
   const pending: Promise<void>[] = [];
   const endsAt = Date.now() + faultsMs;
-  const faults = hasRollouts ? { ...FAULTS, orderRollout } : FAULTS;
+  const faults: Readonly<Record<string, Fault>> = {
+    ...FAULTS,
+    ...(hasRollouts ? { orderRollout } : {}),
+    ...(hasLimits ? { nameLimit } : {}),
+  };
   if (hasRollouts) pending.push(orderRollout(context));
+  if (hasLimits) pending.push(nameLimit(context));
   while (Date.now() < endsAt) {
     const all = Object.keys(faults);
     const name = all[Math.floor(context.random() * all.length)];
@@ -103,8 +111,12 @@
     await wait(CALM_MS);
     callers.stop();
     await wait(LAST_MS);
-    const { runs, bans } = world;
-    const broken = checkSoak({ callers: callers.records, runs, bans, noticed, calmFrom });
+    const { runs, bans, namings } = world;
+    const excused = world.gateways.flatMap((gateway) =>
+      gateway.excused.map((each) => ({ port: gateway.options.ports.callers, ...each })),
+    );
+    const seen = { callers: callers.records, runs, bans, namings, excused, noticed, calmFrom };
+    const broken = checkSoak(seen);
     const served = callers.records.filter(({ status }) => status === 200).length;
     return { broken, requests: callers.records.length, served, faults, dir };
   } finally {
--- a/src/tests/soak/soak.test.ts
+++ b/src/tests/soak/soak.test.ts
@@ -16,6 +16,9 @@
   calmFrom: 100,
 };
 
+/** Times at which a target that named a limit got requests. */
+const LIMITED = Array.from({ length: 20 }, (_, i) => 10 + i * 300);
+
 test('what was seen is held against each promise', (t) => {
   t.deepEqual(checkSoak(SOUND), []);
   t.snapshot({
@@ -37,6 +40,13 @@
       ...SOUND,
       callers: [{ ...SOUND.callers[0], isIdempotent: true, status: 0, isBehindClose: true }],
     }),
+    limited: checkSoak({
+      ...SOUND,
+      callers: LIMITED.map((at) => ({ ...SOUND.callers[0], id: `l-${at}`, endedAt: at + 5 })),
+      runs: LIMITED.map((at) => ({ id: `l-${at}`, target: 't-1', at })),
+      namings: [{ target: 't-1', perSecond: 0.4, at: 0 }],
+      calmFrom: 1e6,
+    }),
     noticed: checkSoak({ ...SOUND, noticed: ['a planned stop cut 1 requests'] }),
   });
 });
@@ -78,3 +88,10 @@
   const { broken } = await runSoak({ seed: 3001, faultsMs: 3_000, hasRollouts: true });
   t.deepEqual(broken, []);
 });
+
+// A limit is shared out by gateways that are killed and paused meanwhile.
+test('targets get no more than limits allow that they name beside other faults', async (t) => {
+  t.timeout(90_000);
+  const { broken } = await runSoak({ seed: 4001, faultsMs: 6_000, hasLimits: true });
+  t.deepEqual(broken, []);
+});
