--- a/src/limits/LimitBook.ts
+++ b/src/limits/LimitBook.ts
@@ -5,10 +5,10 @@
  * Answers without a limit end it only so long after the last one that named it, in milliseconds:
  * some targets name it in a part of their answers, and word of it takes a while to all VMs.
  */
-const END_AFTER_MS = 4_000;
+const END_AFTER_MS = 2_000;
 
 /** A limit that has ended doubles in this time, in milliseconds, so that no flood follows its end. */
-const DOUBLING_MS = 1_000;
+const DOUBLING_MS = 500;
 
 /** After so many doublings it is gone. */
 const DOUBLINGS = 6;
