Choose issuers of permits among announced VMs, up or not

With two issuers of a target down, some VMs asked a fifth and a sixth, and each more lets a third of the limit through. On who has announced itself all VMs agree but for a moment; an issuer that is silent is still passed over, for one of the same four. The test fails with the choice among VMs that are up.

--- a/src/balancing/BalancerState.ts
+++ b/src/balancing/BalancerState.ts
@@ -38,6 +38,8 @@
   zonesOut: ReadonlySet<ZoneName>;
   /** Entry VMs that are up, this one among them. */
   vms: readonly string[];
+  /** Entry VMs that have announced themselves, up or not: on these all VMs agree sooner. */
+  announced: readonly string[];
   readonly journeys: Map<RequestId, Journey>;
   readonly sendings: Map<AttemptId, Sending>;
   lastAttempt: AttemptId;
@@ -78,6 +80,7 @@
     byService: new Map(),
     zonesOut: new Set(),
     vms: [settings.vm],
+    announced: [settings.vm],
     journeys: new Map(),
     sendings: new Map(),
     lastAttempt: 0,
--- a/src/balancing/events.ts
+++ b/src/balancing/events.ts
@@ -118,6 +118,8 @@
 export interface VmsChanged {
   readonly kind: 'vmsChanged';
   readonly vms: readonly string[];
+  /** Names of all that have announced themselves, up or not; the same as `vms` if left out. */
+  readonly announced?: readonly string[];
 }
 
 /** Another VM told what targets said of their limits. */
--- a/src/balancing/fleetHandlers.ts
+++ b/src/balancing/fleetHandlers.ts
@@ -115,7 +115,11 @@
 }
 
 /** Entry VMs joined or left. */
-export function handleVms(state: BalancerState, { vms }: VmsChanged): BalancerEffect[] {
+export function handleVms(
+  state: BalancerState,
+  { vms, announced = vms }: VmsChanged,
+): BalancerEffect[] {
+  if (announced.join() !== state.announced.join()) state.announced = announced;
   if (vms.join() === state.vms.join()) return [];
   state.vms = vms;
   return [{ kind: 'log', event: 'vms.changed', fields: { count: vms.length } }];
--- a/src/balancing/limits.ts
+++ b/src/balancing/limits.ts
@@ -87,16 +87,16 @@
  */
 export function isClosed(state: BalancerState, record: TargetRecord, now: number): boolean {
   if (hasLeave(state, record, now)) return false;
-  const { permits, vms } = state;
+  const { permits, announced } = state;
   const target = toLimited(record);
-  return !permits.isAsking(target, now) && permits.findIssuer(target, vms, now) === undefined;
+  return !permits.isAsking(target, now) && permits.findIssuer(target, announced, now) === undefined;
 }
 
 /** When leave can be had for a target of a service again; monotonic milliseconds. */
 export function getOpenAt(state: BalancerState, service: ServiceName, now: number): number {
   const times = (state.byService.get(service) ?? [])
     .filter((record) => isClosed(state, record, now))
-    .map((record) => state.permits.getOpenAt(toLimited(record), state.vms, now));
+    .map((record) => state.permits.getOpenAt(toLimited(record), state.announced, now));
   return times.length === 0 ? now : Math.min(...times);
 }
 
@@ -120,7 +120,7 @@
 export function issue(state: BalancerState, target: LimitedTarget, now: number): PermitVerdict {
   const perSecond = state.limits.getRate(target, now);
   if (perSecond === undefined) return { isGranted: true, waitMs: 0 };
-  return state.issuer.ask(target, perSecond, state.vms.length, now);
+  return state.issuer.ask(target, perSecond, state.announced.length, now);
 }
 
 /** Asks this VM's own issuer; gives whether it gave leave. */
@@ -143,7 +143,7 @@
   record: TargetRecord,
   now: number,
 ): BalancerEffect[] {
-  const { permits, vms, settings, limits } = state;
+  const { permits, announced, settings, limits } = state;
   const target = toLimited(record);
   const effects: BalancerEffect[] = [];
   const silent = permits.takeSilent(target, now);
@@ -152,10 +152,10 @@
     effects.push({ kind: 'log', event: 'permit.issuerSilent', fields });
   }
   if (permits.isAsking(target, now)) return effects;
-  let vm = permits.findIssuer(target, vms, now);
+  let vm = permits.findIssuer(target, announced, now);
   if (vm === settings.vm) {
     if (askSelf(state, target, now)) return effects;
-    vm = permits.findIssuer(target, vms, now);
+    vm = permits.findIssuer(target, announced, now);
   }
   if (vm === undefined || vm === settings.vm) return effects;
   const ask = permits.noteAsked(target, vm, now);
@@ -167,7 +167,7 @@
 export function takePermitBack(state: BalancerState, target: LimitedTarget, now: number): void {
   const perSecond = state.limits.getRate(target, now);
   if (perSecond === undefined) return;
-  state.issuer.takeBack(target, perSecond, state.vms.length, now);
+  state.issuer.takeBack(target, perSecond, state.announced.length, now);
 }
 
 /**
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -332,8 +332,9 @@
     const down = new Set(this.neighbours.getDown());
     const { self } = this.parts.settings;
     const names = new Set([...this.view.vms.keys(), self.name]);
-    const vms = [...names].filter((name) => !down.has(name)).sort();
-    this.loop.dispatch({ kind: 'vmsChanged', vms });
+    const announced = [...names].sort();
+    const vms = announced.filter((name) => !down.has(name));
+    this.loop.dispatch({ kind: 'vmsChanged', vms, announced });
     this.applyLimits();
   }
 
--- a/src/lab/LabVm.ts
+++ b/src/lab/LabVm.ts
@@ -142,7 +142,7 @@
 
   /** Tells it which VMs are up. */
   tellVms(vms: readonly string[]): void {
-    this.dispatch({ kind: 'vmsChanged', vms });
+    this.dispatch({ kind: 'vmsChanged', vms, announced: [...this.parts.peers.keys()] });
   }
 
   /** Takes a try of a caller. */
--- a/src/limits/PermitIssuer.ts
+++ b/src/limits/PermitIssuer.ts
@@ -43,7 +43,7 @@
    * all came back for the next permit, the issuer would be flooded.
    * @param target - The target.
    * @param perSecond - Its limit.
-   * @param vms - Entry VMs that are up.
+   * @param vms - Entry VMs that have announced themselves.
    * @param now - Monotonic milliseconds.
    */
   ask(target: LimitedTarget, perSecond: number, vms: number, now: number): PermitVerdict {
@@ -69,7 +69,7 @@
    * Takes a permit back that was not used.
    * @param target - The target.
    * @param perSecond - Its limit.
-   * @param vms - Entry VMs that are up.
+   * @param vms - Entry VMs that have announced themselves.
    * @param now - Monotonic milliseconds.
    */
   takeBack(target: LimitedTarget, perSecond: number, vms: number, now: number): void {
--- a/src/limits/PermitPool.ts
+++ b/src/limits/PermitPool.ts
@@ -85,7 +85,7 @@
   /**
    * The VM to ask for a permit now.
    * @param target - The target.
-   * @param vms - Entry VMs that are up.
+   * @param vms - Entry VMs that have announced themselves.
    * @param now - Monotonic milliseconds.
    * @returns Undefined if each issuer has said to come back later, or is silent.
    */
@@ -99,7 +99,7 @@
   /**
    * When a permit can be asked for.
    * @param target - The target.
-   * @param vms - Entry VMs that are up.
+   * @param vms - Entry VMs that have announced themselves.
    * @param now - Monotonic milliseconds.
    */
   getOpenAt(target: LimitedTarget, vms: readonly string[], now: number): number {
--- a/src/tests/balancing/limits.test.ts
+++ b/src/tests/balancing/limits.test.ts
@@ -123,6 +123,24 @@
   t.true(scene.all('log').some(({ event }) => event === 'permit.issuerSilent'));
 });
 
+// Each issuer more lets a third of the limit through on top.
+test('VMs that differ on who is up ask the same issuers', (t) => {
+  const issuers = getOwners('t-1|1', VMS, ISSUERS_AT_MOST);
+  const asked = [0, 1, 2].flatMap((first) => {
+    const down = issuers.slice(first, first + 2);
+    const scene = makeLimited();
+    const vms = VMS.filter((vm) => !down.includes(vm));
+    scene.dispatch({ kind: 'vmsChanged', vms, announced: VMS });
+    scene.arrive();
+    for (let issuer = 0; issuer < 3; issuer++) answerAsk(scene, false);
+    return scene.all('askPermit').map(({ vm }) => vm);
+  });
+  t.deepEqual(
+    asked.filter((vm) => !issuers.includes(vm)),
+    [],
+  );
+});
+
 test('an issuer that knows of no limit learns it from the VM that asks', (t) => {
   const scene = new Scene([makeTarget('t-1')]);
   scene.dispatch({ kind: 'vmsChanged', vms: VMS });
