--- a/src/core/configuration/offerRoot.ts
+++ b/src/core/configuration/offerRoot.ts
@@ -25,6 +25,17 @@
   for (const object of objects) if (wanted.has(object.hash)) known.set(object.hash, object);
 }
 
+/** A later root is known and can't be put into force yet. */
+function reportPending(state: EntryState): Effect[] {
+  const { current, next } = state.configuration;
+  if (next === undefined) return [];
+  const missing = getMissingServices(state, next).length;
+  const text =
+    `generation ${next.generation} is known and lacks ${missing} descriptions; ` +
+    `${current.generation} stays in force`;
+  return [{ kind: 'log', level: 'info', part: 'config', text }];
+}
+
 /** Puts the next root into force once it is whole. */
 function advance(state: EntryState, source: EntryVmId | undefined, context: Context): Effect[] {
   const { next } = state.configuration;
@@ -59,7 +70,8 @@
   const pending = configuration.next?.generation ?? 0;
   if (root.generation > pending) configuration.next = root;
   addObjects(state, objects);
-  return advance(state, source, context);
+  const effects = advance(state, source, context);
+  return root.generation > pending ? [...reportPending(state), ...effects] : effects;
 }
 
 /**
