Name permits and reports of limits with one word each

Read as a newcomer: leave and permit were two words for one thing, word and news for what a target said.

--- a/src/balancing/BalancerState.ts
+++ b/src/balancing/BalancerState.ts
@@ -4,7 +4,7 @@
 import type { RequestArrived } from './events.js';
 import type { Journey, Sending } from './Journey.js';
 import type { RoutingTable, ServiceRules } from './model.js';
-import { LimitBook, PermitIssuer, PermitPool } from '../limits/index.js';
+import { LimitView, PermitIssuer, PermitPool } from '../limits/index.js';
 import { ProbeBudget } from './ProbeBudget.js';
 import { RetryBudget } from './RetryBudget.js';
 import { ServiceVersions } from './ServiceVersions.js';
@@ -46,8 +46,8 @@
   readonly retries: RetryBudget;
   readonly cold: ColdAllowance;
   /** Requests a second that targets say they take from all entry VMs together. */
-  readonly limits: LimitBook;
-  /** Leave to send to limited targets, that this VM holds, and that it gives. */
+  readonly limits: LimitView;
+  /** Permits to send to limited targets: those that this VM holds, and those that it issues. */
   readonly permits: PermitPool;
   readonly issuer: PermitIssuer;
   readonly probes: ProbeBudget;
@@ -86,7 +86,7 @@
     lastAttempt: 0,
     retries: new RetryBudget(settings.retries),
     cold: new ColdAllowance(settings.cold),
-    limits: new LimitBook(),
+    limits: new LimitView(),
     permits: new PermitPool(),
     issuer: new PermitIssuer(),
     probes: new ProbeBudget(settings.probesPerTargetAndSecond),
--- a/src/balancing/Journey.ts
+++ b/src/balancing/Journey.ts
@@ -23,10 +23,10 @@
 /** Targets asked for their load on behalf of one request. */
 export interface ProbeRound {
   readonly startedAt: number;
-  /** Targets whose probe, or leave to send to them, is awaited. */
+  /** Targets whose probe, or a permit to send to them, is awaited. */
   readonly waitingFor: Set<TargetId>;
-  /** Targets that leave was asked for. */
-  readonly leaves: Set<TargetRecord>;
+  /** Targets that permits were asked for. */
+  readonly permitsAsked: Set<TargetRecord>;
 }
 
 /** A request's way from its arrival to its answer. */
--- a/src/balancing/TargetRecord.ts
+++ b/src/balancing/TargetRecord.ts
@@ -37,7 +37,7 @@
   scoredAt: number;
   /** When the probe that is out was sent; undefined if none is. */
   probeSentAt: number | undefined;
-  /** Requests that wait for a probe of it, or for leave to send to it. */
+  /** Requests that wait for a probe of it, or for a permit to send to it. */
   readonly probeWaiters: Set<RequestId>;
 }
 
--- a/src/balancing/candidates.ts
+++ b/src/balancing/candidates.ts
@@ -6,7 +6,7 @@
 import type { Expectation } from './expectedTime.js';
 import { getExpectation } from './expectedTime.js';
 import type { Journey } from './Journey.js';
-import { hasLeave, isClosed } from './limits.js';
+import { maySend, isExhausted } from './limits.js';
 import { GOOD_SLOWDOWN, READING_FRESH_MS } from './settings.js';
 import type { TargetRecord } from './TargetRecord.js';
 import { getScores } from './TargetRecord.js';
@@ -49,7 +49,7 @@
       record.deadUntil <= now &&
       !state.zonesOut.has(record.entry.zone) &&
       !journey.tried.has(record.entry.id) &&
-      !isClosed(state, record, now),
+      !isExhausted(state, record, now),
   );
   return selectVersion(state, journey, usable, now);
 }
@@ -94,7 +94,7 @@
   for (const record of getUsable(state, journey, now)) {
     const { reading } = record;
     if (reading === undefined || now - reading.at > maxAgeMs) continue;
-    if (isBarredByCold(state, record, now) || !hasLeave(state, record, now)) continue;
+    if (isBarredByCold(state, record, now) || !maySend(state, record, now)) continue;
     const expected = getExpectation(record, journey.route, workMs, curve, now);
     if (!isAdmitted(journey, { record, expected }, workMs, now)) continue;
     // Targets that look alike are told apart by chance, or all entry VMs take the same one.
--- a/src/balancing/effects.ts
+++ b/src/balancing/effects.ts
@@ -1,5 +1,5 @@
 import type { AttemptId, RequestId, TargetId } from '../core/model/index.js';
-import type { LimitedTarget, LimitWord, PermitAnswer, PermitAsk } from '../limits/index.js';
+import type { LimitedTarget, LimitReport, PermitAnswer, PermitAsk } from '../limits/index.js';
 
 /** Why this entry VM answers a request itself. */
 export type OwnReason =
@@ -88,12 +88,12 @@
     }
   /** Asks for a `wakeDue` at this time; a later one for the same request replaces it. */
   | { readonly kind: 'wake'; readonly request: RequestId; readonly at: number }
-  /** Asks another VM for leave to send to a limited target. */
+  /** Asks another VM for a permit to send to a limited target. */
   | { readonly kind: 'askPermit'; readonly vm: string; readonly ask: PermitAsk }
   /** Answers such an ask. */
   | { readonly kind: 'answerPermit'; readonly to: string; readonly answer: PermitAnswer }
   /** Gives a permit back to the VM that issued it. */
   | { readonly kind: 'returnPermit'; readonly vm: string; readonly target: LimitedTarget }
   /** Tells a few other VMs what targets said of their limits. */
-  | { readonly kind: 'spreadLimits'; readonly words: readonly LimitWord[] }
+  | { readonly kind: 'gossipLimits'; readonly reports: readonly LimitReport[] }
   | LogEffect;
--- a/src/balancing/endings.ts
+++ b/src/balancing/endings.ts
@@ -2,7 +2,7 @@
 import type { BalancerContext, BalancerState } from './BalancerState.js';
 import type { BalancerEffect, OwnReason } from './effects.js';
 import type { Journey, Sending } from './Journey.js';
-import { getOpenAt, giveLeavesBack } from './limits.js';
+import { getOpenAt, returnPermits } from './limits.js';
 
 /**
  * A refused caller comes back after this part of what is left to it, at the least and at the most:
@@ -105,7 +105,7 @@
   if (round === undefined) return [];
   for (const id of round.waitingFor) state.targets.get(id)?.probeWaiters.delete(journey.request);
   journey.round = undefined;
-  return giveLeavesBack(state, round.leaves, now);
+  return returnPermits(state, round.permitsAsked, now);
 }
 
 /**
--- a/src/balancing/events.ts
+++ b/src/balancing/events.ts
@@ -1,5 +1,5 @@
 import type { AttemptId, RequestId, TargetId, ZoneName } from '../core/model/index.js';
-import type { LimitedTarget, LimitWord, PermitAnswer, PermitAsk } from '../limits/index.js';
+import type { LimitedTarget, LimitReport, PermitAnswer, PermitAsk } from '../limits/index.js';
 import type { RolloutGuidance, RolloutOrder } from '../rollouts/index.js';
 import type { LoadReading, NamedLimit, RoutingTable, TargetEntry } from './model.js';
 
@@ -123,12 +123,12 @@
 }
 
 /** Another VM told what targets said of their limits. */
-export interface LimitsHeard {
-  readonly kind: 'limitsHeard';
-  readonly words: readonly LimitWord[];
+export interface LimitsReported {
+  readonly kind: 'limitsReported';
+  readonly reports: readonly LimitReport[];
 }
 
-/** Another VM asks for leave to send a request to a limited target. */
+/** Another VM asks for a permit to send a request to a limited target. */
 export interface PermitAsked {
   readonly kind: 'permitAsked';
   readonly ask: PermitAsk;
@@ -166,7 +166,7 @@
   | RolloutsRead
   | RolloutGuided
   | VmsChanged
-  | LimitsHeard
+  | LimitsReported
   | PermitAsked
   | PermitAnswered
   | PermitReturned
--- a/src/balancing/fleetHandlers.ts
+++ b/src/balancing/fleetHandlers.ts
@@ -158,7 +158,7 @@
 }
 
 /**
- * Places requests that waited for a probe of a target, or for leave to send to it.
+ * Places requests that waited for a probe of a target, or for a permit to send to it.
  * @param state - What is known.
  * @param record - The target.
  * @param context - Time and chance.
--- a/src/balancing/limits.ts
+++ b/src/balancing/limits.ts
@@ -1,5 +1,5 @@
 import type { ServiceName } from '../core/model/index.js';
-import type { LimitedTarget, LimitWord, PermitVerdict } from '../limits/index.js';
+import type { LimitedTarget, LimitReport, PermitVerdict } from '../limits/index.js';
 import type { BalancerState } from './BalancerState.js';
 import type { BalancerEffect } from './effects.js';
 import type { NamedLimit } from './model.js';
@@ -12,27 +12,27 @@
 /**
  * Takes what a target said of its limit.
  * @param state - What is known.
- * @param words - What it said, to this VM or to another one.
+ * @param reports - What it said, to this VM or to another one.
  * @param source - Who heard it.
  * @param now - Monotonic milliseconds.
  * @returns Lines of the log, and what is to be told on.
  */
-export function takeLimitWords(
+export function takeLimitReports(
   state: BalancerState,
-  words: readonly LimitWord[],
+  reports: readonly LimitReport[],
   source: 'answer' | 'vm',
   now: number,
 ): BalancerEffect[] {
-  return words.flatMap((word): BalancerEffect[] => {
-    const before = state.limits.getNamed(word);
-    const change = state.limits.take(word, now);
+  return reports.flatMap((report): BalancerEffect[] => {
+    const before = state.limits.getNamed(report);
+    const change = state.limits.take(report, now);
     if (change === undefined || change === 'confirmed') return [];
-    const { target, perSecond, ageMs } = word;
+    const { target, perSecond, ageMs } = report;
     const service = state.targets.get(target)?.entry.service;
     const fields = { target, service, perSecond, before, source, ageMs };
     const event = change === 'named' ? 'target.limited' : 'target.unlimited';
     return [
-      { kind: 'spreadLimits', words: [word] },
+      { kind: 'gossipLimits', reports: [report] },
       { kind: 'log', event, fields },
     ];
   });
@@ -55,8 +55,8 @@
     const { id: target, service } = record.entry;
     return [{ kind: 'log', event: 'target.limitUnreadable', fields: { target, service } }];
   }
-  const word = { ...toLimited(record), perSecond: limit, ageMs: 0 };
-  return takeLimitWords(state, [word], 'answer', now);
+  const report = { ...toLimited(record), perSecond: limit, ageMs: 0 };
+  return takeLimitReports(state, [report], 'answer', now);
 }
 
 /** Requests a second that all VMs together may send to a target now; undefined if it is not limited. */
@@ -74,34 +74,34 @@
  * @param record - The target.
  * @param now - Monotonic milliseconds.
  */
-export function hasLeave(state: BalancerState, record: TargetRecord, now: number): boolean {
+export function maySend(state: BalancerState, record: TargetRecord, now: number): boolean {
   if (getLimit(state, record, now) === undefined) return true;
   return state.permits.has(toLimited(record), now);
 }
 
 /**
- * Whether a target's limit is used up, so that no leave can be had before a time that is known.
+ * Whether a target's limit is used up, so that no permit can be had before a time that is known.
  * @param state - What is known.
  * @param record - The target.
  * @param now - Monotonic milliseconds.
  */
-export function isClosed(state: BalancerState, record: TargetRecord, now: number): boolean {
-  if (hasLeave(state, record, now)) return false;
+export function isExhausted(state: BalancerState, record: TargetRecord, now: number): boolean {
+  if (maySend(state, record, now)) return false;
   const { permits, announced } = state;
   const target = toLimited(record);
   return !permits.isAsking(target, now) && permits.findIssuer(target, announced, now) === undefined;
 }
 
-/** When leave can be had for a target of a service again; monotonic milliseconds. */
+/** When a permit can be had for a target of a service again; monotonic milliseconds. */
 export function getOpenAt(state: BalancerState, service: ServiceName, now: number): number {
   const times = (state.byService.get(service) ?? [])
-    .filter((record) => isClosed(state, record, now))
+    .filter((record) => isExhausted(state, record, now))
     .map((record) => state.permits.getOpenAt(toLimited(record), state.announced, now));
   return times.length === 0 ? now : Math.min(...times);
 }
 
-/** Uses leave up as a request is sent; gives the limit that it is sent under. */
-export function useLeave(
+/** Uses a permit up as a request is sent; gives the limit that it is sent under. */
+export function usePermit(
   state: BalancerState,
   record: TargetRecord,
   now: number,
@@ -123,7 +123,7 @@
   return state.issuer.ask(target, perSecond, state.announced.length, now);
 }
 
-/** Asks this VM's own issuer; gives whether it gave leave. */
+/** Asks this VM's own issuer; gives whether it granted one. */
 function askSelf(state: BalancerState, target: LimitedTarget, now: number): boolean {
   const { isGranted, waitMs } = issue(state, target, now);
   if (isGranted) state.permits.add(target, state.settings.vm, now);
@@ -132,13 +132,13 @@
 }
 
 /**
- * Asks for leave to send one request to a limited target, unless it is being asked for. It may be had
+ * Asks for a permit to send one request to a limited target, unless it is being asked for. It may be had
  * at once if this VM issues permits for the target itself.
  * @param state - What is known.
  * @param record - The target.
  * @param now - Monotonic milliseconds.
  */
-export function askLeave(
+export function askPermit(
   state: BalancerState,
   record: TargetRecord,
   now: number,
@@ -159,8 +159,11 @@
   }
   if (vm === undefined || vm === settings.vm) return effects;
   const ask = permits.noteAsked(target, vm, now);
-  const words = limits.getWords(target, now);
-  return [...effects, { kind: 'askPermit', vm, ask: { kind: 'permitAsk', ask, ...target, words } }];
+  const reports = limits.getReports(target, now);
+  return [
+    ...effects,
+    { kind: 'askPermit', vm, ask: { kind: 'permitAsk', ask, ...target, reports } },
+  ];
 }
 
 /** Takes a permit back that this VM issued. */
@@ -171,18 +174,18 @@
 }
 
 /**
- * Gives leave back that was asked for on behalf of a request and that neither it nor another one needs.
+ * Returns permits that were asked for on behalf of a request and that neither it nor another one needs.
  * @param state - What is known.
- * @param leaves - Targets that leave was asked for.
+ * @param permitsAsked - Targets that permits were asked for.
  * @param now - Monotonic milliseconds.
  */
-export function giveLeavesBack(
+export function returnPermits(
   state: BalancerState,
-  leaves: Iterable<TargetRecord>,
+  permitsAsked: Iterable<TargetRecord>,
   now: number,
 ): BalancerEffect[] {
   const { permits, settings } = state;
-  return [...leaves].flatMap((record): BalancerEffect[] => {
+  return [...permitsAsked].flatMap((record): BalancerEffect[] => {
     const target = toLimited(record);
     const vm = record.probeWaiters.size === 0 ? permits.take(target, now) : undefined;
     if (vm === undefined) return [];
--- a/src/balancing/placing.ts
+++ b/src/balancing/placing.ts
@@ -6,7 +6,7 @@
 import type { BalancerEffect } from './effects.js';
 import { answerRefused, endRound } from './endings.js';
 import type { Journey, ProbeRound, Sending } from './Journey.js';
-import { isClosed, useLeave } from './limits.js';
+import { isExhausted, usePermit } from './limits.js';
 import { startRound, toDestination } from './probing.js';
 import {
   HEDGE_AFTER,
@@ -47,7 +47,7 @@
   context: BalancerContext,
 ): BalancerEffect[] {
   const { now } = context;
-  const limitPerSecond = useLeave(state, record, now);
+  const limitPerSecond = usePermit(state, record, now);
   const given = endRound(state, journey, now);
   const { id, service } = record.entry;
   const isCold = record.coldUntil > now;
@@ -154,7 +154,7 @@
       !state.zonesOut.has(record.entry.zone) &&
       !journey.tried.has(record.entry.id) &&
       record.deadUntil < journey.deadlineAt &&
-      !isClosed(state, record, now),
+      !isExhausted(state, record, now),
   );
 }
 
@@ -162,7 +162,7 @@
 function isLimited(state: BalancerState, { service, tried }: Journey, now: number): boolean {
   return (state.byService.get(service) ?? []).some(
     (record) =>
-      record.deadUntil <= now && !tried.has(record.entry.id) && isClosed(state, record, now),
+      record.deadUntil <= now && !tried.has(record.entry.id) && isExhausted(state, record, now),
   );
 }
 
--- a/src/balancing/probing.ts
+++ b/src/balancing/probing.ts
@@ -2,7 +2,7 @@
 import { drawTargets } from './candidates.js';
 import type { BalancerEffect, Destination } from './effects.js';
 import type { Journey, ProbeRound } from './Journey.js';
-import { askLeave, hasLeave, isClosed } from './limits.js';
+import { askPermit, maySend, isExhausted } from './limits.js';
 import {
   FIRST_PROBES,
   FURTHER_PROBES,
@@ -13,8 +13,8 @@
 } from './settings.js';
 import type { TargetRecord } from './TargetRecord.js';
 
-/** Limited targets that leave is asked for in one round: what is not used is lost to others. */
-const LEAVES_ASKED = 3;
+/** Limited targets that permits are asked for in one round; those that are not used are returned. */
+const PERMITS_ASKED = 3;
 
 /** Where to reach a target. */
 export function toDestination({ entry }: TargetRecord): Destination {
@@ -50,7 +50,7 @@
 }
 
 /**
- * Asks some targets for their load, and for leave to send to those of them that are limited.
+ * Asks some targets for their load, and for permits to send to those of them that are limited.
  * @param state - What is known.
  * @param journey - The request that looks for a target; its round begins here.
  * @param usable - Targets that it may go to, those that this VM prefers first.
@@ -63,7 +63,7 @@
   context: BalancerContext,
 ): BalancerEffect[] {
   const { now } = context;
-  const round: ProbeRound = { startedAt: now, waitingFor: new Set(), leaves: new Set() };
+  const round: ProbeRound = { startedAt: now, waitingFor: new Set(), permitsAsked: new Set() };
   journey.round = round;
   const effects: BalancerEffect[] = [];
   const isFirst = journey.rounds === 0;
@@ -76,17 +76,17 @@
     context,
   );
   const asked = drawn
-    .filter((record) => !hasLeave(state, record, now))
-    .slice(0, LEAVES_ASKED)
+    .filter((record) => !maySend(state, record, now))
+    .slice(0, PERMITS_ASKED)
     .filter((record) => {
-      effects.push(...askLeave(state, record, now));
-      round.leaves.add(record);
-      return !hasLeave(state, record, now) && !isClosed(state, record, now);
+      effects.push(...askPermit(state, record, now));
+      round.permitsAsked.add(record);
+      return !maySend(state, record, now) && !isExhausted(state, record, now);
     });
   effects.push(
     ...probeStale(
       state,
-      drawn.filter((record) => hasLeave(state, record, now)),
+      drawn.filter((record) => maySend(state, record, now)),
       now,
     ),
   );
--- a/src/balancing/reduceBalancer.ts
+++ b/src/balancing/reduceBalancer.ts
@@ -14,7 +14,7 @@
   handleCallerLeft,
   handleWake,
 } from './requestHandlers.js';
-import { handleLimitsHeard, handlePermitAnswered, handlePermitAsked } from './limitHandlers.js';
+import { handleLimitsReported, handlePermitAnswered, handlePermitAsked } from './limitHandlers.js';
 import { takePermitBack } from './limits.js';
 import { takeEarly } from './starting.js';
 import { handleGuidance, handleRollouts } from './versions.js';
@@ -51,7 +51,7 @@
   ],
   rolloutGuided: handleGuidance,
   vmsChanged: handleVms,
-  limitsHeard: handleLimitsHeard,
+  limitsReported: handleLimitsReported,
   permitAsked: handlePermitAsked,
   permitAnswered: handlePermitAnswered,
   permitReturned: (state, { target }, { now }) => {
--- a/src/fleet/LimitSync.ts
+++ b/src/fleet/LimitSync.ts
@@ -1,5 +1,6 @@
 import type { BalancerEffect, BalancerEvent } from '../balancing/index.js';
-import type { LimitMessage, LimitWord } from '../limits/index.js';
+import type { LimitMessage, LimitReport } from '../limits/index.js';
+import { getLimitKey } from '../limits/index.js';
 import type { EventLog } from '../logging/EventLog.js';
 import type { TimerService } from '../timing/index.js';
 import type { FleetView } from './FleetView.js';
@@ -12,13 +13,13 @@
 /** How often limits that were confirmed are told again, in milliseconds. */
 const AGAIN_MS = 1_000;
 
-/** Words in one datagram, so that it fits into a packet. */
-const WORDS_MOST = 24;
+/** Reports in one datagram, so that it fits into a packet. */
+const REPORTS_MOST = 24;
 
 /** What the balancer has to say to other VMs about limits. */
 export type LimitEffect = Extract<
   BalancerEffect,
-  { kind: 'askPermit' | 'answerPermit' | 'returnPermit' | 'spreadLimits' }
+  { kind: 'askPermit' | 'answerPermit' | 'returnPermit' | 'gossipLimits' }
 >;
 
 /** What the synchronisation works with. */
@@ -27,14 +28,14 @@
   readonly log: EventLog;
   readonly neighbours: Pick<Neighbours, 'send' | 'sendToAll'>;
   /** Limits that answers have confirmed a moment ago. */
-  getFreshWords(): readonly LimitWord[];
+  getFreshReports(): readonly LimitReport[];
   dispatch(event: BalancerEvent): void;
 }
 
 /** Carries what VMs tell each other about limits of targets, one datagram a message. */
 export class LimitSync {
-  /** Words to be told, by target. @internal */
-  private readonly news = new Map<string, LimitWord>();
+  /** Reports to be told, by target. @internal */
+  private readonly news = new Map<string, LimitReport>();
 
   /** @param parts - What the synchronisation works with. */
   constructor(private readonly parts: LimitSyncParts) {}
@@ -45,7 +46,7 @@
       this.tell([...this.news.values()]);
       this.news.clear();
     });
-    timers.subscribe(AGAIN_MS, () => this.tell(this.parts.getFreshWords()));
+    timers.subscribe(AGAIN_MS, () => this.tell(this.parts.getFreshReports()));
   }
 
   /** Tells another VM, or some, what the balancer has to say. */
@@ -61,7 +62,7 @@
         this.sendTo(effect.vm, { kind: 'permitReturn', ...effect.target });
         break;
       default:
-        for (const word of effect.words) this.news.set(`${word.target} ${word.bornAt}`, word);
+        effect.reports.forEach((each) => this.news.set(getLimitKey(each), each));
     }
   }
 
@@ -91,15 +92,15 @@
       case 'permitReturn':
         return { kind: 'permitReturned', target: message };
       default:
-        return { kind: 'limitsHeard', words: message.words };
+        return { kind: 'limitsReported', reports: message.reports };
     }
   }
 
   /** @internal */
-  private tell(words: readonly LimitWord[]): void {
-    for (let i = 0; i < words.length; i += WORDS_MOST) {
-      const some = words.slice(i, i + WORDS_MOST);
-      this.parts.neighbours.sendToAll(writeLimitMessage({ kind: 'limitNews', words: some }));
+  private tell(reports: readonly LimitReport[]): void {
+    for (let i = 0; i < reports.length; i += REPORTS_MOST) {
+      const some = reports.slice(i, i + REPORTS_MOST);
+      this.parts.neighbours.sendToAll(writeLimitMessage({ kind: 'limitNews', reports: some }));
     }
   }
 
--- a/src/fleet/limitMessages.ts
+++ b/src/fleet/limitMessages.ts
@@ -1,20 +1,20 @@
-import type { LimitMessage, LimitWord } from '../limits/index.js';
+import type { LimitMessage, LimitReport } from '../limits/index.js';
 
 /** Begins each datagram about limits, which tells it from others on the same socket. */
 const PREFIX = 'limit ';
 
 /** Target, its start, requests a second or null, age. */
-type PackedWord = readonly [string, number, number | null, number];
+type PackedReport = readonly [string, number, number | null, number];
 
-/** A letter for the kind, words if there are any, and what else there is of it. */
+/** A letter for the kind, reports if there are any, and what else there is of it. */
 type PackedMessage =
-  | readonly ['n', readonly PackedWord[]]
+  | readonly ['n', readonly PackedReport[]]
   | readonly ['r', string, number]
-  | readonly ['q', readonly PackedWord[], number, string, number]
-  | readonly ['a', readonly PackedWord[], number, string, number, boolean, number];
+  | readonly ['q', readonly PackedReport[], number, string, number]
+  | readonly ['a', readonly PackedReport[], number, string, number, boolean, number];
 
-function packWords(words: readonly LimitWord[]): PackedWord[] {
-  return words.map(({ target, bornAt, perSecond, ageMs }) => [
+function packReports(reports: readonly LimitReport[]): PackedReport[] {
+  return reports.map(({ target, bornAt, perSecond, ageMs }) => [
     target,
     bornAt,
     perSecond ?? null,
@@ -25,22 +25,22 @@
 function pack(message: LimitMessage): PackedMessage {
   switch (message.kind) {
     case 'limitNews':
-      return ['n', packWords(message.words)];
+      return ['n', packReports(message.reports)];
     case 'permitAsk':
-      return ['q', packWords(message.words), message.ask, message.target, message.bornAt];
+      return ['q', packReports(message.reports), message.ask, message.target, message.bornAt];
     case 'permitReturn':
       return ['r', message.target, message.bornAt];
     default: {
       const { ask, target, bornAt, isGranted, waitMs } = message;
-      return ['a', packWords(message.words), ask, target, bornAt, isGranted, waitMs];
+      return ['a', packReports(message.reports), ask, target, bornAt, isGranted, waitMs];
     }
   }
 }
 
-function unpackWord([target, bornAt, perSecond, ageMs]: PackedWord): LimitWord {
+function unpackReport([target, bornAt, perSecond, ageMs]: PackedReport): LimitReport {
   const figures = [bornAt, perSecond ?? 0, ageMs];
   const isReadable = typeof target === 'string' && figures.every((each) => Number.isFinite(each));
-  if (!isReadable) throw new TypeError('the datagram holds no word on a limit');
+  if (!isReadable) throw new TypeError('the datagram holds no report on a limit');
   return { target, bornAt, perSecond: perSecond ?? undefined, ageMs: Math.max(0, ageMs) };
 }
 
@@ -68,19 +68,19 @@
   const packed = JSON.parse(text.slice(PREFIX.length)) as PackedMessage;
   switch (packed[0]) {
     case 'n':
-      return { kind: 'limitNews', words: packed[1].map(unpackWord) };
+      return { kind: 'limitNews', reports: packed[1].map(unpackReport) };
     case 'r': {
       const [, target, bornAt] = packed;
       return { kind: 'permitReturn', target, bornAt };
     }
     case 'q': {
-      const [, words, ask, target, bornAt] = packed;
-      return { kind: 'permitAsk', words: words.map(unpackWord), ask, target, bornAt };
+      const [, reports, ask, target, bornAt] = packed;
+      return { kind: 'permitAsk', reports: reports.map(unpackReport), ask, target, bornAt };
     }
     case 'a': {
-      const [, words, ask, target, bornAt, isGranted, waitMs] = packed;
+      const [, reports, ask, target, bornAt, isGranted, waitMs] = packed;
       const answer = { ask, target, bornAt, isGranted, waitMs };
-      return { kind: 'permitAnswer', words: words.map(unpackWord), ...answer };
+      return { kind: 'permitAnswer', reports: reports.map(unpackReport), ...answer };
     }
     default:
       throw new TypeError('the datagram is no message about limits');
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -184,7 +184,7 @@
       view: this.view,
       log,
       neighbours: this.neighbours,
-      getFreshWords: () => this.state.limits.getFreshWords(clock.now()),
+      getFreshReports: () => this.state.limits.getFreshReports(clock.now()),
       dispatch: this.loop.dispatch,
     });
   }
@@ -365,7 +365,7 @@
       case 'askPermit':
       case 'answerPermit':
       case 'returnPermit':
-      case 'spreadLimits':
+      case 'gossipLimits':
         this.limits.run(effect);
         break;
       default:
--- a/src/lab/LabVm.ts
+++ b/src/lab/LabVm.ts
@@ -7,7 +7,7 @@
   TargetEntry,
 } from '../balancing/index.js';
 import { createBalancerState, reduceBalancer, ServiceCurve } from '../balancing/index.js';
-import type { LimitWord } from '../limits/index.js';
+import type { LimitReport } from '../limits/index.js';
 import { getOwners } from '../limits/index.js';
 import type { CancelTimer, Clock } from '../timing/index.js';
 import type { LabPlan } from './LabPlan.js';
@@ -122,7 +122,7 @@
   /** @internal */
   private spreadAgain(): void {
     const { clock } = this.parts;
-    if (!this.isDown) this.spread(this.state.limits.getFreshWords(clock.now()));
+    if (!this.isDown) this.spread(this.state.limits.getFreshReports(clock.now()));
     clock.after(SPREAD_MS, () => this.spreadAgain());
   }
 
@@ -210,21 +210,21 @@
       case 'returnPermit':
         this.tell(effect.vm, { kind: 'permitReturned', target: effect.target });
         break;
-      case 'spreadLimits':
-        this.spread(effect.words);
+      case 'gossipLimits':
+        this.spread(effect.reports);
         break;
       default:
     }
   }
 
   /** Tells neighbours what targets said of their limits. */
-  spread(words: readonly LimitWord[]): void {
-    if (words.length === 0) return;
+  spread(reports: readonly LimitReport[]): void {
+    if (reports.length === 0) return;
     const { name, peers } = this.parts;
     const others = [...peers.keys()].filter((vm) => vm !== name);
     // Which VMs are neighbours is drawn by a hash, as in the product.
     for (const vm of getOwners(name, others, NEIGHBOURS)) {
-      this.tell(vm, { kind: 'limitsHeard', words });
+      this.tell(vm, { kind: 'limitsReported', reports });
     }
   }
 
--- a/src/limits/LimitBook.ts
+++ b/src/limits/LimitView.ts
@@ -1,9 +1,9 @@
-import type { LimitedTarget, LimitWord } from './model.js';
+import type { LimitedTarget, LimitReport } from './model.js';
 import { getLimitKey } from './model.js';
 
 /**
  * Answers without a limit end it only so long after the last one that named it, in milliseconds:
- * some targets name it in a part of their answers, and word of it takes a while to all VMs.
+ * some targets name it in a part of their answers, and reports of it take a while to reach all VMs.
  */
 const END_AFTER_MS = 2_000;
 
@@ -34,7 +34,7 @@
   endedAt: number | undefined;
 }
 
-/** What a word changed. */
+/** What a report changed. */
 export type LimitChange =
   /** The target named none before, or another one. */
   | 'named'
@@ -43,7 +43,7 @@
   | 'ended';
 
 /** What is known of the limits that targets name. */
-export class LimitBook {
+export class LimitView {
   /** @internal */
   private readonly limits = new Map<string, Limit>();
 
@@ -54,15 +54,15 @@
 
   /**
    * Takes what an answer said, to this VM or to another one.
-   * @param word - What it said.
+   * @param report - What it said.
    * @param now - Monotonic milliseconds.
-   * @returns What changed; undefined if the word is older than what is known, or says nothing new.
+   * @returns What changed; undefined if the report is older than what is known, or says nothing new.
    */
-  take({ target, bornAt, perSecond, ageMs }: LimitWord, now: number): LimitChange | undefined {
+  take({ target, bornAt, perSecond, ageMs }: LimitReport, now: number): LimitChange | undefined {
     const key = getLimitKey({ target, bornAt });
     const at = now - ageMs;
     const limit = this.limits.get(key);
-    if (limit !== undefined) return LimitBook.update(limit, perSecond, at);
+    if (limit !== undefined) return LimitView.update(limit, perSecond, at);
     if (perSecond === undefined || ageMs > FORGET_MS) return undefined;
     const made = { target: { target, bornAt }, perSecond, namedAt: at, endedAt: undefined };
     this.limits.set(key, made);
@@ -113,9 +113,9 @@
    * @param target - The target.
    * @param now - Monotonic milliseconds.
    */
-  getWords(target: LimitedTarget, now: number): readonly LimitWord[] {
+  getReports(target: LimitedTarget, now: number): readonly LimitReport[] {
     const limit = this.limits.get(getLimitKey(target));
-    return limit === undefined ? [] : LimitBook.describe(limit, now);
+    return limit === undefined ? [] : LimitView.describe(limit, now);
   }
 
   /**
@@ -123,10 +123,10 @@
    * they see no answer of.
    * @param now - Monotonic milliseconds.
    */
-  getFreshWords(now: number): readonly LimitWord[] {
+  getFreshReports(now: number): readonly LimitReport[] {
     return [...this.limits.values()]
       .filter(({ namedAt }) => now - namedAt < FRESH_MS)
-      .flatMap((limit) => LimitBook.describe(limit, now));
+      .flatMap((limit) => LimitView.describe(limit, now));
   }
 
   /** @internal */
@@ -141,7 +141,7 @@
       return 'ended';
     }
     if (at <= limit.namedAt) return undefined;
-    // Word of a time before the end, from a VM that has not heard of the end.
+    // A report from before the end, by a VM that has not heard of the end.
     if (limit.endedAt !== undefined && at <= limit.endedAt - END_AFTER_MS) return undefined;
     const isSame = perSecond === limit.perSecond && limit.endedAt === undefined;
     limit.perSecond = perSecond;
@@ -151,7 +151,7 @@
   }
 
   /** @internal */
-  private static describe(limit: Limit, now: number): LimitWord[] {
+  private static describe(limit: Limit, now: number): LimitReport[] {
     const { target, perSecond, namedAt, endedAt } = limit;
     const named = { ...target, perSecond, ageMs: Math.round(now - namedAt) };
     if (endedAt === undefined) return [named];
--- a/src/limits/index.ts
+++ b/src/limits/index.ts
@@ -1,12 +1,12 @@
 export { getOwners } from './getOwners.js';
 export { ISSUERS, ISSUERS_AT_MOST, PERMIT_MS } from './issuing.js';
-export type { LimitChange } from './LimitBook.js';
-export { LimitBook } from './LimitBook.js';
+export type { LimitChange } from './LimitView.js';
+export { LimitView } from './LimitView.js';
 export type {
   LimitedTarget,
   LimitMessage,
   LimitNews,
-  LimitWord,
+  LimitReport,
   PermitAnswer,
   PermitAsk,
   PermitReturn,
--- a/src/limits/model.ts
+++ b/src/limits/model.ts
@@ -7,20 +7,20 @@
 }
 
 /** What an answer of a target said of its limit. */
-export interface LimitWord extends LimitedTarget {
+export interface LimitReport extends LimitedTarget {
   /** Requests a second that it takes from all entry VMs together; undefined if it named no limit. */
   readonly perSecond: number | undefined;
   /** Time since the answer, in milliseconds. */
   readonly ageMs: number;
 }
 
-/** Asks for one request's leave to go to a limited target. */
+/** Asks for a permit for one request to go to a limited target. */
 export interface PermitAsk extends LimitedTarget {
   readonly kind: 'permitAsk';
   /** Number that the asking VM gave it. */
   readonly ask: number;
   /** What the asking VM knows, so that an issuer which has just started need not know anything. */
-  readonly words: readonly LimitWord[];
+  readonly reports: readonly LimitReport[];
 }
 
 /** Answers a `PermitAsk`. */
@@ -30,7 +30,7 @@
   readonly isGranted: boolean;
   /** When to ask again if it is not granted, in milliseconds. */
   readonly waitMs: number;
-  readonly words: readonly LimitWord[];
+  readonly reports: readonly LimitReport[];
 }
 
 /** Gives a permit back that was not used. */
@@ -41,7 +41,7 @@
 /** Tells what targets said. */
 export interface LimitNews {
   readonly kind: 'limitNews';
-  readonly words: readonly LimitWord[];
+  readonly reports: readonly LimitReport[];
 }
 
 /** What VMs tell each other about limits. */
--- a/src/tests/balancing/limits.test.ts
+++ b/src/tests/balancing/limits.test.ts
@@ -27,8 +27,8 @@
 test('the line of a request that is sent to a limited target names the limit', (t) => {
   const scene = new Scene([makeTarget('t-1')]);
   scene.dispatch({
-    kind: 'limitsHeard',
-    words: [{ target: 't-1', bornAt: 1, perSecond: 6, ageMs: 0 }],
+    kind: 'limitsReported',
+    reports: [{ target: 't-1', bornAt: 1, perSecond: 6, ageMs: 0 }],
   });
   scene.arrive();
   scene.now += 1_000;
@@ -51,20 +51,20 @@
   );
   const scene = new Scene(entries, [ROUTE], vm);
   scene.dispatch({ kind: 'vmsChanged', vms: VMS });
-  const words = targets.map((target) => ({ target, bornAt: 1, perSecond: 1.3, ageMs: 0 }));
-  scene.dispatch({ kind: 'limitsHeard', words });
+  const reports = targets.map((target) => ({ target, bornAt: 1, perSecond: 1.3, ageMs: 0 }));
+  scene.dispatch({ kind: 'limitsReported', reports });
   return scene;
 }
 
-/** Answers the ask for leave that was made last. */
+/** Answers the ask for a permit that was made last. */
 function answerAsk(scene: Scene, isGranted: boolean, waitMs = 700): void {
   const { ask } = scene.all('askPermit').at(-1) as { ask: PermitAsk };
   const { target, bornAt } = ask;
   const answer = { kind: 'permitAnswer', ask: ask.ask, target, bornAt } as const;
-  scene.dispatch({ kind: 'permitAnswered', answer: { ...answer, isGranted, waitMs, words: [] } });
+  scene.dispatch({ kind: 'permitAnswered', answer: { ...answer, isGranted, waitMs, reports: [] } });
 }
 
-test('a request goes to a limited target with leave of an issuer, and is probed for only then', (t) => {
+test('a request goes to a limited target with a permit of an issuer, and is probed for only then', (t) => {
   const scene = makeLimited();
   scene.arrive();
   t.is(scene.all('probe').length, 0);
@@ -75,7 +75,7 @@
 });
 
 // Held until its time is over it would only have kept its caller waiting.
-test('a request is refused at once when no issuer gives leave, with the time to come back', (t) => {
+test('a request is refused at once when no issuer grants a permit, with the time to come back', (t) => {
   const scene = makeLimited();
   scene.arrive();
   for (let issuer = 0; issuer < 3; issuer++) answerAsk(scene, false, 2_500);
@@ -87,7 +87,7 @@
 });
 
 // An answer that comes late, or twice, would be a second permit for one request.
-test('one answer of an issuer gives leave for one request', (t) => {
+test('one answer of an issuer grants one request', (t) => {
   const scene = makeLimited();
   scene.arrive();
   answerAsk(scene, true);
@@ -99,12 +99,12 @@
   t.is(scene.all('sendAttempt').length, 1);
 });
 
-test('leave that is not used is given back', (t) => {
+test('a permit that is not used is given back', (t) => {
   const scene = makeLimited(['t-1', 't-2']);
   scene.arrive();
   const asks = scene.all('askPermit').map(({ ask }) => ask);
   for (const { ask, target, bornAt } of asks) {
-    const answer = { kind: 'permitAnswer', ask, target, bornAt, words: [] } as const;
+    const answer = { kind: 'permitAnswer', ask, target, bornAt, reports: [] } as const;
     scene.dispatch({ kind: 'permitAnswered', answer: { ...answer, isGranted: true, waitMs: 0 } });
   }
   scene.answerProbes();
@@ -144,10 +144,10 @@
 test('an issuer that knows of no limit learns it from the VM that asks', (t) => {
   const scene = new Scene([makeTarget('t-1')]);
   scene.dispatch({ kind: 'vmsChanged', vms: VMS });
-  const words = [{ target: 't-1', bornAt: 1, perSecond: 1.3, ageMs: 50 }];
-  const ask = { kind: 'permitAsk', ask: 1, target: 't-1', bornAt: 1, words } as const;
+  const reports = [{ target: 't-1', bornAt: 1, perSecond: 1.3, ageMs: 50 }];
+  const ask = { kind: 'permitAsk', ask: 1, target: 't-1', bornAt: 1, reports } as const;
   scene.dispatch({ kind: 'permitAsked', ask, from: '10.0.0.9:7000' });
   // Whoever issued permits before it may have done so until a moment ago.
   t.false(scene.all('answerPermit')[0].answer.isGranted);
-  t.deepEqual(scene.all('spreadLimits')[0].words, words);
+  t.deepEqual(scene.all('gossipLimits')[0].reports, reports);
 });
--- a/src/tests/fleet/limitMessages.test.ts
+++ b/src/tests/fleet/limitMessages.test.ts
@@ -3,14 +3,14 @@
 import { isLimitMessage, readLimitMessage, writeLimitMessage } from '../../fleet/limitMessages.js';
 import type { LimitMessage } from '../../limits/index.js';
 
-const WORDS = [
+const REPORTS = [
   { target: 't-1', bornAt: 1, perSecond: 1.3, ageMs: 20 },
   { target: 't-1', bornAt: 1, perSecond: undefined, ageMs: 5 },
 ];
 
 const MESSAGES: readonly LimitMessage[] = [
-  { kind: 'limitNews', words: WORDS },
-  { kind: 'permitAsk', ask: 4, target: 't-1', bornAt: 1, words: WORDS },
+  { kind: 'limitNews', reports: REPORTS },
+  { kind: 'permitAsk', ask: 4, target: 't-1', bornAt: 1, reports: REPORTS },
   {
     kind: 'permitAnswer',
     ask: 4,
@@ -18,7 +18,7 @@
     bornAt: 1,
     isGranted: false,
     waitMs: 70,
-    words: [],
+    reports: [],
   },
   { kind: 'permitReturn', target: 't-1', bornAt: 1 },
 ];
--- a/src/tests/limits/LimitBook.test.ts
+++ b/src/tests/limits/LimitView.test.ts
@@ -1,15 +1,15 @@
 import test from 'ava';
 
-import { LimitBook } from '../../limits/index.js';
+import { LimitView } from '../../limits/index.js';
 
 const TARGET = { target: 't-1', bornAt: 1 };
 
-function take(book: LimitBook, now: number, perSecond: number | undefined, ageMs = 0) {
+function take(book: LimitView, now: number, perSecond: number | undefined, ageMs = 0) {
   return book.take({ ...TARGET, perSecond, ageMs }, now);
 }
 
-test('the latest word of a limit holds, whoever heard it', (t) => {
-  const book = new LimitBook();
+test('the latest report of a limit holds, whoever heard it', (t) => {
+  const book = new LimitView();
   t.is(take(book, 1_000, 6), 'named');
   t.is(take(book, 1_500, 6), 'confirmed');
   t.is(take(book, 2_000, 1.3), 'named');
@@ -20,7 +20,7 @@
 
 // A flood at the end of a limit would bring the target down again.
 test('a limit that has ended grows until it is gone', (t) => {
-  const book = new LimitBook();
+  const book = new LimitView();
   take(book, 0, 1.5);
   t.is(take(book, 5_000, undefined), 'ended');
   t.deepEqual(
@@ -32,7 +32,7 @@
 
 // Some targets name their limit in a part of their answers, or to some VMs only.
 test('an answer without a limit ends none that another answer named a moment ago', (t) => {
-  const book = new LimitBook();
+  const book = new LimitView();
   take(book, 0, 1.3);
   t.is(take(book, 1_900, undefined), undefined);
   t.is(book.getRate(TARGET, 1_900), 1.3);
@@ -41,8 +41,8 @@
   t.is(book.getRate(TARGET, 7_000), 1.3);
 });
 
-test('word from before the end of a limit does not bring it back', (t) => {
-  const book = new LimitBook();
+test('a report from before the end of a limit does not bring it back', (t) => {
+  const book = new LimitView();
   take(book, 0, 1.3);
   take(book, 9_000, undefined);
   t.is(take(book, 9_500, 1.3, 6_000), undefined);
@@ -50,13 +50,13 @@
 });
 
 test('a limit of nothing lets a request through at times, so that its end is seen', (t) => {
-  const book = new LimitBook();
+  const book = new LimitView();
   take(book, 0, 0);
   t.is(book.getRate(TARGET, 100), 0.1);
 });
 
 test('a limit that nobody confirms is forgotten', (t) => {
-  const book = new LimitBook();
+  const book = new LimitView();
   take(book, 0, 1.3);
   t.is(book.getRate(TARGET, 119_000), 1.3);
   t.is(book.getRate(TARGET, 121_000), undefined);
