Tell news of limits when there are some, without a timer of ten ticks a second

A subscription at 100 ms woke each gateway ten times a second, beside some 43 wake-ups, while no target names a limit. Reports are now collected from the first one on.

--- a/src/fleet/LimitSync.ts
+++ b/src/fleet/LimitSync.ts
@@ -2,7 +2,7 @@
 import type { LimitMessage, LimitReport } from '../limits/index.js';
 import { getLimitKey } from '../limits/index.js';
 import type { EventLog } from '../logging/EventLog.js';
-import type { TimerService } from '../timing/index.js';
+import type { Clock, TimerService } from '../timing/index.js';
 import type { FleetView } from './FleetView.js';
 import { isLimitMessage, readLimitMessage, writeLimitMessage } from './limitMessages.js';
 import type { Neighbours } from './Neighbours.js';
@@ -25,6 +25,7 @@
 /** What the synchronisation works with. */
 export interface LimitSyncParts {
   readonly view: Pick<FleetView, 'vms'>;
+  readonly clock: Clock;
   readonly log: EventLog;
   readonly neighbours: Pick<Neighbours, 'send' | 'sendToAll'>;
   /** Limits that answers have confirmed a moment ago. */
@@ -42,10 +43,6 @@
 
   /** Begins to tell news. */
   start(timers: TimerService): void {
-    timers.subscribe(COLLECT_MS, () => {
-      this.tell([...this.news.values()]);
-      this.news.clear();
-    });
     timers.subscribe(AGAIN_MS, () => this.tell(this.parts.getFreshReports()));
   }
 
@@ -62,7 +59,7 @@
         this.sendTo(effect.vm, { kind: 'permitReturn', ...effect.target });
         break;
       default:
-        effect.reports.forEach((each) => this.news.set(getLimitKey(each), each));
+        this.collect(effect.reports);
     }
   }
 
@@ -96,6 +93,18 @@
     }
   }
 
+  /** Tells reports soon, those of a while together. @internal */
+  private collect(reports: readonly LimitReport[]): void {
+    if (this.news.size === 0) this.parts.clock.after(COLLECT_MS, () => this.tellNews());
+    for (const report of reports) this.news.set(getLimitKey(report), report);
+  }
+
+  /** @internal */
+  private tellNews(): void {
+    this.tell([...this.news.values()]);
+    this.news.clear();
+  }
+
   /** @internal */
   private tell(reports: readonly LimitReport[]): void {
     for (let i = 0; i < reports.length; i += REPORTS_MOST) {
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -182,6 +182,7 @@
     const { clock, log } = this.parts;
     return new LimitSync({
       view: this.view,
+      clock,
       log,
       neighbours: this.neighbours,
       getFreshReports: () => this.state.limits.getFreshReports(clock.now()),
