Read, log and count pauses that targets ask for, and drains that their answers announce

No decision changes. In the incident the logs could not tell a time that no VM reads from one that a VM reads and ends too early: each sending followed a probe's result, and no line said what a target had asked for. Now target.paused has the time and its source, target.draining says if an answer announced it, the standing paused counts such targets and masticlink_gateway_pause_seconds shows how long the last one stays so.

What a target asked for is kept when its registration expires and returns, and ends with its process (id and start time). A shorter pause does not end a longer one; dates, signs and exponents are unreadable; a pause ends after an hour at the latest. A 429 pauses only if it says that the request has not run.

--- a/src/balancing/BalancerState.ts
+++ b/src/balancing/BalancerState.ts
@@ -7,6 +7,7 @@
 import { LimitView, PermitIssuer, PermitPool } from '../limits/index.js';
 import { ProbeBudget } from './ProbeBudget.js';
 import { RetryBudget } from './RetryBudget.js';
+import { FormerTargetNotices } from './TargetNotices.js';
 import { ServiceVersions } from './ServiceVersions.js';
 import { ServiceCurve } from './ServiceCurve.js';
 import type { BalancingSettings } from './settings.js';
@@ -31,6 +32,8 @@
   table: RoutingTable | undefined;
   services: ReadonlyMap<ServiceName, ServicePolicy>;
   readonly targets: Map<TargetId, TargetRecord>;
+  /** What targets asked for whose registration has ended. */
+  readonly formerNotices: FormerTargetNotices;
   /** Whether more targets are registered than have been read. */
   isTargetListPartial: boolean;
   /** The same records by service, sorted by this VM's preference. */
@@ -80,6 +83,7 @@
     table: undefined,
     services: new Map(),
     targets: new Map(),
+    formerNotices: new FormerTargetNotices(),
     isTargetListPartial: false,
     targetsByService: new Map(),
     zonesOut: new Set(),
--- a/src/balancing/TargetRecord.ts
+++ b/src/balancing/TargetRecord.ts
@@ -1,6 +1,8 @@
 import { hashText } from '../core/hash.js';
 import type { RequestId } from '../core/model/index.js';
 import type { LoadReading, TargetRegistration } from './model.js';
+import type { TargetNotices } from './TargetNotices.js';
+import { createTargetNotices } from './TargetNotices.js';
 
 /** Half-life of the failure and slowness scores, in milliseconds. */
 const SCORE_HALF_LIFE_MS = 3_000;
@@ -17,6 +19,7 @@
   entry: TargetRegistration;
   /** Hash of its id, the same at all entry VMs. */
   readonly idHash: number;
+  readonly notices: TargetNotices;
   /** No request is sent before this time, since its version is new; monotonic milliseconds. */
   versionHeldUntil: number;
   reading: LoadReading | undefined;
@@ -47,11 +50,17 @@
  * Creates the record of a newly discovered target.
  * @param entry - What the target registered.
  * @param now - Monotonic milliseconds.
+ * @param notices - What the target has asked for before, under an earlier registration.
  */
-export function createTargetRecord(entry: TargetRegistration, now: number): TargetRecord {
+export function createTargetRecord(
+  entry: TargetRegistration,
+  now: number,
+  notices: TargetNotices = createTargetNotices(),
+): TargetRecord {
   return {
     entry,
     idHash: hashText(entry.id),
+    notices,
     versionHeldUntil: 0,
     reading: undefined,
     sentSinceReading: 0,
@@ -67,6 +76,20 @@
   };
 }
 
+/** Whether a target is shutting down, according to its registration or to its answers. */
+export function isDraining({ entry, notices }: TargetRecord): boolean {
+  return entry.isDraining || notices.hasAnnouncedDrain;
+}
+
+/**
+ * Whether a target wants no requests from this VM now.
+ * @param record - The target.
+ * @param now - Monotonic milliseconds.
+ */
+export function isPaused({ notices }: TargetRecord, now: number): boolean {
+  return notices.pausedUntil > now;
+}
+
 function decayScores(record: TargetRecord, now: number): void {
   const decay = 0.5 ** (Math.max(0, now - record.scoresUpdatedAt) / SCORE_HALF_LIFE_MS);
   record.failures *= decay;
--- a/src/balancing/countTargets.ts
+++ b/src/balancing/countTargets.ts
@@ -2,24 +2,28 @@
 import type { BalancerState } from './BalancerState.js';
 import { getLimit } from './limits.js';
 import type { TargetRecord } from './TargetRecord.js';
+import { isDraining, isPaused } from './TargetRecord.js';
 
 /** State of a target as shown in metrics; the first one that applies, in this order. */
-export type TargetStanding = 'draining' | 'zoneOut' | 'dead' | 'cold' | 'limited' | 'usable';
+export type TargetStanding =
+  'draining' | 'zoneOut' | 'dead' | 'paused' | 'cold' | 'limited' | 'usable';
 
 /** All states, in the order in which they are checked. */
 export const TARGET_STANDINGS: readonly TargetStanding[] = [
   'draining',
   'zoneOut',
   'dead',
+  'paused',
   'cold',
   'limited',
   'usable',
 ];
 
 function getStanding(state: BalancerState, record: TargetRecord, now: number): TargetStanding {
-  if (record.entry.isDraining) return 'draining';
+  if (isDraining(record)) return 'draining';
   if (state.zonesOut.has(record.entry.zone)) return 'zoneOut';
   if (record.deadUntil > now) return 'dead';
+  if (isPaused(record, now)) return 'paused';
   if (record.coldUntil > now) return 'cold';
   return getLimit(state, record, now) === undefined ? 'usable' : 'limited';
 }
@@ -41,7 +45,8 @@
   const counts = new Map<ServiceName, Record<TargetStanding, number>>();
   // A service without targets is reported as zero instead of being missing.
   for (const service of [...state.services.keys(), ...state.targetsByService.keys()]) {
-    counts.set(service, { draining: 0, zoneOut: 0, dead: 0, cold: 0, limited: 0, usable: 0 });
+    const zeros = TARGET_STANDINGS.map((standing) => [standing, 0]);
+    counts.set(service, Object.fromEntries(zeros) as Record<TargetStanding, number>);
   }
   for (const record of state.targets.values()) {
     const count = counts.get(record.entry.service);
--- a/src/balancing/effects.ts
+++ b/src/balancing/effects.ts
@@ -57,6 +57,8 @@
   | 'target.limited'
   | 'target.unlimited'
   | 'target.limitUnreadable'
+  | 'target.paused'
+  | 'target.pauseUnreadable'
   | 'permit.issuerSilent'
   | 'service.learnt'
   | 'config.adopted'
--- a/src/balancing/events.ts
+++ b/src/balancing/events.ts
@@ -1,7 +1,13 @@
 import type { AttemptId, RequestId, TargetId, ZoneName } from '../core/model/index.js';
 import type { LimitedTarget, LimitReport, PermitAnswer, PermitAsk } from '../limits/index.js';
 import type { RolloutGuidance, RolloutOrder } from '../rollouts/index.js';
-import type { LoadReading, AdvertisedLimit, RoutingTable, TargetRegistration } from './model.js';
+import type {
+  LoadReading,
+  AdvertisedLimit,
+  RoutingTable,
+  TargetRegistration,
+  TargetStatements,
+} from './model.js';
 
 /** A caller's request has arrived completely. */
 export interface RequestArrived {
@@ -26,18 +32,18 @@
 
 /** Result of a probe. */
 export type ProbeResult =
-  | {
+  | ({
       readonly kind: 'answered';
       readonly reading: LoadReading;
       readonly coldMs: number;
       readonly limit?: AdvertisedLimit;
-    }
+    } & TargetStatements)
   /** Another target now has the address, or the target has restarted. */
   | { readonly kind: 'stranger' }
   | { readonly kind: 'refused' }
   | { readonly kind: 'silent' }
   /** The connection broke, or the answer was unreadable. */
-  | { readonly kind: 'broken' };
+  | ({ readonly kind: 'broken' } & TargetStatements);
 
 export interface ProbeEnded {
   readonly kind: 'probeEnded';
@@ -49,14 +55,18 @@
 /** Result of an attempt. */
 export type AttemptResult =
   /** A complete answer to the request, ready to be delivered. */
-  | {
+  | ({
       readonly kind: 'answered';
       readonly status: number;
       readonly reading?: LoadReading;
       readonly limit?: AdvertisedLimit;
-    }
+    } & TargetStatements)
   /** The target reported that it has not run the request and will not run it. */
-  | { readonly kind: 'rejected'; readonly reading?: LoadReading; readonly limit?: AdvertisedLimit }
+  | ({
+      readonly kind: 'rejected';
+      readonly reading?: LoadReading;
+      readonly limit?: AdvertisedLimit;
+    } & TargetStatements)
   /** Another target now has the address; it has not run the request. */
   | { readonly kind: 'misdirected' }
   /** No connection was established, so nothing was sent. */
@@ -64,7 +74,7 @@
   /** The connection broke after the request was sent and before the answer was complete. */
   | { readonly kind: 'broken' }
   /** The answer belongs to another request, or was corrupted on the way. */
-  | { readonly kind: 'spoilt' };
+  | ({ readonly kind: 'spoilt' } & TargetStatements);
 
 export interface AttemptEnded {
   readonly kind: 'attemptEnded';
--- a/src/balancing/fleetHandlers.ts
+++ b/src/balancing/fleetHandlers.ts
@@ -1,12 +1,22 @@
 import type { ServiceName } from '../core/model/index.js';
 import type { BalancerContext, BalancerState } from './BalancerState.js';
 import type { BalancerEffect } from './effects.js';
-import type { ProbeEnded, TableRead, TargetsRead, VmsChanged, ZonesOutRead } from './events.js';
+import type {
+  ProbeEnded,
+  ProbeResult,
+  TableRead,
+  TargetsRead,
+  VmsChanged,
+  ZonesOutRead,
+} from './events.js';
 import { markDead } from './learning.js';
 import { removeExpiredLimits, recordLimit } from './limits.js';
 import type { TargetRegistration } from './model.js';
 import { placeRequest, placeWaitingRequests } from './placing.js';
 import { sortByPreference } from './preference.js';
+import { recordStatements } from './statements.js';
+import type { TargetListEvent } from './targetLog.js';
+import { logTargets } from './targetLog.js';
 import type { TargetRecord } from './TargetRecord.js';
 import { createTargetRecord, recordOutcome } from './TargetRecord.js';
 import { holdNewVersions } from './versions.js';
@@ -34,27 +44,8 @@
   return groups;
 }
 
-type TargetEvent = 'target.added' | 'target.removed' | 'target.draining';
-
-function describeTarget({
-  id,
-  service,
-  version,
-  address,
-  bornAt,
-  zone,
-  coldMs,
-}: TargetRegistration): string {
-  return `${id} ${service} ${version} ${address} ${zone} born ${bornAt} cold ${coldMs}`;
-}
-
-/**
- * Logs one line for all targets of a list, since a VM that starts reads hundreds of them at once.
- */
-function logTargets(event: TargetEvent, entries: readonly TargetRegistration[]): BalancerEffect[] {
-  if (entries.length === 0) return [];
-  const fields = { count: entries.length, targets: entries.map(describeTarget) };
-  return [{ kind: 'log', event, fields }];
+function isSameProcess(a: TargetRegistration, b: TargetRegistration): boolean {
+  return a.bornAt === b.bornAt && a.address === b.address && a.service === b.service;
 }
 
 /** Adds or updates one registered target; returns the event to log, if any. */
@@ -62,15 +53,11 @@
   state: BalancerState,
   entry: TargetRegistration,
   now: number,
-): TargetEvent | undefined {
+): TargetListEvent | undefined {
   const known = state.targets.get(entry.id);
-  const isSameProcess =
-    known !== undefined &&
-    known.entry.bornAt === entry.bornAt &&
-    known.entry.address === entry.address &&
-    known.entry.service === entry.service;
-  if (!isSameProcess) {
-    const record = createTargetRecord(entry, now);
+  if (known === undefined || !isSameProcess(known.entry, entry)) {
+    if (known !== undefined) state.formerNotices.keep(known.entry, known.notices, now);
+    const record = createTargetRecord(entry, now, state.formerNotices.take(entry));
     state.targets.set(entry.id, record);
     for (const request of known?.probeWaiters ?? []) {
       state.pendingRequests.get(request)?.round?.awaitedTargets.delete(entry.id);
@@ -99,10 +86,12 @@
     for (const request of record.probeWaiters) {
       state.pendingRequests.get(request)?.round?.awaitedTargets.delete(id);
     }
+    state.formerNotices.keep(record.entry, record.notices, context.now);
     removed.push(record.entry);
   }
+  state.formerNotices.removeExpired(context.now);
   const events = targets.map((entry) => applyRegistration(state, entry, context.now));
-  const selectByEvent = (event: TargetEvent) => targets.filter((_, i) => events[i] === event);
+  const selectByEvent = (event: TargetListEvent) => targets.filter((_, i) => events[i] === event);
   const added = selectByEvent('target.added');
   const { vm, zone } = state.settings;
   const groups = groupByService(state.targets.values());
@@ -147,28 +136,27 @@
   return [{ kind: 'log', event: 'target.cold', fields: { target: id, service, coldMs } }];
 }
 
-function applyProbeResult(
+/** Applies the result of a probe that the target answered, whether or not its load is readable. */
+function applyAnsweredProbe(
   state: BalancerState,
   record: TargetRecord,
-  { end }: ProbeEnded,
+  end: Extract<ProbeResult, { kind: 'answered' | 'broken' }>,
   now: number,
 ): BalancerEffect[] {
-  if (end.kind === 'answered') {
-    record.reading = end.reading;
-    record.sentSinceReading = 0;
-    // A probe's result without a limit ends none: only answers to requests are sure to name it.
-    const limits = end.limit === undefined ? [] : recordLimit(state, record, end.limit, now);
-    const effects = [...limits, ...updateColdUntil(record, end.coldMs, now)];
-    if (record.deadCount === 0) return effects;
-    record.deadCount = 0;
-    const { id, service } = record.entry;
-    return [...effects, { kind: 'log', event: 'target.alive', fields: { target: id, service } }];
-  }
+  const stated = recordStatements(record, end, 'probe', now);
   if (end.kind === 'broken') {
     recordOutcome(record, true, now);
-    return [];
+    return stated;
   }
-  return markDead(record, now);
+  record.reading = end.reading;
+  record.sentSinceReading = 0;
+  // A probe's result without a limit ends none: only answers to requests are sure to name it.
+  const limits = end.limit === undefined ? [] : recordLimit(state, record, end.limit, now);
+  const effects = [...stated, ...limits, ...updateColdUntil(record, end.coldMs, now)];
+  if (record.deadCount === 0) return effects;
+  record.deadCount = 0;
+  const { id, service } = record.entry;
+  return [...effects, { kind: 'log', event: 'target.alive', fields: { target: id, service } }];
 }
 
 /**
@@ -201,9 +189,13 @@
   const record = state.targets.get(event.target);
   if (record === undefined || record.entry.bornAt !== event.bornAt) return [];
   record.probeSentAt = undefined;
-  const effects = applyProbeResult(state, record, event, context.now);
+  const { end } = event;
+  const effects =
+    end.kind === 'answered' || end.kind === 'broken'
+      ? applyAnsweredProbe(state, record, end, context.now)
+      : markDead(record, context.now);
   effects.push(...placeProbeWaiters(state, record, context));
-  if (event.end.kind === 'answered') {
+  if (end.kind === 'answered') {
     effects.push(...placeWaitingRequests(state, record.entry.service, context));
   }
   return effects;
--- a/src/balancing/learning.ts
+++ b/src/balancing/learning.ts
@@ -5,6 +5,7 @@
 import type { PendingRequest, PendingAttempt } from './PendingRequest.js';
 import { recordLimit } from './limits.js';
 import { DEAD_MAX_MS, DEAD_MIN_MS, MIN_FAILURE_STATUS, MAX_NORMAL_SLOWDOWN } from './settings.js';
+import { recordStatements } from './statements.js';
 import type { TargetRecord } from './TargetRecord.js';
 import { recordOutcome, recordSlowness } from './TargetRecord.js';
 import { isInRollout, recordVersionAnswer } from './versions.js';
@@ -63,6 +64,25 @@
   return [{ kind: 'log', event: 'service.learnt', fields }];
 }
 
+/** Records what the head of an answer says about its target: load, limit and statements. */
+function recordAnswerHead(
+  state: BalancerState,
+  target: TargetRecord,
+  end: AttemptResult,
+  now: number,
+): BalancerEffect[] {
+  if (end.kind === 'spoilt') return recordStatements(target, end, 'answer', now);
+  if (end.kind !== 'answered' && end.kind !== 'rejected') return [];
+  if (end.reading !== undefined) {
+    target.reading = end.reading;
+    target.sentSinceReading = 0;
+  }
+  return [
+    ...recordStatements(target, end, 'answer', now),
+    ...recordLimit(state, target, end.limit, now),
+  ];
+}
+
 /**
  * Learns from the result of an attempt.
  * @param state - State of this entry VM.
@@ -79,15 +99,8 @@
   now: number,
 ): BalancerEffect[] {
   const { target } = attempt;
-  const effects =
-    end.kind === 'answered' || end.kind === 'rejected'
-      ? recordLimit(state, target, end.limit, now)
-      : [];
   if (end.kind === 'unsent' || end.kind === 'misdirected') return markDead(target, now);
-  if ((end.kind === 'answered' || end.kind === 'rejected') && end.reading !== undefined) {
-    target.reading = end.reading;
-    target.sentSinceReading = 0;
-  }
+  const effects = recordAnswerHead(state, target, end, now);
   const isSuccess = end.kind === 'answered' && end.status < MIN_FAILURE_STATUS;
   recordOutcome(target, !isSuccess, now);
   const isAlreadyCounted = attempt.isOverdue || end.kind === 'rejected';
--- a/src/balancing/model.ts
+++ b/src/balancing/model.ts
@@ -110,3 +110,16 @@
  * together. Undefined if the answer names no limit.
  */
 export type AdvertisedLimit = number | 'unreadable' | undefined;
+
+/**
+ * Pause that a rejection asks for: time in milliseconds for which its target wants no requests from
+ * this VM. Undefined if the answer asks for none.
+ */
+export type RequestedPause = number | 'unreadable' | undefined;
+
+/** What an answer states about its target, whatever becomes of the request. */
+export interface TargetStatements {
+  readonly pauseMs?: RequestedPause;
+  /** Whether the target is shutting down. */
+  readonly isDraining?: boolean;
+}
--- /dev/null
+++ b/src/balancing/statements.ts
@@ -0,0 +1,56 @@
+import type { BalancerEffect } from './effects.js';
+import type { TargetStatements } from './model.js';
+import { logTargets } from './targetLog.js';
+import type { TargetRecord } from './TargetRecord.js';
+
+/**
+ * Longest pause, in milliseconds. A target that names a longer one is asked again after this time,
+ * since it would otherwise be lost to this VM by a slip of its configuration.
+ */
+const MAX_PAUSE_MS = 3_600_000;
+
+/** What brought a target's statements: an answer to a request, or to a probe. */
+export type StatementSource = 'answer' | 'probe';
+
+function recordPause(
+  { entry, notices }: TargetRecord,
+  pauseMs: TargetStatements['pauseMs'],
+  source: StatementSource,
+  now: number,
+): BalancerEffect[] {
+  const { id: target, service } = entry;
+  if (pauseMs === undefined) return [];
+  if (pauseMs === 'unreadable') {
+    return [{ kind: 'log', event: 'target.pauseUnreadable', fields: { target, service, source } }];
+  }
+  const forMs = Math.min(MAX_PAUSE_MS, pauseMs);
+  // Each rejection binds for its own time, and answers may overtake each other.
+  if (now + forMs <= notices.pausedUntil) return [];
+  notices.pausedUntil = now + forMs;
+  return [{ kind: 'log', event: 'target.paused', fields: { target, service, forMs, source } }];
+}
+
+function recordDrain({ entry, notices }: TargetRecord, source: StatementSource): BalancerEffect[] {
+  if (notices.hasAnnouncedDrain) return [];
+  notices.hasAnnouncedDrain = true;
+  return logTargets('target.draining', [entry], source);
+}
+
+/**
+ * Records what an answer states about its target.
+ * @param record - The target.
+ * @param statements - What the answer states.
+ * @param source - What brought the answer.
+ * @param now - Monotonic milliseconds.
+ */
+export function recordStatements(
+  record: TargetRecord,
+  { pauseMs, isDraining = false }: TargetStatements,
+  source: StatementSource,
+  now: number,
+): BalancerEffect[] {
+  return [
+    ...recordPause(record, pauseMs, source, now),
+    ...(isDraining ? recordDrain(record, source) : []),
+  ];
+}
--- a/src/gateway/GatewayMetrics.ts
+++ b/src/gateway/GatewayMetrics.ts
@@ -25,6 +25,7 @@
   readonly storeCalls: Counter;
   readonly probes: Counter;
   readonly targets: Gauge;
+  readonly longestPause: Gauge;
   readonly storeAge: Gauge;
   readonly requests: Gauge;
   readonly feedMessages: Counter;
@@ -47,6 +48,8 @@
   getProbeCount(): number;
   /** Number of targets in each standing, by service. */
   getTargetCounts(): ReadonlyMap<string, Readonly<Record<TargetStanding, number>>>;
+  /** Time until the last paused target accepts requests again, in milliseconds, by service. */
+  getLongestPauses(): ReadonlyMap<string, number>;
   /** Learnt slowdown curve of the targets, by service. */
   getLearntCurves(): ReadonlyMap<string, SlowdownEstimates>;
   /** State of the rollouts known to this VM, by service. */
@@ -61,6 +64,26 @@
 
 type Prom = typeof import('prom-client');
 
+function createTargetGauges(
+  prom: Prom,
+  registers: Registry[],
+): Pick<PrometheusMetrics, 'targets' | 'longestPause'> {
+  return {
+    targets: new prom.Gauge({
+      name: 'masticlink_gateway_targets',
+      help: 'Targets of a service by how they stand for this VM.',
+      labelNames: ['service', 'standing'],
+      registers,
+    }),
+    longestPause: new prom.Gauge({
+      name: 'masticlink_gateway_pause_seconds',
+      help: 'Time until the last of a service’s paused targets accepts requests from this VM again.',
+      labelNames: ['service'],
+      registers,
+    }),
+  };
+}
+
 function createRolloutGauges(
   prom: Prom,
   registers: Registry[],
@@ -111,12 +134,6 @@
       help: 'Probes of targets.',
       registers,
     }),
-    targets: new prom.Gauge({
-      name: 'masticlink_gateway_targets',
-      help: 'Targets of a service by how they stand for this VM.',
-      labelNames: ['service', 'standing'],
-      registers,
-    }),
     storeAge: new prom.Gauge({
       name: 'masticlink_gateway_store_age_seconds',
       help: 'Time since the store’s word on configuration and targets was last confirmed.',
@@ -144,6 +161,7 @@
       labelNames: ['service'],
       registers,
     }),
+    ...createTargetGauges(prom, registers),
     ...createRolloutGauges(prom, registers),
   };
 }
@@ -244,7 +262,12 @@
   }
 
   /** @internal */
-  private updateGauges({ targets, storeAge, requests }: PrometheusMetrics): void {
+  private updateGauges(metrics: PrometheusMetrics): void {
+    const { targets, longestPause, storeAge, requests } = metrics;
+    longestPause.reset();
+    for (const [service, ms] of this.sources.getLongestPauses()) {
+      longestPause.set({ service }, ms / MS_PER_SECOND);
+    }
     targets.reset();
     for (const [service, counts] of this.sources.getTargetCounts()) {
       for (const standing of TARGET_STANDINGS) {
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -1,5 +1,5 @@
 import type { BalancerEffect, BalancerState } from '../balancing/index.js';
-import { countTargets, createBalancerState, getRolloutStats } from '../balancing/index.js';
+import { createBalancerState } from '../balancing/index.js';
 import type { GatewaySettings } from '../config/index.js';
 import { CallerServer } from '../entry/api/CallerServer.js';
 import { FeedClient } from '../fleet/FeedClient.js';
@@ -19,6 +19,7 @@
 import { ActiveRequests } from './ActiveRequests.js';
 import { BalancerLoop } from './BalancerLoop.js';
 import { CallerRequestHandler } from './CallerRequestHandler.js';
+import { createStateSources } from './createStateSources.js';
 import { GatewayEndpoints } from './GatewayEndpoints.js';
 import { GatewayMetrics } from './GatewayMetrics.js';
 import { getOwnRollout } from './getOwnRollout.js';
@@ -153,10 +154,7 @@
     this.metrics = new GatewayMetrics({
       getStoreCallCounts: () => this.store.calls,
       getProbeCount: () => this.prober.sentProbes,
-      getTargetCounts: () => countTargets(this.state, clock.now()),
-      getLearntCurves: () =>
-        new Map([...this.state.serviceCurves].map(([name, { estimates }]) => [name, estimates])),
-      getRolloutFigures: () => getRolloutStats(this.state, clock.now()),
+      ...createStateSources(this.state, clock),
       getStoreAgeMs: () => view.getAgeMs(),
       getOpenRequestCount: () => this.activeRequests.size,
       getFeedMessageCount: () => this.fleetSync.sentMessages,
--- a/src/gateway/TargetProber.ts
+++ b/src/gateway/TargetProber.ts
@@ -2,7 +2,7 @@
 
 import type { Destination, ProbeResult } from '../balancing/index.js';
 import { PROBE_TIMEOUT_MS } from '../balancing/index.js';
-import { readTargetHead } from '../platform/index.js';
+import { readStatements, readTargetHead } from '../platform/index.js';
 import type { Clock } from '../timing/index.js';
 import type { TargetAgents } from './TargetAgents.js';
 
@@ -63,18 +63,19 @@
     req.once('response', (res) => {
       const now = this.clock.now();
       const head = readTargetHead(res.headers, res.statusCode === OK, now);
+      const statements = readStatements(res.headers, res.statusCode ?? 0);
       // A late answer to an earlier request on this connection, received in place of the probe's.
       const isLateAnswer = head.callerRequestId !== undefined;
       if (isLateAnswer) {
-        finish({ kind: 'broken' });
+        finish({ kind: 'broken', ...statements });
         req.destroy();
         return;
       }
       if (head.target !== undefined && head.target !== to.target) finish({ kind: 'stranger' });
-      else if (head.reading === undefined) finish({ kind: 'broken' });
+      else if (head.reading === undefined) finish({ kind: 'broken', ...statements });
       else {
         const { reading, coldMs, limit } = head;
-        finish({ kind: 'answered', reading, coldMs, limit });
+        finish({ kind: 'answered', reading, coldMs, limit, ...statements });
       }
       res.resume();
     });
--- a/src/gateway/TargetRequest.ts
+++ b/src/gateway/TargetRequest.ts
@@ -1,10 +1,10 @@
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import { request } from 'node:http';
 
-import type { AttemptResult, Destination } from '../balancing/index.js';
+import type { AttemptResult, Destination, TargetStatements } from '../balancing/index.js';
 import { cleanHeaders } from '../entry/exchange/headers.js';
 import type { TargetHead } from '../platform/index.js';
-import { readTargetHead, writeTargetHeaders } from '../platform/index.js';
+import { readStatements, readTargetHead, writeTargetHeaders } from '../platform/index.js';
 import type { Clock } from '../timing/index.js';
 import type { TargetAgent } from './TargetAgent.js';
 
@@ -53,6 +53,10 @@
   readonly remainder: IncomingMessage | undefined;
 }
 
+interface AnswerHead extends TargetHead {
+  readonly statements: TargetStatements;
+}
+
 /** Whether the end of an answer's body is marked only by the close of the connection. */
 function isCloseDelimited({ headers, statusCode }: IncomingMessage): boolean {
   const isFramed =
@@ -121,7 +125,8 @@
   /** @internal */
   private readResponse(res: IncomingMessage): void {
     const status = res.statusCode ?? 0;
-    const head = readTargetHead(res.headers, true, this.options.clock.now());
+    const statements = readStatements(res.headers, status);
+    const head = { ...readTargetHead(res.headers, true, this.options.clock.now()), statements };
     const end = this.classifyHead(status, head);
     if (end !== undefined) {
       this.finish(end);
@@ -174,17 +179,18 @@
   }
 
   /** Returns the outcome if the head decides it, undefined if the body has to be read. @internal */
-  private classifyHead(status: number, head: TargetHead): AttemptResult | undefined {
+  private classifyHead(status: number, head: AnswerHead): AttemptResult | undefined {
     const { callerRequestId } = this.options;
-    if (head.hasNotRun) return { kind: 'rejected', reading: head.reading, limit: head.limit };
+    const { reading, limit, statements } = head;
+    if (head.hasNotRun) return { kind: 'rejected', reading, limit, ...statements };
     if (status === MISDIRECTED_REQUEST) return { kind: 'misdirected' };
     // A late answer to an earlier request on this connection; the target may still run this one.
     if (callerRequestId !== undefined && head.callerRequestId !== callerRequestId) {
-      return { kind: 'spoilt' };
+      return { kind: 'spoilt', ...statements };
     }
     const isSuccess = status >= FIRST_SUCCESS && status < FIRST_REDIRECT;
-    if (isSuccess && !head.isSigned) return { kind: 'spoilt' };
-    return head.isEncoded ? { kind: 'spoilt' } : undefined;
+    const isTrusted = (!isSuccess || head.isSigned) && !head.isEncoded;
+    return isTrusted ? undefined : { kind: 'spoilt', ...statements };
   }
 
   /** @internal */
@@ -192,7 +198,7 @@
     status: number,
     res: IncomingMessage,
     chunks: readonly Buffer[],
-    { reading, limit }: TargetHead,
+    { reading, limit, statements }: AnswerHead,
     remainder: IncomingMessage | undefined,
   ): void {
     if (this.hasEnded) return;
@@ -205,7 +211,7 @@
       body: isMisleading ? Buffer.alloc(0) : Buffer.concat(chunks),
       remainder: isMisleading ? undefined : remainder,
     };
-    this.finish({ kind: 'answered', status, reading, limit });
+    this.finish({ kind: 'answered', status, reading, limit, ...statements });
   }
 
   /**
--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -29,5 +29,11 @@
  */
 export const LIMIT_HEADER = 'server-limit';
 
+/** Seconds for which a target that rejects a request wants no further ones from the sender. */
+export const RETRY_AFTER_HEADER = 'retry-after';
+
+/** `1` if the target is shutting down; it says so in all its answers. */
+export const LEAVING_HEADER = 'server-leaving';
+
 /** Time that the target remains cold, in milliseconds; only in answers to probes. */
 export const COLD_HEADER = 'x-masticlink-warmup-ms';
--- a/src/platform/readLimit.ts
+++ b/src/platform/readLimit.ts
@@ -1,6 +1,5 @@
 import type { AdvertisedLimit } from '../balancing/index.js';
-
-const DECIMAL_PATTERN = /^\d+(?:\.\d+)?$/;
+import { DECIMAL_PATTERN } from './decimal.js';
 
 /**
  * Parses the limit that a target advertises in an answer. The lowest of several values applies;
--- a/src/report/explainRequest.ts
+++ b/src/report/explainRequest.ts
@@ -77,6 +77,10 @@
   },
   'target.unlimited': (f) =>
     `${formatValue(f.target)} no longer advertises a limit, before ${formatValue(f.before)}`,
+  'target.paused': (f) =>
+    `${formatValue(f.target)} wants no requests from this VM for ${formatValue(f.forMs)} ms, by its ${formatValue(f.source)}`,
+  'target.pauseUnreadable': (f) =>
+    `${formatValue(f.target)} asked for a pause, but its length is no number of seconds`,
   'attempt.failed': (f) =>
     `${formatValue(f.target)} failed the attempt after ${formatValue(f.tookMs)} ms: ${formatValue(f.end)}${
       f.status === undefined ? '' : ` with ${formatValue(f.status)}`
--- a/src/tests/gateway/GatewayMetrics.test.ts
+++ b/src/tests/gateway/GatewayMetrics.test.ts
@@ -7,7 +7,13 @@
     getStoreCallCounts: () => new Map([['GET targets', 3]]),
     getProbeCount: () => 7,
     getTargetCounts: () =>
-      new Map([['horaires', { draining: 1, zoneOut: 0, dead: 2, cold: 0, limited: 1, usable: 9 }]]),
+      new Map([
+        [
+          'horaires',
+          { draining: 1, zoneOut: 0, dead: 2, paused: 3, cold: 0, limited: 1, usable: 9 },
+        ],
+      ]),
+    getLongestPauses: () => new Map([['horaires', 2_500]]),
     getRolloutFigures: () =>
       new Map([
         [
@@ -51,6 +57,7 @@
     getStoreCallCounts: () => new Map(),
     getProbeCount: () => 0,
     getTargetCounts: () => new Map(),
+    getLongestPauses: () => new Map(),
     getLearntCurves: () => new Map(),
     getRolloutFigures: () => new Map(),
     getStoreAgeMs: () => Number.POSITIVE_INFINITY,
