Emulator, stand-in target and soak state pauses and drains; tests that fail for it

Targets of the emulator reject for a while, at times or in turns and ask for a pause, and state in their answers that they shut down while the store does not. The soak does the same with processes: registrations of draining targets expire and return, pauses have values that are no seconds.

--- a/src/balancing/statements.ts
+++ b/src/balancing/statements.ts
@@ -25,7 +25,7 @@
   }
   const forMs = Math.min(MAX_PAUSE_MS, pauseMs);
   // Each rejection binds for its own time, and answers may overtake each other.
-  if (now + forMs <= notices.pausedUntil) return [];
+  if (now + forMs <= Math.max(now, notices.pausedUntil)) return [];
   notices.pausedUntil = now + forMs;
   return [{ kind: 'log', event: 'target.paused', fields: { target, service, forMs, source } }];
 }
--- a/src/lab/LabPlan.ts
+++ b/src/lab/LabPlan.ts
@@ -46,11 +46,22 @@
 /** A period in which targets reject a share of their requests without running them. */
 export interface RejectionPeriod {
   readonly service: string;
+  /** Number of targets that do so; all if left out. */
+  readonly count?: number;
+  /** Pause that each rejection asks for, in milliseconds; none if left out. */
+  readonly pauseMs?: number;
   readonly fromMs: number;
   readonly untilMs: number;
   readonly share: number;
 }
 
+/** The first targets of a service state in all answers that they are shutting down. */
+export interface DrainAnnouncement {
+  readonly service: string;
+  readonly count: number;
+  readonly fromMs: number;
+}
+
 /** A period in which the first targets of a service advertise a rate limit. */
 export interface LimitPeriod {
   readonly service: string;
@@ -80,6 +91,7 @@
   readonly surges: readonly Surge[];
   readonly rejecting: readonly RejectionPeriod[];
   readonly limiting: readonly LimitPeriod[];
+  readonly draining: readonly DrainAnnouncement[];
   readonly down: readonly VmOutage[];
   readonly untilMs: number;
   /** One-way network delay between VMs and from a VM to a target, in milliseconds. */
@@ -147,6 +159,7 @@
     surges: [{ fromMs: 4_000, untilMs: 10_000, factor: 1.6 }],
     rejecting: [],
     limiting: [],
+    draining: [],
     down: [],
     untilMs: 16_000,
     oneWayDelayMs: 0.7,
--- a/src/lab/LabTarget.ts
+++ b/src/lab/LabTarget.ts
@@ -1,17 +1,22 @@
-import type { LoadReading, AdvertisedLimit } from '../balancing/index.js';
+import type { LoadReading, AdvertisedLimit, TargetStatements } from '../balancing/index.js';
 import type { Clock } from '../timing/index.js';
 import type { TargetsPlan } from './LabPlan.js';
 
+/** What an answer of a simulated target states about the target. */
+export interface LabStatements extends TargetStatements {
+  readonly limit: AdvertisedLimit;
+}
+
 /** One request at a target. */
 export interface LabWork {
   /** Time that the request takes on an idle target, in milliseconds. */
   readonly workMs: number;
   readonly onRun: () => void;
-  /** Called at most once, with the outcome, the load at that moment and the advertised limit. */
+  /** Called at most once, with the outcome, the load at that moment and what the answer states. */
   readonly onEnd: (
     end: 'answered' | 'rejected',
     reading: LoadReading,
-    limit: AdvertisedLimit,
+    statements: LabStatements,
   ) => void;
 }
 
@@ -26,6 +31,12 @@
   /** Share of requests that are currently rejected regardless of load. */
   rejectShare = 0;
 
+  /** Pause that rejections ask for, in milliseconds; undefined if they ask for none. */
+  pauseMs: number | undefined;
+
+  /** Whether answers state that the target is shutting down. */
+  isDraining = false;
+
   /** Advertised limit in requests per second; undefined if there is none. */
   limitPerSecond: number | undefined;
 
@@ -66,10 +77,13 @@
     return this.isSlow ? this.plan.spellSlowdown : 1;
   }
 
-  /** Limit that the next answer carries, if any. @internal */
-  private get limit(): AdvertisedLimit {
-    const isNamed = this.limitShare === 1 || this.random() < this.limitShare;
-    return isNamed ? this.limitPerSecond : undefined;
+  /** What the next answer states. @internal */
+  private get statements(): LabStatements {
+    const isLimitNamed = this.limitShare === 1 || this.random() < this.limitShare;
+    return {
+      limit: isLimitNamed ? this.limitPerSecond : undefined,
+      isDraining: this.isDraining,
+    };
   }
 
   /** Load report at the current time. */
@@ -94,7 +108,7 @@
   acceptRequest(work: LabWork): void {
     const isFull = this.running >= this.plan.slots && this.waiting.length >= this.plan.queue;
     if (isFull || this.random() < this.rejectShare) {
-      work.onEnd('rejected', this.reading, this.limit);
+      work.onEnd('rejected', this.reading, { ...this.statements, pauseMs: this.pauseMs });
     } else if (this.running < this.plan.slots) this.run(work);
     else this.waiting.push(work);
   }
@@ -124,7 +138,7 @@
     };
     const cancel = this.clock.after(tookMs, () => {
       end();
-      work.onEnd('answered', this.reading, this.limit);
+      work.onEnd('answered', this.reading, this.statements);
     });
     this.cancelFunctions.set(work, () => {
       cancel();
--- a/src/lab/LabVm.ts
+++ b/src/lab/LabVm.ts
@@ -12,6 +12,7 @@
 import type { CancelTimer, Clock } from '../timing/index.js';
 import type { LabPlan } from './LabPlan.js';
 import type { LimitArrival } from './limitWindows.js';
+import type { PauseRequest } from './statementChecks.js';
 import type { LabTarget, LabWork } from './LabTarget.js';
 
 /** Result of a caller's try. */
@@ -40,6 +41,10 @@
   readonly onArrival: (arrival: LimitArrival) => void;
   /** Called for each answer with a limit that arrives for a pending attempt, as it is forwarded. */
   readonly onLimitForwarded: (forwarded: LimitArrival) => void;
+  /** Called when a target asks this VM for a pause, as it sends the rejection. */
+  readonly onPauseRequested: (request: PauseRequest) => void;
+  /** Called for each answer that states that its target is shutting down, as it arrives. */
+  readonly onDrainReceived: (received: LimitArrival) => void;
   /** All VMs by name. */
   readonly peers: ReadonlyMap<string, LabVm>;
 }
@@ -259,7 +264,8 @@
   /** @internal */
   private send(effect: Extract<BalancerEffect, { kind: 'sendAttempt' }>): void {
     const { request, attempt, to } = effect;
-    const { clock, plan, targets, name, onArrival, onLimitForwarded: onTold } = this.parts;
+    const { clock, plan, targets, name, onArrival } = this.parts;
+    const { onLimitForwarded, onPauseRequested, onDrainReceived } = this.parts;
     const each = this.tries.get(request);
     const target = targets.get(to.target);
     if (each === undefined || target === undefined) return;
@@ -267,16 +273,23 @@
     const work: LabWork = {
       workMs: each.workMs,
       onRun: each.onRun,
-      onEnd: (kind, reading, limit) =>
+      onEnd: (kind, reading, statements) => {
+        const { pauseMs } = statements;
+        if (typeof pauseMs === 'number') {
+          onPauseRequested({ target: to.target, vm: name, at: clock.now(), pauseMs });
+        }
         clock.after(plan.oneWayDelayMs, () => {
           if (!this.attempts.delete(attempt)) return;
           const end =
             kind === 'answered'
-              ? ({ kind, status: 200, reading, limit } as const)
-              : { kind, reading, limit };
-          if (limit !== undefined) onTold({ target: to.target, vm: name, at: clock.now() });
+              ? ({ kind, status: 200, reading, ...statements } as const)
+              : { kind, reading, ...statements };
+          const received = { target: to.target, vm: name, at: clock.now() };
+          if (statements.limit !== undefined) onLimitForwarded(received);
+          if (statements.isDraining === true) onDrainReceived(received);
           this.dispatch({ kind: 'attemptEnded', attempt, end });
-        }),
+        });
+      },
     };
     this.attempts.set(attempt, { target, work });
     clock.after(plan.oneWayDelayMs, () => {
--- a/src/lab/plans.ts
+++ b/src/lab/plans.ts
@@ -55,6 +55,61 @@
   limitsNamedAtTimes: makePlan({ ...LIMITED, limiting: [limit(2, 1.3, { share: 0.5 })] }),
 };
 
+const PAUSING_FROM_MS = 4_000;
+const PAUSING_UNTIL_MS = 13_000;
+
+function pause(
+  count: number,
+  changes: Partial<LabPlan['rejecting'][number]> = {},
+): LabPlan['rejecting'][number] {
+  return {
+    service: 'lookup',
+    count,
+    fromMs: PAUSING_FROM_MS,
+    untilMs: PAUSING_UNTIL_MS,
+    share: 1,
+    pauseMs: 3_000,
+    ...changes,
+  };
+}
+
+/** Rejections for `onMs` of every `everyMs`. */
+function pauseInTurns(count: number, onMs: number, everyMs: number): LabPlan['rejecting'] {
+  const turns = Math.floor((PAUSING_UNTIL_MS - PAUSING_FROM_MS) / everyMs);
+  return Array.from({ length: turns }, (_, i) => {
+    const fromMs = PAUSING_FROM_MS + i * everyMs;
+    return pause(count, { fromMs, untilMs: fromMs + onMs });
+  });
+}
+
+const PAUSED = { surges: [], untilMs: 16_000 };
+
+/** Plans with targets that reject requests and ask for a pause. */
+export const PAUSE_PLANS: Readonly<Record<string, LabPlan>> = {
+  /** The other targets of the service take the rest of the load. */
+  somePause: makePlan({ ...PAUSED, rejecting: [pause(3)] }),
+  /** No target is left. */
+  allPause: makePlan({ ...PAUSED, rejecting: [pause(9, { pauseMs: 1_000 })] }),
+  allPauseBriefly: makePlan({ ...PAUSED, rejecting: [pause(9, { pauseMs: 200 })] }),
+  /** The targets accept requests again long before the pauses end. */
+  pauseInTurns: makePlan({ ...PAUSED, rejecting: pauseInTurns(9, 400, 1_200) }),
+  /** A share of the requests is rejected whatever the load. */
+  pauseAtTimes: makePlan({ ...PAUSED, rejecting: [pause(9, { share: 0.1, pauseMs: 1_000 })] }),
+  fewVms: makePlan({ ...PAUSED, vms: 4, rejecting: [pause(3)] }),
+};
+
+/** Plans with targets whose answers state that they are shutting down, while the store does not. */
+export const DRAIN_PLANS: Readonly<Record<string, LabPlan>> = {
+  someDrain: makePlan({
+    ...PAUSED,
+    draining: [{ service: 'lookup', count: 3, fromMs: PAUSING_FROM_MS }],
+  }),
+  allDrain: makePlan({
+    ...PAUSED,
+    draining: [{ service: 'lookup', count: 9, fromMs: PAUSING_FROM_MS }],
+  }),
+};
+
 /** Plans that differ in the limiting resource. None models a real deployment. */
 export const LAB_PLANS: Readonly<Record<string, LabPlan>> = {
   /** Load well below the targets' capacity. */
--- a/src/lab/playLab.ts
+++ b/src/lab/playLab.ts
@@ -5,6 +5,8 @@
 import type { LabPlan } from './LabPlan.js';
 import type { LimitArrival, LimitChange, LimitWindow } from './limitWindows.js';
 import { findWorstWindows } from './limitWindows.js';
+import type { PauseRequest } from './statementChecks.js';
+import { findBrokenPauses, findLateArrivals } from './statementChecks.js';
 import type { LabRecord, LabScore } from './LabRecord.js';
 import { scoreLab } from './LabRecord.js';
 import { LabTarget } from './LabTarget.js';
@@ -26,6 +28,8 @@
   readonly limits: readonly LimitWindow[];
   /** Requests that reached limited targets, as a share of what their limits allowed. */
   readonly limitUse: number;
+  /** Number of rejections that asked for a pause. */
+  readonly pauses: number;
   /** Descriptions of violated bounds; empty if all held. */
   readonly broken: readonly string[];
 }
@@ -126,8 +130,9 @@
   return `${target} got ${got} requests in the 4 s before ${seconds} s, but its limit allows ${allowed}`;
 }
 
-function getLimited(
-  { service, count }: LabPlan['limiting'][number],
+/** Returns the ids of the first targets of a service, or of all. */
+function getFirstIds(
+  { service, count }: { readonly service: string; readonly count?: number },
   entries: readonly TargetRegistration[],
 ): string[] {
   return entries
@@ -136,6 +141,32 @@
     .map(({ id }) => id);
 }
 
+/** Schedules the plan's rejections, and the shutdowns that answers state. */
+function scheduleTargetFaults(
+  plan: LabPlan,
+  entries: readonly TargetRegistration[],
+  targets: ReadonlyMap<string, LabTarget>,
+  clock: VirtualClock,
+): void {
+  for (const period of plan.rejecting) {
+    const set = (share: number, pauseMs: number | undefined): void =>
+      getFirstIds(period, entries).forEach((id) => {
+        const target = targets.get(id) as LabTarget;
+        target.rejectShare = share;
+        target.pauseMs = pauseMs;
+      });
+    clock.after(period.fromMs, () => set(period.share, period.pauseMs));
+    clock.after(period.untilMs, () => set(0, undefined));
+  }
+  for (const drain of plan.draining) {
+    clock.after(drain.fromMs, () =>
+      getFirstIds(drain, entries).forEach((id) => {
+        (targets.get(id) as LabTarget).isDraining = true;
+      }),
+    );
+  }
+}
+
 /** Schedules the plan's limits; returns a list of limit changes that grows during the run. */
 function scheduleLimits(
   plan: LabPlan,
@@ -152,7 +183,7 @@
   };
   for (const limiting of plan.limiting) {
     const { fromMs, untilMs, perSecond, share } = limiting;
-    const limited = getLimited(limiting, entries);
+    const limited = getFirstIds(limiting, entries);
     clock.after(fromMs, () => limited.forEach((id) => set(id, perSecond, share)));
     const endsHere = !plan.limiting.some((each) => each.fromMs === untilMs);
     if (endsHere) clock.after(untilMs, () => limited.forEach((id) => set(id, undefined)));
@@ -171,7 +202,7 @@
   let receivedCount = 0;
   let allowedCount = 0;
   for (const limiting of plan.limiting) {
-    const limited = new Set(getLimited(limiting, entries));
+    const limited = new Set(getFirstIds(limiting, entries));
     const fromMs = limiting.fromMs + LIMIT_SETTLE_MS;
     const untilMs = Math.min(limiting.untilMs, plan.untilMs);
     receivedCount += arrivals.filter(
@@ -205,6 +236,8 @@
   const names = Array.from({ length: plan.vms }, (_, i) => `vm-${i + 1}`);
   const arrived: LimitArrival[] = [];
   const forwardedLimits: LimitArrival[] = [];
+  const pauses: PauseRequest[] = [];
+  const drainsReceived: LimitArrival[] = [];
   const peers = new Map<string, LabVm>();
   const vms = names.map(
     (name) =>
@@ -217,20 +250,14 @@
         peers,
         onArrival: (arrival) => arrived.push(arrival),
         onLimitForwarded: (each) => forwardedLimits.push(each),
+        onPauseRequested: (each) => pauses.push(each),
+        onDrainReceived: (each) => drainsReceived.push(each),
       }),
   );
   vms.forEach((vm, i) => peers.set(names[i], vm));
   for (const vm of vms) vm.configure(makeTable(plan), entries, names);
   const excused = scheduleOutages(plan, entries, vms, names, clock);
-  for (const { service, fromMs, untilMs, share } of plan.rejecting) {
-    const some = entries.filter((each) => each.service === service);
-    const set = (to: number): void =>
-      some.forEach(({ id }) => {
-        (targets.get(id) as LabTarget).rejectShare = to;
-      });
-    clock.after(fromMs, () => set(share));
-    clock.after(untilMs, () => set(0));
-  }
+  scheduleTargetFaults(plan, entries, targets, clock);
   const limitChanges = scheduleLimits(plan, entries, targets, clock);
   const callers = new LabCallers({ plan, clock, random, vms });
   callers.start(arrivals);
@@ -245,6 +272,7 @@
     forwardedLimits,
     excused,
   });
+  const stated = { arrivals: arrived, pauses, drainsReceived, excused };
   return {
     score: scoreLab(records),
     ceiling: scoreLab(playCeiling(plan, arrivals, createRandom(seed + 1))),
@@ -254,9 +282,12 @@
     sendings: sent / records.length,
     limits,
     limitUse: getLimitUse(plan, entries, arrived),
+    pauses: pauses.length,
     broken: [
       ...findViolations(records, (probes / entries.length / endsAt) * 1_000, plan.probesPerSecond),
       ...limits.filter(({ got, allowed }) => got > allowed).map(describeExcess),
+      ...findBrokenPauses(stated),
+      ...findLateArrivals(stated),
     ],
   };
 }
--- a/src/platform/standIn/PlatformTarget.ts
+++ b/src/platform/standIn/PlatformTarget.ts
@@ -5,11 +5,13 @@
 import {
   COLD_HEADER,
   EXPECTED_TARGET_HEADER,
+  LEAVING_HEADER,
   LIMIT_HEADER,
   LOAD_HEADER,
   NOT_EXECUTED_HEADER,
   REQUEST_ID_HEADER,
   RESPONSE_SIGNATURE_HEADER,
+  RETRY_AFTER_HEADER,
   TARGET_ID_HEADER,
 } from '../headers.js';
 
@@ -25,6 +27,8 @@
   readonly workMs: number;
   /** Called when a request begins to run. */
   readonly onRun: (requestId: string) => void;
+  /** Called when a request is rejected because the target has paused. */
+  readonly onPause?: (requestId: string) => void;
 }
 
 /** Factor by which the work of a slow target takes longer. */
@@ -53,6 +57,14 @@
   /** Limit that the target advertises; undefined if it has none. */
   limit: string | undefined;
 
+  /**
+   * If set, the target rejects all requests and asks for a pause of this value, in seconds.
+   */
+  pause: string | undefined;
+
+  /** Whether all answers state that the target is shutting down. */
+  isLeaving = false;
+
   /** @internal */
   private running = 0;
 
@@ -99,15 +111,23 @@
       return;
     }
     if (this.limit !== undefined) res.setHeader(LIMIT_HEADER, this.limit);
+    if (this.isLeaving) res.setHeader(LEAVING_HEADER, '1');
     const requestId = String(req.headers[REQUEST_ID_HEADER]);
     const expected = req.headers[EXPECTED_TARGET_HEADER];
     if (expected !== undefined && expected !== id) res.writeHead(421).end();
+    else if (this.pause !== undefined) this.reject(requestId, res, this.pause);
     else if (this.behaviour === 'sheds' || this.queue.length >= QUEUE_SIZE) {
       res.writeHead(503, { [NOT_EXECUTED_HEADER]: '1' }).end();
     } else if (this.running < slots) this.run(requestId, res);
     else this.queue.push(() => this.run(requestId, res));
   }
 
+  /** @internal */
+  private reject(requestId: string, res: ServerResponse, pause: string): void {
+    this.options.onPause?.(requestId);
+    res.writeHead(503, { [NOT_EXECUTED_HEADER]: '1', [RETRY_AFTER_HEADER]: pause }).end();
+  }
+
   /** @internal */
   private run(requestId: string, res: ServerResponse): void {
     if (res.destroyed) {
@@ -140,6 +160,7 @@
   private finish(requestId: string, res: ServerResponse, behaviour: TargetBehaviour): void {
     if (behaviour === 'hangs') return;
     const body = makeBody(requestId);
+    if (this.isLeaving) res.setHeader(LEAVING_HEADER, '1');
     const hasFailed = behaviour === 'fails' && this.runCount % FAILURE_INTERVAL === 0;
     res.writeHead(hasFailed ? 500 : 200, {
       [REQUEST_ID_HEADER]: requestId,
--- a/src/soak/SoakWorld.ts
+++ b/src/soak/SoakWorld.ts
@@ -9,7 +9,7 @@
   putTarget,
   removeTarget,
 } from '../platform/standIn/index.js';
-import type { Ban, RunRecord } from './checkSoak.js';
+import type { Ban, PauseRecord, RunRecord } from './checkSoak.js';
 import { FaultProxy } from './FaultProxy.js';
 import { findPorts } from './findPorts.js';
 import type { GatewayPorts } from './SoakGateway.js';
@@ -25,6 +25,17 @@
 const SLOTS_PER_TARGET = 4;
 const WORK_MS = 25;
 
+/** Pauses that targets ask for, in milliseconds; undefined for values that are no seconds. */
+export const PAUSES_MS: Readonly<Record<string, number | undefined>> = {
+  3: 3_000,
+  1: 1_000,
+  0.75: 750,
+  2.5: 2_500,
+  0: 0,
+  soon: undefined,
+  '-3': undefined,
+};
+
 /** A target and the proxy in front of it. */
 export interface SoakTarget {
   entry: TargetRegistration;
@@ -64,6 +75,19 @@
   /** Limits that targets advertised, in order of time. */
   readonly namings: LimitChange[] = [];
 
+  /** Requests that targets rejected and asked for a pause. */
+  readonly pauses: PauseRecord[] = [];
+
+  /** When the answers of a target began to state that it is shutting down. */
+  readonly drains: { readonly target: string; readonly at: number }[] = [];
+
+  /** Periods in which the link to a target is disturbed, in Unix milliseconds. */
+  readonly linkFaults: {
+    readonly target: string;
+    readonly from: number;
+    readonly until: number;
+  }[] = [];
+
   /** Version of newly started targets, unless another one is given. */
   version = 'v1';
 
@@ -140,11 +164,18 @@
   async addTarget(zone: string, version = this.version): Promise<SoakTarget> {
     this.startedTargets += 1;
     const id = `t-${this.startedTargets}`;
-    const model = new PlatformTarget({
+    const model: PlatformTarget = new PlatformTarget({
       id,
       slots: SLOTS_PER_TARGET,
       workMs: WORK_MS,
       onRun: (requestId) => this.runs.push({ id: requestId, target: id, version, at: Date.now() }),
+      onPause: (requestId) =>
+        this.pauses.push({
+          id: requestId,
+          target: id,
+          at: Date.now(),
+          pauseMs: PAUSES_MS[model.pause ?? ''],
+        }),
     });
     const link = new FaultProxy(await model.start());
     const address = await link.start();
--- a/src/soak/checkSoak.ts
+++ b/src/soak/checkSoak.ts
@@ -1,5 +1,5 @@
 import type { LimitChange } from '../lab/index.js';
-import { findWorstWindows } from '../lab/index.js';
+import { findBrokenPauses, findLateArrivals, findWorstWindows } from '../lab/index.js';
 import type { CallerRecord } from './SoakCallers.js';
 
 /** One execution of a request by a target. */
@@ -11,6 +11,15 @@
   readonly at: number;
 }
 
+/** A request that a target rejected and asked for a pause. */
+export interface PauseRecord {
+  readonly id: string;
+  readonly target: string;
+  readonly at: number;
+  /** Pause in milliseconds; undefined if the target named no valid time. */
+  readonly pauseMs: number | undefined;
+}
+
 /** A period in which a target must not receive requests. */
 export interface Ban {
   readonly target: string;
@@ -26,6 +35,15 @@
   readonly bans: readonly Ban[];
   /** Limits that targets advertised, in order of time. */
   readonly namings?: readonly LimitChange[];
+  readonly pauses?: readonly PauseRecord[];
+  /** When the answers of a target began to state that it is shutting down. */
+  readonly drains?: readonly { readonly target: string; readonly at: number }[];
+  /** Periods in which the link to a target was disturbed, so that its answers may be lost. */
+  readonly linkFaults?: readonly {
+    readonly target: string;
+    readonly from: number;
+    readonly until: number;
+  }[];
   /** Periods in which the gateway on a port need not enforce limits. */
   readonly excused?: readonly {
     readonly port: number;
@@ -91,6 +109,44 @@
     });
 }
 
+/** Time that an answer may take from a target to its gateway on an undisturbed link, in ms. */
+const MAX_TRANSIT_MS = 500;
+
+/** Returns a message for each target whose statement a gateway that received it did not act on. */
+function checkStatements({
+  callers,
+  runs,
+  pauses = [],
+  drains = [],
+  linkFaults = [],
+  excused = [],
+}: SoakObservations): string[] {
+  const byId = new Map(callers.map((record) => [record.id, record]));
+  const arrivals = [...runs, ...pauses].flatMap(({ id, target, at }) => {
+    const record = byId.get(id);
+    return record === undefined ? [] : [{ target, at, vm: String(record.port), record }];
+  });
+  const received = pauses.flatMap(({ id, target, at, pauseMs }) => {
+    const record = byId.get(id);
+    const isLost = linkFaults.some(
+      (each) =>
+        each.target === target &&
+        each.from <= at + MAX_TRANSIT_MS &&
+        each.until >= at - MAX_TRANSIT_MS,
+    );
+    if (record === undefined || pauseMs === undefined || isLost) return [];
+    return [{ target, vm: String(record.port), at, pauseMs }];
+  });
+  const drainsReceived = arrivals.flatMap(({ target, at, vm, record: { endedAt, status } }) => {
+    const isAnnounced = drains.some((each) => each.target === target && each.at <= at);
+    const isReceived = isAnnounced && endedAt !== undefined && status === 200;
+    return isReceived ? [{ target, vm, at: endedAt }] : [];
+  });
+  const excuses = excused.map(({ port, from, until }) => ({ vm: String(port), from, until }));
+  const stated = { arrivals, pauses: received, drainsReceived, excused: excuses };
+  return [...findBrokenPauses(stated), ...findLateArrivals(stated)];
+}
+
 /**
  * Checks the observations of callers and targets against the guarantees of the gateways.
  * @param seen - The observations.
@@ -110,7 +166,7 @@
       );
     }
   }
-  broken.push(...checkLimits(seen));
+  broken.push(...checkLimits(seen), ...checkStatements(seen));
   const calm = seen.callers.filter(({ sentAt }) => sentAt >= seen.calmFrom);
   const served = calm.filter(({ status }) => status === 200).length;
   if (calm.length > 0 && served < MIN_SERVED_SHARE * calm.length) {
--- a/src/soak/faults.ts
+++ b/src/soak/faults.ts
@@ -79,9 +79,11 @@
 
 function disturbTargetLink(mode: LinkMode): Fault {
   return async ({ world, random }) => {
-    const { link } = pickRandom(world.targets, random);
+    const { link, entry } = pickRandom(world.targets, random);
+    const ms = 500 + random() * 2_000;
+    world.linkFaults.push({ target: entry.id, from: Date.now(), until: Date.now() + ms });
     link.setMode(mode);
-    await wait(500 + random() * 2_000);
+    await wait(ms);
     link.setMode('sound');
   };
 }
--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -16,6 +16,7 @@
   const isVerbose = process.argv.includes('--verbose');
   const hasRollouts = process.argv.includes('--rollouts');
   const hasLimits = process.argv.includes('--limits');
+  const hasStatements = process.argv.includes('--statements');
   let failed = 0;
   for (let seed = first; seed < first + seeds; seed++) {
     const { broken, requests, served, faults, dir } = await runSoak({
@@ -23,6 +24,7 @@
       faultsMs,
       hasRollouts,
       hasLimits,
+      hasStatements,
       onFault: (name, atMs) => {
         if (isVerbose) process.stdout.write(`  ${(atMs / 1_000).toFixed(2)} s ${name}\n`);
       },
--- a/src/soak/runSoak.ts
+++ b/src/soak/runSoak.ts
@@ -10,6 +10,7 @@
 import { orderRollout } from './rolloutFault.js';
 import { SoakCallers } from './SoakCallers.js';
 import { SoakWorld } from './SoakWorld.js';
+import { announceDrain, askForPauses } from './statementFaults.js';
 
 /** Settings of a soak. */
 export interface SoakOptions {
@@ -20,6 +21,8 @@
   readonly hasRollouts?: boolean;
   /** Whether targets that advertise limits are among the faults. */
   readonly hasLimits?: boolean;
+  /** Whether targets that ask for pauses or announce their shutdown are among the faults. */
+  readonly hasStatements?: boolean;
   /** Called when a fault starts. */
   readonly onFault?: (name: string, atMs: number) => void;
 }
@@ -56,7 +59,7 @@
 /** Starts random faults without waiting for earlier ones to end; returns their names. */
 async function injectFaults(
   context: FaultContext,
-  { faultsMs, hasRollouts = false, hasLimits = false, onFault }: SoakOptions,
+  { faultsMs, hasRollouts = false, hasLimits = false, hasStatements = false, onFault }: SoakOptions,
   startedAt: number,
 ): Promise<string[]> {
   const names: string[] = [];
@@ -66,9 +69,11 @@
     ...FAULTS,
     ...(hasRollouts ? { orderRollout } : {}),
     ...(hasLimits ? { nameLimit } : {}),
+    ...(hasStatements ? { askForPauses, announceDrain } : {}),
   };
   if (hasRollouts) pending.push(orderRollout(context));
   if (hasLimits) pending.push(nameLimit(context));
+  if (hasStatements) pending.push(askForPauses(context), announceDrain(context));
   while (Date.now() < endsAt) {
     const all = Object.keys(faults);
     const name = all[Math.floor(context.random() * all.length)];
@@ -111,12 +116,22 @@
     await wait(CALM_MS);
     callers.stop();
     await wait(DRAIN_MS);
-    const { runs, bans, namings } = world;
+    const { runs, bans, namings, pauses, drains, linkFaults } = world;
     const excused = world.gateways.flatMap((gateway) =>
       gateway.excused.map((each) => ({ port: gateway.options.ports.callers, ...each })),
     );
-    const seen = { callers: callers.records, runs, bans, namings, excused, noticed, calmFrom };
-    const broken = checkSoak(seen);
+    const broken = checkSoak({
+      callers: callers.records,
+      runs,
+      bans,
+      namings,
+      pauses,
+      drains,
+      linkFaults,
+      excused,
+      noticed,
+      calmFrom,
+    });
     const served = callers.records.filter(({ status }) => status === 200).length;
     return { broken, requests: callers.records.length, served, faults, dir };
   } finally {
--- a/src/tests/soak/soak.test.ts
+++ b/src/tests/soak/soak.test.ts
@@ -19,6 +19,9 @@
 /** Times at which a target with an advertised limit receives requests. */
 const LIMITED = Array.from({ length: 20 }, (_, i) => 10 + i * 300);
 
+/** Requests that a target receives at intervals of 600 ms. */
+const PAUSED = ['p-0', 'p-1', 'p-2', 'p-3', 'p-4', 'p-5'];
+
 test('observations are checked against each guarantee', (t) => {
   t.deepEqual(checkSoak(SOUND), []);
   t.snapshot({
@@ -47,6 +50,20 @@
       namings: [{ target: 't-1', perSecond: 0.4, at: 0 }],
       calmFrom: 1e6,
     }),
+    paused: checkSoak({
+      ...SOUND,
+      callers: PAUSED.map((id) => ({ ...SOUND.callers[0], id })),
+      pauses: [{ id: PAUSED[0], target: 't-1', at: 0, pauseMs: 3_000 }],
+      runs: PAUSED.map((id, i) => ({ id, target: 't-1', at: i * 600 })),
+      calmFrom: 1e6,
+    }),
+    drained: checkSoak({
+      ...SOUND,
+      callers: PAUSED.map((id, i) => ({ ...SOUND.callers[0], id, endedAt: i * 600 + 5 })),
+      drains: [{ target: 't-1', at: 0 }],
+      runs: PAUSED.map((id, i) => ({ id, target: 't-1', at: i * 600 })),
+      calmFrom: 1e6,
+    }),
     noticed: checkSoak({ ...SOUND, noticed: ['a planned stop cut 1 requests'] }),
   });
 });
@@ -95,3 +112,13 @@
   const { broken } = await runSoak({ seed: 4001, faultsMs: 6_000, hasLimits: true });
   t.deepEqual(broken, []);
 });
+
+// Gateways act on what answers state while some of them are killed, and registrations expire.
+test.serial(
+  'targets that ask for a pause or announce their shutdown are left alone during other faults',
+  async (t) => {
+    t.timeout(90_000);
+    const { broken } = await runSoak({ seed: 5006, faultsMs: 8_000, hasStatements: true });
+    t.deepEqual(broken, []);
+  },
+);
