Send nothing to a target whose answers announce its shutdown

Every use of the registration's state goes through isDraining: candidates, probes, waiting, counts and the targets of a rollout's trial, which goes on with another one. Only a new start of the target ends it; that it registers again does not. Requests that it runs are still answered, and a permit held for it is returned.

Decided: other VMs are not told. Each hears it from the first answer or probe of the target itself, and the bound holds for a VM from that answer on. If all targets drain, requests are refused at once, as before when the store said so.

--- a/src/balancing/ServiceVersions.ts
+++ b/src/balancing/ServiceVersions.ts
@@ -2,6 +2,7 @@
 import type { RolloutGuidance, RolloutOrder, RolloutPhase } from '../rollouts/index.js';
 import { VersionEvidence } from '../rollouts/index.js';
 import type { TargetRecord } from './TargetRecord.js';
+import { isDraining } from './TargetRecord.js';
 
 /**
  * Load of a target in a trial, as a multiple of the load if all new targets were in use: some
@@ -102,7 +103,7 @@
     if (rollout === undefined) return;
     const { version } = rollout.order;
     rollout.newTargets = records
-      .filter(({ entry }) => entry.version === version && !entry.isDraining)
+      .filter((record) => record.entry.version === version && !isDraining(record))
       .sort((a, b) => a.idHash - b.idHash)
       .map(({ entry }) => entry.id);
   }
--- a/src/balancing/availability.ts
+++ b/src/balancing/availability.ts
@@ -5,7 +5,7 @@
 import { getPermitAvailableAt, isLimitExhausted } from './limits.js';
 import type { PendingRequest } from './PendingRequest.js';
 import type { TargetRecord } from './TargetRecord.js';
-import { isPaused } from './TargetRecord.js';
+import { isDraining, isPaused } from './TargetRecord.js';
 
 /** Targets of a service that operators and the targets themselves leave in use. */
 function getTargetsInService(
@@ -13,7 +13,7 @@
   service: ServiceName,
 ): readonly TargetRecord[] {
   return (targetsByService.get(service) ?? []).filter(
-    ({ entry }) => !entry.isDraining && !zonesOut.has(entry.zone),
+    (record) => !isDraining(record) && !zonesOut.has(record.entry.zone),
   );
 }
 
--- a/src/balancing/candidates.ts
+++ b/src/balancing/candidates.ts
@@ -9,7 +9,7 @@
 import { isWithinLimit, isLimitExhausted } from './limits.js';
 import { MAX_NORMAL_SLOWDOWN, FRESH_READING_MAX_AGE_MS } from './settings.js';
 import type { TargetRecord } from './TargetRecord.js';
-import { getScores, isPaused } from './TargetRecord.js';
+import { getScores, isDraining, isPaused } from './TargetRecord.js';
 import { shouldFillTargets, selectByVersion } from './versions.js';
 
 /**
@@ -48,7 +48,7 @@
 ): readonly TargetRecord[] {
   const usable = (state.targetsByService.get(pending.service) ?? []).filter(
     (record) =>
-      !record.entry.isDraining &&
+      !isDraining(record) &&
       record.deadUntil <= now &&
       !isPaused(record, now) &&
       !state.zonesOut.has(record.entry.zone) &&
--- a/src/balancing/fleetHandlers.ts
+++ b/src/balancing/fleetHandlers.ts
@@ -143,7 +143,7 @@
   end: Extract<ProbeResult, { kind: 'answered' | 'broken' }>,
   now: number,
 ): BalancerEffect[] {
-  const stated = recordStatements(record, end, 'probe', now);
+  const stated = recordStatements(state, record, end, 'probe', now);
   if (end.kind === 'broken') {
     recordOutcome(record, true, now);
     return stated;
--- a/src/balancing/learning.ts
+++ b/src/balancing/learning.ts
@@ -71,14 +71,14 @@
   end: AttemptResult,
   now: number,
 ): BalancerEffect[] {
-  if (end.kind === 'spoilt') return recordStatements(target, end, 'answer', now);
+  if (end.kind === 'spoilt') return recordStatements(state, target, end, 'answer', now);
   if (end.kind !== 'answered' && end.kind !== 'rejected') return [];
   if (end.reading !== undefined) {
     target.reading = end.reading;
     target.sentSinceReading = 0;
   }
   return [
-    ...recordStatements(target, end, 'answer', now),
+    ...recordStatements(state, target, end, 'answer', now),
     ...recordLimit(state, target, end.limit, now),
   ];
 }
--- a/src/balancing/probing.ts
+++ b/src/balancing/probing.ts
@@ -12,7 +12,7 @@
   FRESH_READING_MAX_AGE_MS,
 } from './settings.js';
 import type { TargetRecord } from './TargetRecord.js';
-import { isPaused } from './TargetRecord.js';
+import { isDraining, isPaused } from './TargetRecord.js';
 
 /**
  * Maximum number of limited targets for which one round requests permits; unused ones are returned.
@@ -44,7 +44,8 @@
   const stale = records.filter((record) => {
     const { reading, probeSentAt } = record;
     const isStale = reading === undefined || now - reading.at > FRESH_READING_MAX_AGE_MS;
-    return isStale && probeSentAt === undefined && !isPaused(record, now);
+    const isClosed = isPaused(record, now) || isDraining(record);
+    return isStale && probeSentAt === undefined && !isClosed;
   });
   if (stale.length === 0) return [];
   const { service } = stale[0].entry;
--- a/src/balancing/statements.ts
+++ b/src/balancing/statements.ts
@@ -1,3 +1,4 @@
+import type { BalancerState } from './BalancerState.js';
 import type { BalancerEffect } from './effects.js';
 import type { TargetStatements } from './model.js';
 import { logTargets } from './targetLog.js';
@@ -30,20 +31,28 @@
   return [{ kind: 'log', event: 'target.paused', fields: { target, service, forMs, source } }];
 }
 
-function recordDrain({ entry, notices }: TargetRecord, source: StatementSource): BalancerEffect[] {
+function recordDrain(
+  { versions, targetsByService }: BalancerState,
+  { entry, notices }: TargetRecord,
+  source: StatementSource,
+): BalancerEffect[] {
   if (notices.hasAnnouncedDrain) return [];
   notices.hasAnnouncedDrain = true;
+  // A rollout's trial needs another target in its place.
+  versions.sortNewTargets(entry.service, targetsByService.get(entry.service) ?? []);
   return logTargets('target.draining', [entry], source);
 }
 
 /**
  * Records what an answer states about its target.
+ * @param state - State of this entry VM.
  * @param record - The target.
  * @param statements - What the answer states.
  * @param source - What brought the answer.
  * @param now - Monotonic milliseconds.
  */
 export function recordStatements(
+  state: BalancerState,
   record: TargetRecord,
   { pauseMs, isDraining = false }: TargetStatements,
   source: StatementSource,
@@ -51,6 +60,6 @@
 ): BalancerEffect[] {
   return [
     ...recordPause(record, pauseMs, source, now),
-    ...(isDraining ? recordDrain(record, source) : []),
+    ...(isDraining ? recordDrain(state, record, source) : []),
   ];
 }
--- a/src/tests/balancing/versions.test.ts
+++ b/src/tests/balancing/versions.test.ts
@@ -143,3 +143,13 @@
   scene.dispatch({ kind: 'targetsRead', targets: [...NEW.slice(1), ...OLD] });
   t.is(serve(scene, 15), 0);
 });
+
+test('a trial goes on with another target if one of its targets announces its shutdown', (t) => {
+  const scene = makeScene(ORDER);
+  guide(scene, { phase: 'trial', share: 0.06 });
+  const rollout = scene.state.versions.rollouts.get('horaires')!;
+  const [drained, ...others] = rollout.newTargets;
+  const end = { kind: 'broken', isDraining: true } as const;
+  scene.dispatch({ kind: 'probeEnded', target: drained, bornAt: 1, end });
+  t.deepEqual(rollout.newTargets, others);
+});
