Soak: a zone that is already out is not taken out again

The logs of all four VMs show one period without z-2, 21.75 to 27.75: two faults had taken out the same zone 0.75 s apart, the first put it back, and the second went on to expect that it was out. So the check was wrong, not the gateways. The second fault now leaves the zone alone; the first one's check is as it was.

--- a/src/soak/SoakWorld.ts
+++ b/src/soak/SoakWorld.ts
@@ -72,6 +72,9 @@
 
   readonly bans: Ban[] = [];
 
+  /** Zones that a fault has taken out. */
+  readonly zonesOut = new Set<string>();
+
   /** Limits that targets advertised, in order of time. */
   readonly namings: LimitChange[] = [];
 
--- a/src/soak/faults.ts
+++ b/src/soak/faults.ts
@@ -196,6 +196,9 @@
 
   async zoneTakenOut({ world, random }) {
     const zone = pickRandom(ZONES, random);
+    // Only the fault that takes a zone out may check it: it also decides when the zone is back.
+    if (world.zonesOut.has(zone)) return;
+    world.zonesOut.add(zone);
     setZoneOut(world.store, zone, true);
     await wait(ZONE_OUT_MS);
     const from = Date.now();
@@ -206,5 +209,6 @@
       }
     }
     setZoneOut(world.store, zone, false);
+    world.zonesOut.delete(zone);
   },
 };
