Read what a rejection states although its attempt has been cancelled

The class: a statement on a channel that is closed before it arrives. A cancelled request whose answer is awaited now keeps its connection for 15 ms more, several times the way to a target, and what the answer states is recorded; the request itself is over as before. One that is not connected yet is aborted at once, so that it is never sent. The test of TargetRequest got no statements before.

--- a/src/balancing/effects.ts
+++ b/src/balancing/effects.ts
@@ -80,7 +80,7 @@
       /** Time until the request's deadline, in milliseconds. */
       readonly allowedMs: number;
     }
-  /** Cancels an attempt; no event about it follows. */
+  /** Cancels an attempt; at most a `statementsRead` event follows, for an answer on its way. */
   | { readonly kind: 'cancelAttempt'; readonly attempt: AttemptId }
   /** Delivers the answer of a completed attempt to the caller. */
   | { readonly kind: 'deliver'; readonly request: RequestId; readonly attempt: AttemptId }
--- a/src/balancing/events.ts
+++ b/src/balancing/events.ts
@@ -82,6 +82,14 @@
   readonly end: AttemptResult;
 }
 
+/** An answer arrived for an attempt that had been cancelled. */
+export interface StatementsRead {
+  readonly kind: 'statementsRead';
+  readonly target: TargetId;
+  readonly bornAt: number;
+  readonly statements: TargetStatements;
+}
+
 /** The time of a request's `wake` effect has come. */
 export interface WakeDue {
   readonly kind: 'wakeDue';
@@ -171,6 +179,7 @@
   | CallerLeft
   | ProbeEnded
   | AttemptEnded
+  | StatementsRead
   | WakeDue
   | TableRead
   | TargetsRead
--- a/src/balancing/reduceBalancer.ts
+++ b/src/balancing/reduceBalancer.ts
@@ -17,6 +17,7 @@
 import { handleLimitsReported, handlePermitAnswered, handlePermitAsked } from './limitHandlers.js';
 import { reclaimPermit } from './limits.js';
 import { releaseHeldRequests } from './starting.js';
+import { handleStatements } from './statements.js';
 import { handleGuidance, handleRollouts } from './versions.js';
 
 /** Handles the requests that were held at startup, once configuration and targets are known. */
@@ -37,6 +38,7 @@
   callerLeft: handleCallerLeft,
   probeEnded: handleProbeEnded,
   attemptEnded: handleAttemptEnded,
+  statementsRead: handleStatements,
   wakeDue: handleWake,
   tableRead: (state, event, context) => [
     ...handleTable(state, event),
--- a/src/balancing/statements.ts
+++ b/src/balancing/statements.ts
@@ -1,5 +1,6 @@
-import type { BalancerState } from './BalancerState.js';
+import type { BalancerContext, BalancerState } from './BalancerState.js';
 import type { BalancerEffect } from './effects.js';
+import type { StatementsRead } from './events.js';
 import type { TargetStatements } from './model.js';
 import { logTargets } from './targetLog.js';
 import type { TargetRecord } from './TargetRecord.js';
@@ -63,3 +64,14 @@
     ...(isDraining ? recordDrain(state, record, source) : []),
   ];
 }
+
+/** Records what an answer to a cancelled attempt states. */
+export function handleStatements(
+  state: BalancerState,
+  { target, bornAt, statements }: StatementsRead,
+  { now }: BalancerContext,
+): BalancerEffect[] {
+  const record = state.targets.get(target);
+  if (record === undefined || record.entry.bornAt !== bornAt) return [];
+  return recordStatements(state, record, statements, 'answer', now);
+}
--- a/src/gateway/ActiveRequests.ts
+++ b/src/gateway/ActiveRequests.ts
@@ -77,6 +77,10 @@
         this.dispatch({ kind: 'attemptEnded', attempt, end });
         this.attempts.delete(attempt);
       },
+      onLateStatements: (statements) => {
+        const { target, bornAt } = to;
+        this.dispatch({ kind: 'statementsRead', target, bornAt, statements });
+      },
     });
     this.attempts.set(attempt, targetRequest);
   }
--- a/src/gateway/TargetRequest.ts
+++ b/src/gateway/TargetRequest.ts
@@ -17,6 +17,12 @@
  */
 const MAX_BUFFERED_ANSWER_BYTES = 256 * 1024;
 
+/**
+ * How long the connection of a cancelled request stays open, in milliseconds. A rejection may be on
+ * its way, and its target expects that it is heeded.
+ */
+const CANCEL_DELAY_MS = 15;
+
 const MISDIRECTED_REQUEST = 421;
 const FIRST_SUCCESS = 200;
 const FIRST_REDIRECT = 300;
@@ -40,6 +46,8 @@
   readonly callerRequestId: string | undefined;
   readonly allowedMs: number;
   readonly onEnd: (end: AttemptResult) => void;
+  /** Called at most once, with the statements of an answer that arrives just after a cancel. */
+  readonly onLateStatements?: (statements: TargetStatements) => void;
 }
 
 /** A target's answer that can be forwarded to the caller. */
@@ -104,8 +112,10 @@
 
   /** Aborts the request; `onEnd` is not called afterwards. */
   cancel(): void {
+    const isAnswerAwaited = this.isConnected && !this.hasEnded;
     this.hasEnded = true;
-    this.req.destroy();
+    if (isAnswerAwaited) setTimeout(() => this.req.destroy(), CANCEL_DELAY_MS);
+    else this.req.destroy();
   }
 
   /** @internal */
@@ -127,6 +137,11 @@
     const status = res.statusCode ?? 0;
     const statements = readStatements(res.headers, status);
     const head = { ...readTargetHead(res.headers, true, this.options.clock.now()), statements };
+    if (this.hasEnded) {
+      if (status !== MISDIRECTED_REQUEST) this.options.onLateStatements?.(statements);
+      this.req.destroy();
+      return;
+    }
     const end = this.classifyHead(status, head);
     if (end !== undefined) {
       this.finish(end);
--- a/src/lab/LabVm.ts
+++ b/src/lab/LabVm.ts
@@ -279,7 +279,11 @@
           onPauseRequested({ target: to.target, vm: name, at: clock.now(), pauseMs });
         }
         clock.after(plan.oneWayDelayMs, () => {
-          if (!this.attempts.delete(attempt)) return;
+          if (!this.attempts.delete(attempt)) {
+            const { target: id, bornAt } = to;
+            this.dispatch({ kind: 'statementsRead', target: id, bornAt, statements });
+            return;
+          }
           const end =
             kind === 'answered'
               ? ({ kind, status: 200, reading, ...statements } as const)
--- a/src/tests/balancing/statements.test.ts
+++ b/src/tests/balancing/statements.test.ts
@@ -303,3 +303,16 @@
   t.is(scene.all('sendAttempt').length, 1);
   t.is(scene.all('returnPermit').length, 1);
 });
+
+// The rejection crosses the cancel of its attempt, whose request the caller has given up.
+test('the pause that a target asks for in answer to a cancelled attempt is kept', (t) => {
+  const scene = new Scene([makeTarget('t-1')]);
+  const request = scene.arrive();
+  scene.answerProbes();
+  scene.dispatch({ kind: 'callerLeft', request });
+  const statements = { pauseMs: PAUSE_MS };
+  scene.dispatch({ kind: 'statementsRead', target: 't-1', bornAt: 0, statements });
+  t.is(getPauseMs(scene), 0);
+  scene.dispatch({ kind: 'statementsRead', target: 't-1', bornAt: 1, statements });
+  t.is(getPauseMs(scene), PAUSE_MS);
+});
--- a/src/tests/gateway/TargetRequest.test.ts
+++ b/src/tests/gateway/TargetRequest.test.ts
@@ -166,6 +166,68 @@
   t.is(end.kind, 'misdirected');
 });
 
+test('what an answer states about its target is reported, whatever becomes of the request', async (t) => {
+  const stated = ['Retry-After: 1.5', 'Server-Leaving: 1', 'Content-Length: 0'];
+  const cases = {
+    rejected: formatResponse('503 Service Unavailable', [
+      'X-Masticlink-Not-Executed: 1',
+      ...stated,
+    ]),
+    answered: formatResponse('503 Service Unavailable', [...VALID_HEADERS, ...stated]),
+    spoilt: formatResponse('503 Service Unavailable', ['X-Masticlink-Request-Id: r-0', ...stated]),
+  };
+  for (const [kind, response] of Object.entries(cases)) {
+    const { end } = await sendRequest((socket) => socket.write(response));
+    t.like(end, { kind: kind as AttemptResult['kind'], pauseMs: 1_500, isDraining: true });
+  }
+  // They concern the target that now has the address.
+  const { end } = await sendRequest((socket) =>
+    socket.write(formatResponse('421 Misdirected Request', stated)),
+  );
+  t.deepEqual(end, { kind: 'misdirected' });
+});
+
+// The target counts on a rejection that it has sent, although the attempt is cancelled meanwhile.
+test('the statements of an answer that crosses the cancel of its request are read', async (t) => {
+  let req: TargetRequest | undefined;
+  const server = createServer((socket) => {
+    socket.on('error', () => {});
+    const response = formatResponse('503 Service Unavailable', [
+      'X-Masticlink-Not-Executed: 1',
+      'Retry-After: 3',
+      'Content-Length: 0',
+    ]);
+    socket.once('data', () => {
+      req?.cancel();
+      socket.write(response);
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  const agent = new TargetAgent(4);
+  const statements = await new Promise((resolve) => {
+    req = new TargetRequest({
+      agent,
+      clock: new SystemClock(),
+      to: { target: 't-1', bornAt: 0, address: `127.0.0.1:${port}` },
+      method: 'GET',
+      path: '/',
+      headers: [],
+      body: undefined,
+      callerRequestId: undefined,
+      allowedMs: 1_000,
+      onEnd: () => t.fail(),
+      onLateStatements: resolve,
+    });
+    setTimeout(() => resolve(undefined), 1_000);
+  });
+  t.deepEqual(statements, { pauseMs: 3_000, isDraining: false });
+  agent.destroy();
+  server.close();
+});
+
 test('a status that wrongly implies that the request has not run is not forwarded', async (t) => {
   // A target answers 503 without confirming that it has not run the request. If this was forwarded,
   // the caller would conclude that it may retry, and a booking would be made twice.
