Take a 421 that also says 'not run' for misdirected, not for a rejection

So the answer of a target that had taken over an address counted as a rejection by the one that had it before: its load became that one's reading, and from now on its pause, its limit and its shutdown would have been believed of that one. Now such a target is dead until its backoff is over, as for a 421 without the header. The test got 'rejected' before.

--- a/src/gateway/TargetRequest.ts
+++ b/src/gateway/TargetRequest.ts
@@ -197,8 +197,9 @@
   private classifyHead(status: number, head: AnswerHead): AttemptResult | undefined {
     const { callerRequestId } = this.options;
     const { reading, limit, statements } = head;
-    if (head.hasNotRun) return { kind: 'rejected', reading, limit, ...statements };
+    // It also says that it has not run the request, but load and statements are of another target.
     if (status === MISDIRECTED_REQUEST) return { kind: 'misdirected' };
+    if (head.hasNotRun) return { kind: 'rejected', reading, limit, ...statements };
     // A late answer to an earlier request on this connection; the target may still run this one.
     if (callerRequestId !== undefined && head.callerRequestId !== callerRequestId) {
       return { kind: 'spoilt', ...statements };
--- a/src/tests/gateway/TargetRequest.test.ts
+++ b/src/tests/gateway/TargetRequest.test.ts
@@ -160,10 +160,12 @@
 
 test('a misdirected request has not run at the target that now has the address', async (t) => {
   // A target ended and its address was reassigned to another one before this VM was informed.
-  const { end } = await sendRequest((socket) =>
-    socket.write(formatResponse('421 Misdirected Request', ['Content-Length: 0'])),
-  );
-  t.is(end.kind, 'misdirected');
+  for (const headers of [[], ['X-Masticlink-Not-Executed: 1', 'X-Masticlink-Server-Load: 0,0,2']]) {
+    const { end } = await sendRequest((socket) =>
+      socket.write(formatResponse('421 Misdirected Request', [...headers, 'Content-Length: 0'])),
+    );
+    t.is(end.kind, 'misdirected');
+  }
 });
 
 test('what an answer states about its target is reported, whatever becomes of the request', async (t) => {
