Log headers of targets that state something nothing reads

The class of the incident: what a target states in an answer, and nobody acts on. It was so with Server-Limit, and is with Retry-After and Server-Leaving; the postmortem of the limits named the gap for Retry-After, and nothing turned that line into work. An unknown header with a prefix of the platform now is one line, target.headerUnread, once for each name and for twenty names at most. The known ones are those of platform/headers.ts, where a reader needs its constant.

--- a/src/balancing/BalancerState.ts
+++ b/src/balancing/BalancerState.ts
@@ -56,6 +56,8 @@
   /** Permits to send to limited targets: `permits` holds those of this VM, `issuer` grants them. */
   readonly permits: PermitPool;
   readonly issuer: PermitIssuer;
+  /** Unknown headers of targets' answers that have been logged. */
+  readonly loggedUnreadHeaders: Set<string>;
   readonly probeBudget: ProbeBudget;
   readonly workTimes: WorkTimes;
   /** What has been learnt about each service's targets. */
@@ -97,6 +99,7 @@
     limits: new LimitView(),
     permits: new PermitPool(),
     issuer: new PermitIssuer(),
+    loggedUnreadHeaders: new Set(),
     probeBudget: new ProbeBudget(settings.probesPerTargetAndSecond),
     workTimes: new WorkTimes(),
     serviceCurves: new Map(),
--- a/src/balancing/effects.ts
+++ b/src/balancing/effects.ts
@@ -61,6 +61,7 @@
   | 'target.limitUnreadable'
   | 'target.paused'
   | 'target.pauseUnreadable'
+  | 'target.headerUnread'
   | 'permit.issuerSilent'
   | 'service.learnt'
   | 'config.adopted'
--- a/src/balancing/model.ts
+++ b/src/balancing/model.ts
@@ -122,4 +122,6 @@
   readonly pauseMs?: RequestedPause;
   /** Whether the target is shutting down. */
   readonly isDraining?: boolean;
+  /** Names of headers that state something which this version of masticlink does not know. */
+  readonly unreadHeaders?: readonly string[];
 }
--- a/src/balancing/statements.ts
+++ b/src/balancing/statements.ts
@@ -11,6 +11,9 @@
  */
 const MAX_PAUSE_MS = 3_600_000;
 
+/** Number of unknown headers that are logged; a faulty target may send any number of names. */
+const MAX_LOGGED_HEADERS = 20;
+
 /** What brought a target's statements: an answer to a request, or to a probe. */
 export type StatementSource = 'answer' | 'probe';
 
@@ -44,6 +47,20 @@
   return logTargets('target.draining', [entry], source);
 }
 
+/** Logs each unknown header once, so that a statement that nothing acts on is noticed. */
+function logUnreadHeaders(
+  { loggedUnreadHeaders: logged }: BalancerState,
+  { entry }: TargetRecord,
+  names: readonly string[],
+): BalancerEffect[] {
+  return names.flatMap((header): BalancerEffect[] => {
+    if (logged.has(header) || logged.size >= MAX_LOGGED_HEADERS) return [];
+    logged.add(header);
+    const fields = { header, target: entry.id, service: entry.service };
+    return [{ kind: 'log', event: 'target.headerUnread', fields }];
+  });
+}
+
 /**
  * Records what an answer states about its target.
  * @param state - State of this entry VM.
@@ -55,13 +72,14 @@
 export function recordStatements(
   state: BalancerState,
   record: TargetRecord,
-  { pauseMs, isDraining = false }: TargetStatements,
+  { pauseMs, isDraining = false, unreadHeaders = [] }: TargetStatements,
   source: StatementSource,
   now: number,
 ): BalancerEffect[] {
   return [
     ...recordPause(record, pauseMs, source, now),
     ...(isDraining ? recordDrain(state, record, source) : []),
+    ...logUnreadHeaders(state, record, unreadHeaders),
   ];
 }
 
--- a/src/platform/readStatements.ts
+++ b/src/platform/readStatements.ts
@@ -2,6 +2,7 @@
 
 import type { RequestedPause, TargetStatements } from '../balancing/index.js';
 import { DECIMAL_PATTERN } from './decimal.js';
+import { findUnreadHeaders } from './findUnreadHeaders.js';
 import { LEAVING_HEADER, NOT_EXECUTED_HEADER, RETRY_AFTER_HEADER } from './headers.js';
 
 const TOO_MANY_REQUESTS = 429;
@@ -36,11 +37,12 @@
  * @param headers - Headers of the answer.
  * @param status - Its status.
  * @example
- * readStatements({ 'retry-after': '3' }, 503); // { pauseMs: 3000, isDraining: false }
+ * readStatements({ 'retry-after': '3' }, 503); // pauseMs: 3000, isDraining: false
  */
 export function readStatements(headers: IncomingHttpHeaders, status: number): TargetStatements {
   return {
     pauseMs: isPauseRequest(status, headers) ? readPauseMs(headers[RETRY_AFTER_HEADER]) : undefined,
     isDraining: readIsDraining(headers[LEAVING_HEADER]),
+    unreadHeaders: findUnreadHeaders(headers),
   };
 }
--- a/src/report/explainRequest.ts
+++ b/src/report/explainRequest.ts
@@ -80,6 +80,8 @@
     `${formatValue(f.target)} no longer advertises a limit, before ${formatValue(f.before)}`,
   'target.paused': (f) =>
     `${formatValue(f.target)} wants no requests from this VM for ${formatValue(f.forMs)} ms, by its ${formatValue(f.source)}`,
+  'target.headerUnread': (f) =>
+    `${formatValue(f.target)} states something by ${formatValue(f.header)}, which nothing reads`,
   'target.pauseUnreadable': (f) =>
     `${formatValue(f.target)} asked for a pause, but its length is no number of seconds`,
   'attempt.failed': (f) =>
--- a/src/tests/balancing/statements.test.ts
+++ b/src/tests/balancing/statements.test.ts
@@ -316,3 +316,15 @@
   scene.dispatch({ kind: 'statementsRead', target: 't-1', bornAt: 1, statements });
   t.is(getPauseMs(scene), PAUSE_MS);
 });
+
+test('a header that nothing reads is logged once, and only a few of them', (t) => {
+  const scene = new Scene([makeTarget('t-1')]);
+  for (let i = 0; i < 100; i++) {
+    const unreadHeaders = ['server-mood', `server-${i}`];
+    const statements = { unreadHeaders };
+    scene.dispatch({ kind: 'statementsRead', target: 't-1', bornAt: 1, statements });
+  }
+  const lines = scene.all('log').filter(({ event }) => event === 'target.headerUnread');
+  t.is(lines.length, 20);
+  t.is(lines.filter(({ fields }) => fields.header === 'server-mood').length, 1);
+});
--- a/src/tests/platform/readStatements.test.ts
+++ b/src/tests/platform/readStatements.test.ts
@@ -32,3 +32,11 @@
   ]);
   t.false(readStatements({}, 200).isDraining);
 });
+
+// Pages announce new headers of targets from time to time, and what nobody reads nobody acts on.
+test('headers of the platform that nothing reads are found, others are not', (t) => {
+  const headers = { 'server-mood': 'low', 'x-masticlink-new': '1', 'x-own': '1', server: 'any' };
+  const read = { 'server-limit': '3', 'retry-after': '1', 'x-masticlink-warmup-ms': '0' };
+  const { unreadHeaders } = readStatements({ ...headers, ...read }, 200);
+  t.deepEqual(unreadHeaders, ['server-mood', 'x-masticlink-new']);
+});
