Entry: leave a target alone for the time that its refusal names

A target that refused had its limit halved and got the next request at once. Its pause now closes it for requests and probes, an hour at most; a shorter one does not end a longer one. The test got a request in the pause before.

--- a/src/core/requests/attemptAnswered.ts
+++ b/src/core/requests/attemptAnswered.ts
@@ -31,8 +31,7 @@
     state,
     target,
     event.attempt,
-    answerClass,
-    event.load,
+    { answerClass, load: event.load, retryAfterMs: event.retryAfterMs },
     context,
   );
   if (answerClass === 'answered') {
--- a/src/core/targets/TargetsState.ts
+++ b/src/core/targets/TargetsState.ts
@@ -55,6 +55,8 @@
   failures: number;
   /** End of the backoff after failures; no new requests before it; monotonic milliseconds. */
   avoidUntil: number;
+  /** End of the pause that the target asked for when it refused a request; monotonic milliseconds. */
+  pausedUntil: number;
   /** Identifies the run of the target's process, by its last report. */
   bootId?: string;
   /** Answers to requests sent before this time may come from an earlier run of its process. */
--- a/src/core/targets/getFreeSlots.ts
+++ b/src/core/targets/getFreeSlots.ts
@@ -4,14 +4,16 @@
 
 /**
  * Whether a target gets no new requests now, however many slots are free: it is draining, removed,
- * slow, in a backoff or used by an attempt that runs alone, or its partition may not be sent to.
+ * slow, in a backoff, paused or used by an attempt that runs alone, or its partition may not be sent to.
  * @param state - The process's state.
  * @param record - The target.
  * @param now - Monotonic milliseconds.
  */
 export function isUnavailable(state: EntryState, record: LocalTarget, now: number): boolean {
   if (record.hold !== undefined || record.slow) return true;
-  if (now < record.avoidUntil || record.alone !== undefined) return true;
+  if (now < Math.max(record.avoidUntil, record.pausedUntil) || record.alone !== undefined) {
+    return true;
+  }
   return !canDrive(state, record.partition, now);
 }
 
--- a/src/core/targets/probes.ts
+++ b/src/core/targets/probes.ts
@@ -30,6 +30,7 @@
 /** Whether a target may be probed: only while idle, since requests give the same information. */
 function shouldProbe(state: EntryState, record: LocalTarget, now: number): boolean {
   if (record.probing || record.outstanding.size > 0 || record.hold === 'removed') return false;
+  if (now < record.pausedUntil) return false;
   if (now < record.inheritedUntil && record.inherited > 0) return false;
   if (now - record.usedAt < record.service.probe.idleMs) return false;
   if (isZoneOut(state, record.config.zone)) return false;
--- a/src/core/targets/refreshTargets.ts
+++ b/src/core/targets/refreshTargets.ts
@@ -26,6 +26,7 @@
     slow: false,
     failures: 0,
     avoidUntil: 0,
+    pausedUntil: 0,
     bootSince: 0,
     loadLoweredAt: 0,
     inherited: 0,
--- a/src/core/targets/targetAttempts.ts
+++ b/src/core/targets/targetAttempts.ts
@@ -17,9 +17,21 @@
 /** Answers that took more than this many times the service's mean latency don't raise the limit. */
 const MAX_GOOD_ANSWER_FACTOR = 8;
 
+/** Longest pause, in milliseconds; a target that names a longer one by mistake is tried again. */
+const MAX_PAUSE_MS = 3_600_000;
+
 /** How the requests part classifies a target's answer. */
 export type AnswerClass = 'answered' | 'refused' | 'error';
 
+/** The head of a target's answer. */
+export interface TargetAnswerHead {
+  readonly answerClass: AnswerClass;
+  /** The target's report about itself, if it sent one. */
+  readonly load: LoadReport | undefined;
+  /** After how many milliseconds the target wants the next request, if it told a time. */
+  readonly retryAfterMs: number | undefined;
+}
+
 /**
  * Records an attempt as outstanding at a target, just before it is sent.
  * @param record - The target.
@@ -43,6 +55,12 @@
   record.usedAt = now;
 }
 
+/** Applies the pause that a refusal asks for; a shorter one does not end a longer one. */
+function applyPause(record: LocalTarget, retryAfterMs: number, now: number): void {
+  const until = now + Math.min(MAX_PAUSE_MS, retryAfterMs);
+  record.pausedUntil = Math.max(record.pausedUntil, until);
+}
+
 function applyRefusal(record: LocalTarget, now: number): Effect[] {
   recordErrorAnswer(record, now);
   if (record.slow || record.slowScore >= COLD_SLOW_SCORE) {
@@ -66,16 +84,14 @@
  * @param state - The process's state.
  * @param target - Identity of the target.
  * @param attempt - The attempt that it answers.
- * @param answerClass - Class of the answer.
- * @param load - The target's report about itself, if it sent one.
+ * @param head - The head of the answer.
  * @param context - Current time and random source.
  */
 export function recordTargetAnswer(
   state: EntryState,
   target: TargetId,
   attempt: AttemptId,
-  answerClass: AnswerClass,
-  load: LoadReport | undefined,
+  { answerClass, load, retryAfterMs = 0 }: TargetAnswerHead,
   context: Context,
 ): Effect[] {
   const record = state.targets.records.get(target);
@@ -85,6 +101,9 @@
   record.usedAt = context.now;
   const effects =
     load === undefined ? [] : applyLoadReport(record, load, outstanding.startedAt, context.now);
+  if (answerClass === 'refused' && outstanding.startedAt >= record.bootSince) {
+    applyPause(record, retryAfterMs, context.now);
+  }
   if (outstanding.startedAt < Math.max(record.bootSince, record.coldSince)) return effects;
   if (answerClass === 'refused') effects.push(...applyRefusal(record, context.now));
   else if (answerClass === 'error') recordErrorAnswer(record, context.now);
--- a/src/tests/core/requests/CoreDriver.ts
+++ b/src/tests/core/requests/CoreDriver.ts
@@ -87,12 +87,12 @@
   }
 
   /** Dispatches the head of an answer and returns the effects. */
-  answer(attempt: number, status = 200, load = {}): Effect[] {
+  answer(attempt: number, status = 200, load = {}, retryAfterMs?: number): Effect[] {
     const seen = this.attempts.get(attempt);
     if (seen?.end === undefined && seen !== undefined) {
       seen.answered ??= status === 503 ? 'refused' : 'ran';
     }
-    return this.dispatch({ kind: 'attemptAnswered', attempt, status, load });
+    return this.dispatch({ kind: 'attemptAnswered', attempt, status, load, retryAfterMs });
   }
 
   end(attempt: number, end: AttemptEnd = 'complete', bodyReplayable = true): Effect[] {
--- a/src/tests/core/targets/limits.test.ts
+++ b/src/tests/core/targets/limits.test.ts
@@ -177,3 +177,20 @@
   driver.advance(200);
   t.true(seen?.cancelled);
 });
+
+// The holder is the only one that sends, so a target that it does not leave alone gets no rest.
+test('a target that refuses a request and asks for a pause gets no other one before its end', (t) => {
+  const driver = makeDriver(1, 4);
+  driver.warmUp();
+  driver.arrive();
+  const [{ sent }] = driver.getOpenAttempts();
+  driver.answer(sent.attempt, 503, {}, 3_000);
+  driver.end(sent.attempt);
+  driver.advance(100);
+  arriveMany(driver, 8);
+  driver.advance(2_800);
+  t.is(driver.getOpenAttempts().length, 0);
+  driver.advance(200);
+  arriveMany(driver, 1);
+  t.is(driver.getOpenAttempts().length, 1);
+});
