--- a/src/report/explainRequest.ts
+++ b/src/report/explainRequest.ts
@@ -110,11 +110,22 @@
   return named.length === 0 ? undefined : { ...line, fields: { targets: named } };
 }
 
+/** Whether a line tells of a target's pause that lasts beyond a time, in Unix milliseconds. */
+function isPausedBeyond({ time, event, fields }: LogLine, at: number): boolean {
+  return event === 'target.paused' && Date.parse(time) + Number(fields.forMs) > at;
+}
+
 /** Explains a request from the lines of one VM: its state, the targets involved, and the request. */
 function explainOnVm(lines: readonly LogLine[], id: string): string[] {
   const first = lines.findIndex(({ fields }) => fields.id === id);
   const requestLines = lines.filter(({ fields }) => fields.id === id);
   const targets = new Set(requestLines.map(({ fields }) => fields.target).filter(Boolean));
+  // A request that was refused as `paused` was sent to none of the targets in question.
+  const pausedServices = new Set(
+    requestLines
+      .filter(({ fields }) => fields.reason === 'paused')
+      .map(({ fields }) => fields.service),
+  );
   const startsAt = Date.parse(lines[first].time);
   const endsAt = Date.parse(requestLines[requestLines.length - 1].time);
   const stateLines = new Map<string, LogLine>();
@@ -127,8 +138,10 @@
   }
   const targetLines = lines.flatMap((line) => {
     const at = Date.parse(line.time);
-    const isNear = at >= startsAt - CONTEXT_BEFORE_MS && at <= endsAt;
-    if (!isNear || !line.event.startsWith('target.')) return [];
+    if (at > endsAt || !line.event.startsWith('target.')) return [];
+    const isPaused = isPausedBeyond(line, startsAt);
+    if (isPaused && pausedServices.has(line.fields.service)) return line;
+    if (at < startsAt - CONTEXT_BEFORE_MS && !isPaused) return [];
     return selectTargets(line, targets) ?? [];
   });
   return [
--- a/src/tests/gateway/TargetRequest.test.ts
+++ b/src/tests/gateway/TargetRequest.test.ts
@@ -263,6 +263,46 @@
   t.is(end.kind, 'unsent');
 });
 
+// A target that pauses meanwhile would get it long after it has rejected another one.
+test('a request that gets no connection because all are in use is unsent after a quarter second', async (t) => {
+  let arrivedCount = 0;
+  const server = createServer((socket) => {
+    socket.on('error', () => {});
+    socket.on('data', () => {
+      arrivedCount += 1;
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  const agent = new TargetAgent(1);
+  const send = (onEnd: (end: AttemptResult) => void): TargetRequest =>
+    new TargetRequest({
+      agent,
+      clock: new SystemClock(),
+      to: { target: 't-1', bornAt: 0, address: `127.0.0.1:${port}` },
+      method: 'GET',
+      path: '/',
+      headers: [],
+      body: undefined,
+      callerRequestId: undefined,
+      allowedMs: 5_000,
+      onEnd,
+    });
+  const first = send(() => {});
+  const startedAt = performance.now();
+  const end = await new Promise<AttemptResult>((resolve) => {
+    t.truthy(send(resolve));
+  });
+  t.is(end.kind, 'unsent');
+  t.true(performance.now() - startedAt < 500);
+  t.is(arrivedCount, 1);
+  first.cancel();
+  agent.destroy();
+  server.close();
+});
+
 test('the headers added to a request name its only target and the remaining time', async (t) => {
   let received = '';
   await sendRequest(
--- a/src/tests/report/explainRequest.test.ts
+++ b/src/tests/report/explainRequest.test.ts
@@ -124,3 +124,33 @@
 test('lines that a gateway did not write are ignored', (t) => {
   t.deepEqual(explainRequest(['', 'hello', '{"half', '{"time":1}', '12.3 vm-1 {}'], 'r-1'), []);
 });
+
+test('a refusal because of pauses names the targets that asked for them', (t) => {
+  const pause = (target: string, service: string, forMs: number) => ({
+    target,
+    service,
+    forMs,
+    source: 'answer',
+  });
+  t.snapshot(
+    explainRequest(
+      [
+        line('vm-1', 0, 'target.paused', pause('t-1', 'horaires', 30_000)),
+        line('vm-1', 100, 'target.paused', pause('t-2', 'horaires', 1_000)),
+        line('vm-1', 19_000, 'target.paused', pause('t-2', 'horaires', 3_000)),
+        line('vm-1', 19_000, 'target.paused', pause('t-9', 'plongee', 3_000)),
+        line('vm-1', 20_000, 'request.refused', {
+          id: 'r-1',
+          status: 503,
+          reason: 'paused',
+          service: 'horaires',
+          tookMs: 2,
+          rounds: 1,
+          sinceFirstMs: 0,
+          retryAfterMs: 2_400,
+        }),
+      ],
+      'r-1',
+    ),
+  );
+});
