A drain that was registered is not taken back by an older list

Cause, from the log of edge-casnewydd-b-4: at 10.895 s it knew that i-977b7744cf drained; at 10.903 its source was stale and it followed another one; by 12.412 it held a list without that drain (the drain of i-bd64bb5032, known at 10.895, was logged a second time then); at 12.497 it sent a request there. The registration in the latest list was the only memory of a drain. The class of the incident again: what a target has said was forgotten before its time. A registered drain is kept now as one that an answer announced: until the target starts anew. A target without a start time is excepted, since a list in which it is ready is the only sign of its next start.

--- a/src/balancing/TargetNotices.ts
+++ b/src/balancing/TargetNotices.ts
@@ -1,10 +1,10 @@
 import type { TargetRegistration } from './model.js';
 
-/** What a target has asked of this VM in its answers. */
+/** What a target has asked of this VM, and whether it has said that it ends. */
 export interface TargetNotices {
   /** When the target accepts requests from this VM again; monotonic milliseconds. */
   pausedUntil: number;
-  /** Whether an answer has stated that the target is shutting down; only a new start ends that. */
+  /** Whether an answer or its registration has stated a shutdown; only a new start ends that. */
   hasAnnouncedDrain: boolean;
 }
 
--- a/src/balancing/fleetHandlers.ts
+++ b/src/balancing/fleetHandlers.ts
@@ -18,7 +18,7 @@
 import type { TargetListEvent } from './targetLog.js';
 import { logTargets } from './targetLog.js';
 import type { TargetRecord } from './TargetRecord.js';
-import { createTargetRecord, recordOutcome } from './TargetRecord.js';
+import { createTargetRecord, isDraining, recordOutcome } from './TargetRecord.js';
 import { holdNewVersions } from './versions.js';
 
 /** Adopts a configuration that was read, unless it is older than the current one. */
@@ -48,6 +48,14 @@
   return a.bornAt === b.bornAt && a.address === b.address && a.service === b.service;
 }
 
+/**
+ * Keeps a registered drain although a later list may lack it: a VM that changes its source may read
+ * an older list. Without a start time, such a list is the only sign of a new start.
+ */
+function recordRegisteredDrain({ entry, notices }: TargetRecord): void {
+  if (entry.isDraining && entry.bornAt !== 0) notices.hasAnnouncedDrain = true;
+}
+
 /** Adds or updates one registered target; returns the event to log, if any. */
 function applyRegistration(
   state: BalancerState,
@@ -58,15 +66,17 @@
   if (known === undefined || !isSameProcess(known.entry, entry)) {
     if (known !== undefined) state.formerNotices.keep(known.entry, known.notices, now);
     const record = createTargetRecord(entry, now, state.formerNotices.take(entry));
+    recordRegisteredDrain(record);
     state.targets.set(entry.id, record);
     for (const request of known?.probeWaiters ?? []) {
       state.pendingRequests.get(request)?.round?.awaitedTargets.delete(entry.id);
     }
     return 'target.added';
   }
-  const hasStartedDraining = entry.isDraining && !known.entry.isDraining;
+  const hasStartedDraining = entry.isDraining && !isDraining(known);
   const changed = known.entry.coldMs !== entry.coldMs;
   known.entry = entry;
+  recordRegisteredDrain(known);
   if (changed && entry.coldMs > 0) known.coldUntil = Math.max(known.coldUntil, now + entry.coldMs);
   return hasStartedDraining ? 'target.draining' : undefined;
 }
