--- a/src/tests/gateway/TargetRequest.test.ts
+++ b/src/tests/gateway/TargetRequest.test.ts
@@ -1,4 +1,4 @@
-import type { AddressInfo, Socket } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
 import { createServer } from 'node:net';
 
 import test from 'ava';
@@ -19,24 +19,33 @@
   readonly agent?: TargetAgent;
 }
 
-/** Sends one request to a target that handles each connection with `serve`. */
-async function sendRequest(
-  serve: (socket: Socket, request: string) => void,
-  { body, agent = new TargetAgent(4) }: SendOptions = {},
-): Promise<Outcome> {
+/** Starts a target that handles each connection with `serve`; returns its server and address. */
+async function startTarget(
+  serve: (socket: Socket) => void,
+): Promise<{ readonly server: Server; readonly address: string }> {
   const server = createServer((socket) => {
     socket.on('error', () => {});
-    socket.on('data', (data) => serve(socket, data.toString('latin1')));
+    serve(socket);
   });
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
   });
-  const { port } = server.address() as AddressInfo;
+  return { server, address: `127.0.0.1:${(server.address() as AddressInfo).port}` };
+}
+
+/** Sends one request to a target that handles each connection with `serve`. */
+async function sendRequest(
+  serve: (socket: Socket, request: string) => void,
+  { body, agent = new TargetAgent(4) }: SendOptions = {},
+): Promise<Outcome> {
+  const { server, address } = await startTarget((socket) =>
+    socket.on('data', (data) => serve(socket, data.toString('latin1'))),
+  );
   const outcome = await new Promise<Outcome>((resolve) => {
     const targetRequest: TargetRequest = new TargetRequest({
       agent,
       clock: new SystemClock(),
-      to: { target: 't-1', bornAt: 0, address: `127.0.0.1:${port}` },
+      to: { target: 't-1', bornAt: 0, address },
       method: body === undefined ? 'GET' : 'POST',
       path: '/horaires/',
       headers: ['Host', 'door.example', 'X-Masticlink-Request-Id', 'r-1'],
@@ -192,8 +201,7 @@
 // The target counts on a rejection that it has sent, although the attempt is cancelled meanwhile.
 test('the statements of an answer that crosses the cancel of its request are read', async (t) => {
   let req: TargetRequest | undefined;
-  const server = createServer((socket) => {
-    socket.on('error', () => {});
+  const { server, address } = await startTarget((socket) => {
     const response = formatResponse('503 Service Unavailable', [
       'X-Masticlink-Not-Executed: 1',
       'Retry-After: 3',
@@ -204,16 +212,12 @@
       socket.write(response);
     });
   });
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const { port } = server.address() as AddressInfo;
   const agent = new TargetAgent(4);
   const statements = await new Promise((resolve) => {
     req = new TargetRequest({
       agent,
       clock: new SystemClock(),
-      to: { target: 't-1', bornAt: 0, address: `127.0.0.1:${port}` },
+      to: { target: 't-1', bornAt: 0, address },
       method: 'GET',
       path: '/',
       headers: [],
@@ -266,22 +270,17 @@
 // A target that pauses meanwhile would get it long after it has rejected another one.
 test('a request that gets no connection because all are in use is unsent after a quarter second', async (t) => {
   let arrivedCount = 0;
-  const server = createServer((socket) => {
-    socket.on('error', () => {});
+  const { server, address } = await startTarget((socket) =>
     socket.on('data', () => {
       arrivedCount += 1;
-    });
-  });
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const { port } = server.address() as AddressInfo;
+    }),
+  );
   const agent = new TargetAgent(1);
   const send = (onEnd: (end: AttemptResult) => void): TargetRequest =>
     new TargetRequest({
       agent,
       clock: new SystemClock(),
-      to: { target: 't-1', bornAt: 0, address: `127.0.0.1:${port}` },
+      to: { target: 't-1', bornAt: 0, address },
       method: 'GET',
       path: '/',
       headers: [],
