--- a/src/fleet/FleetView.ts
+++ b/src/fleet/FleetView.ts
@@ -95,6 +95,10 @@
   /** @internal */
   private readonly confirmListeners: (() => void)[] = [];
 
+  /** @internal */
+  private readonly outdatedListeners: ((change: SectionChange<Section>, known: number) => void)[] =
+    [];
+
   /** @internal */
   private latestConfirmation: Confirmation | undefined;
 
@@ -136,6 +140,14 @@
     this.confirmListeners.push(listener);
   }
 
+  /**
+   * Adds a listener for changes that are ignored because the section is at a later revision.
+   * @param listener - Called with the change and the known revision.
+   */
+  onOutdated(listener: (change: SectionChange<Section>, known: number) => void): void {
+    this.outdatedListeners.push(listener);
+  }
+
   /**
    * Time since the store confirmed the least recently confirmed of `FRESHNESS_SECTIONS`, in
    * milliseconds; infinite if one of them was never confirmed.
@@ -210,7 +222,10 @@
     const { section, revision } = change;
     this.cancelDeferredRemovals(change);
     const knownRevision = this.revisions.get(section) ?? -1;
-    if (revision < knownRevision) return;
+    if (revision < knownRevision) {
+      for (const listener of this.outdatedListeners) listener(change, knownRevision);
+      return;
+    }
     this.revisions.set(section, revision);
     const changed = this.addRemovals(change).filter(
       (item) =>
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -121,8 +121,10 @@
     const { settings, clock, log, random } = parts;
     this.state = createBalancerState(settings.balancing, clock.now());
     this.timers = new TimerService(clock);
-    this.store = new ObjectStore(settings.storeAddress, (section, name, reason) =>
-      log.write('store.unreadable', { section, name, reason }),
+    this.store = new ObjectStore(
+      settings.storeAddress,
+      (section, name, reason) => log.write('store.unreadable', { section, name, reason }),
+      (before, epoch) => log.write('store.epochChanged', { before, epoch }),
     );
     const runId = `${settings.self.name}/${random()}`;
     this.view = new FleetView(clock, runId);
--- a/src/platform/ObjectStore.ts
+++ b/src/platform/ObjectStore.ts
@@ -22,6 +22,7 @@
   decodeTarget,
   encodeRolloutStatus,
 } from './decode.js';
+import { STORE_EPOCH_HEADER } from './headers.js';
 
 const OBJECTS_PATH = '/masticlink/objects';
 
@@ -134,13 +135,18 @@
   /** Number of calls made so far, by method and section. */
   readonly calls = new Map<string, number>();
 
+  /** Epoch that the latest answer stated; undefined if none was stated. */
+  epoch: string | undefined;
+
   /**
    * @param address - IP address and port.
    * @param onUnreadable - Called for each object that cannot be decoded.
+   * @param onEpochChange - Called when an answer states another epoch than the one before it.
    */
   constructor(
     private address: string,
     private readonly onUnreadable: UnreadableHandler,
+    private readonly onEpochChange: (before: string | undefined, epoch: string) => void = () => {},
   ) {}
 
   /**
@@ -247,6 +253,14 @@
     }
   }
 
+  /** @internal */
+  private recordEpoch({ headers }: IncomingMessage): void {
+    const epoch = headers[STORE_EPOCH_HEADER];
+    if (typeof epoch !== 'string' || epoch === this.epoch) return;
+    this.onEpochChange(this.epoch, epoch);
+    this.epoch = epoch;
+  }
+
   /** @internal */
   private call(
     method: Method,
@@ -277,6 +291,7 @@
       };
       req = request({ host, port, method, path, headers, agent: this.agent }, (res) => {
         startTimer(ANSWER_TIMEOUT_MS);
+        this.recordEpoch(res);
         readAnswer(res, `${method} ${path}`).then(resolve, reject);
       });
       startTimer(waitMs > 0 ? waitMs + WATCH_MARGIN_MS : CALL_TIMEOUT_MS);
--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -1,5 +1,11 @@
 /** Header names of requests and answers, in lower case for comparison. */
 
+/**
+ * Number of times that the store has been restored from a copy, in each of its answers; revisions
+ * of different epochs cannot be compared.
+ */
+export const STORE_EPOCH_HEADER = 'store-era';
+
 /** Id of a caller's request, which a target repeats in its answer. */
 export const REQUEST_ID_HEADER = 'x-masticlink-request-id';
 
