Failing tests: a store that is restored from a copy, and a VM that has lost its source

The stand-in store copies itself and comes back from the copy with its epoch one further, at times after having given the lost revisions out again; the soak does so between other faults (--restores).

--- a/src/platform/standIn/PlatformStore.ts
+++ b/src/platform/standIn/PlatformStore.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import { StandInServer } from '../../standIns/http/StandInServer.js';
+import { STORE_EPOCH_HEADER } from '../headers.js';
 
 /** A stored object as sent over the wire. */
 interface StoredObject {
@@ -22,6 +23,13 @@
   readonly deleted: boolean;
 }
 
+/** Copy of a store's content, from which it can be restored. */
+export interface StoreCopy {
+  readonly revision: number;
+  readonly objectsByKind: ReadonlyMap<string, Map<string, StoredObject>>;
+  readonly events: readonly StoreEvent[];
+}
+
 /** Maximum number of objects in one page of a listing. */
 const PAGE_SIZE = 50;
 
@@ -30,6 +38,14 @@
  */
 const HISTORY_SIZE = 500;
 
+/** Kinds of objects that operators and targets write again after the store has lost them. */
+const REWRITTEN_KINDS: ReadonlySet<string> = new Set([
+  'config',
+  'servers',
+  'evacuations',
+  'rollouts',
+]);
+
 const PATH_PATTERN = /^\/masticlink\/objects\/([\w-]+)(?:\/([^/?]+))?(\/status)?$/;
 
 async function readBody(req: IncomingMessage): Promise<Partial<StoredObject>> {
@@ -39,11 +55,6 @@
   return text === '' ? {} : (JSON.parse(text) as Partial<StoredObject>);
 }
 
-function sendJson(res: ServerResponse, status: number, body: unknown): void {
-  res.writeHead(status, { 'Content-Type': 'application/json' });
-  res.end(JSON.stringify(body));
-}
-
 /**
  * Stand-in for the platform's object store: objects with revisions, conditional writes, watches.
  */
@@ -57,6 +68,18 @@
   /** @internal */
   private revision = 1;
 
+  /** Number of times that the store has been restored from a copy. @internal */
+  private epoch = 1;
+
+  /**
+   * Value of the header that states the epoch in all answers; undefined if the store states none.
+   * Tests replace it to state odd values.
+   */
+  formatEpoch: (epoch: number) => string | undefined = String;
+
+  /** Whether all connections are reset. @internal */
+  private isAway = false;
+
   /** Callbacks of the watches that wait for a change. @internal */
   private readonly watchers = new Set<() => void>();
 
@@ -66,6 +89,10 @@
   /** Starts to listen on a free loopback port. */
   async start(): Promise<void> {
     this.server = await StandInServer.start({}, (req, res) => {
+      if (this.isAway) {
+        res.destroy();
+        return;
+      }
       this.handle(req, res).catch(() => res.destroy());
     });
   }
@@ -114,6 +141,54 @@
     this.events = [];
   }
 
+  /** Copies the content, as a backup does. */
+  copy(): StoreCopy {
+    const { revision, events, objectsByKind } = this;
+    const objects = [...objectsByKind].map(([kind, byName]) => [kind, new Map(byName)] as const);
+    return { revision, events: [...events], objectsByKind: new Map(objects) };
+  }
+
+  /**
+   * Goes back to a copy: later changes are lost, and their revisions are given out again.
+   * @param copy - The copy.
+   */
+  restore({ revision, events, objectsByKind }: StoreCopy): void {
+    this.epoch += 1;
+    this.revision = revision;
+    this.events = [...events];
+    this.objectsByKind.clear();
+    for (const [kind, byName] of objectsByKind) this.objectsByKind.set(kind, new Map(byName));
+  }
+
+  /** Makes the store unreachable, or reachable again. */
+  setAway(isAway: boolean): void {
+    this.isAway = isAway;
+    // Watches that wait end, and their answers are never sent.
+    if (isAway) for (const wake of [...this.watchers]) wake();
+  }
+
+  /**
+   * Lists the changes of operators and targets that a copy lacks, the last one of each object, in
+   * order. After a restore they are made again, except where an object has changed meanwhile.
+   * @param copy - The copy.
+   * @returns A function for each change that makes it again.
+   */
+  getChangesSince({ revision, objectsByKind }: StoreCopy): readonly (() => void)[] {
+    const lost = this.events.filter(
+      (event) => event.revision > revision && REWRITTEN_KINDS.has(event.kind),
+    );
+    const byObject = new Map(
+      lost.map((event) => [`${event.kind}/${event.object.metadata.name}`, event]),
+    );
+    return [...byObject.values()].map(({ kind, object, deleted }) => () => {
+      const { name } = object.metadata;
+      const current = this.getObjects(kind).get(name);
+      if (current !== objectsByKind.get(kind)?.get(name)) return;
+      if (deleted) this.remove(kind, name);
+      else this.put(kind, name, object.spec, kind === 'servers' ? object.status : current?.status);
+    });
+  }
+
   /** @internal */
   private getObjects(kind: string): Map<string, StoredObject> {
     const known = this.objectsByKind.get(kind) ?? new Map<string, StoredObject>();
@@ -134,7 +209,7 @@
     const url = new URL(req.url ?? '/', 'http://store');
     const [, kind, name] = PATH_PATTERN.exec(url.pathname) ?? [];
     if (kind === undefined) {
-      sendJson(res, 404, {});
+      this.sendJson(res, 404, {});
       return;
     }
     if (req.method === 'GET' && name === undefined) {
@@ -160,12 +235,12 @@
   ): void {
     const known = this.getObjects(kind).get(id);
     const revision = metadata?.revision;
-    if (known === undefined) sendJson(res, 404, {});
+    if (known === undefined) this.sendJson(res, 404, {});
     else if (revision !== undefined && revision !== known.metadata.revision) {
-      sendJson(res, 409, known);
+      this.sendJson(res, 409, known);
     } else {
       this.put(kind, id, known.spec, status);
-      sendJson(res, 200, this.getObjects(kind).get(id));
+      this.sendJson(res, 200, this.getObjects(kind).get(id));
     }
   }
 
@@ -174,6 +249,11 @@
     return this.getObjects(kind).get(name)?.status;
   }
 
+  /** Content of an object; undefined if the object does not exist. */
+  getSpec(kind: string, name: string): unknown {
+    return this.getObjects(kind).get(name)?.spec;
+  }
+
   /** Handles a call for a single object. @internal */
   private handleObject(
     method: string,
@@ -182,16 +262,28 @@
   ): void {
     const known = this.getObjects(kind).get(id);
     const foundStatus = known === undefined ? 404 : 200;
-    if (method === 'POST' && known !== undefined) sendJson(res, 409, known);
+    if (method === 'POST' && known !== undefined) this.sendJson(res, 409, known);
     else if (method === 'GET' || (method === 'PUT' && known === undefined)) {
-      sendJson(res, foundStatus, known ?? {});
+      this.sendJson(res, foundStatus, known ?? {});
     } else if (method === 'DELETE') {
       this.remove(kind, id);
-      sendJson(res, foundStatus, {});
+      this.sendJson(res, foundStatus, {});
     } else {
       this.put(kind, id, spec);
-      sendJson(res, 200, this.getObjects(kind).get(id));
+      this.sendJson(res, 200, this.getObjects(kind).get(id));
+    }
+  }
+
+  /** @internal */
+  private sendJson(res: ServerResponse, status: number, body: unknown): void {
+    if (this.isAway) {
+      res.destroy();
+      return;
     }
+    const epoch = this.formatEpoch(this.epoch);
+    if (epoch !== undefined) res.setHeader(STORE_EPOCH_HEADER, epoch);
+    res.writeHead(status, { 'Content-Type': 'application/json' });
+    res.end(JSON.stringify(body));
   }
 
   /** @internal */
@@ -205,22 +297,25 @@
     const names = [...this.getObjects(kind).keys()].sort().filter((name) => name > after);
     const items = names.slice(0, PAGE_SIZE).map((name) => this.getObjects(kind).get(name));
     const hasMore = names.length > PAGE_SIZE;
-    sendJson(res, 200, { items, has_more: hasMore, store_revision: this.revision });
+    this.sendJson(res, 200, { items, has_more: hasMore, store_revision: this.revision });
   }
 
   /** @internal */
   private async watch(kind: string, since: number, waitMs: number, res: ServerResponse) {
     const oldestRevision = this.events[0]?.revision ?? this.revision + 1;
-    if (since + 1 < oldestRevision && since < this.revision) {
-      sendJson(res, 410, {});
+    const isForgotten = since + 1 < oldestRevision && since < this.revision;
+    if (isForgotten || since > this.revision) {
+      this.sendJson(res, 410, {});
       return;
     }
     const findEvents = (): StoreEvent[] =>
       this.events.filter((event) => event.kind === kind && event.revision > since);
     const endsAt = Date.now() + waitMs;
-    while (findEvents().length === 0 && Date.now() < endsAt) await this.waitForChange(endsAt);
+    while (findEvents().length === 0 && Date.now() < endsAt && !this.isAway) {
+      await this.waitForChange(endsAt);
+    }
     const events = findEvents().map(({ object, deleted }) => ({ object, deleted }));
-    sendJson(res, 200, { events, store_revision: this.revision });
+    this.sendJson(res, 200, { events, store_revision: this.revision });
   }
 
   /** @internal */
--- a/src/platform/standIn/index.ts
+++ b/src/platform/standIn/index.ts
@@ -1,3 +1,4 @@
+export type { StoreCopy } from './PlatformStore.js';
 export { PlatformStore } from './PlatformStore.js';
 export type { TargetBehaviour } from './PlatformTarget.js';
 export { makeBody, PlatformTarget } from './PlatformTarget.js';
--- a/src/soak/faults.ts
+++ b/src/soak/faults.ts
@@ -19,7 +19,7 @@
 export type Fault = (context: FaultContext) => Promise<void>;
 
 /** Time that a gateway has to recover after a fault, in milliseconds. */
-const SETTLE_MS = 3_000;
+export const SETTLE_MS = 3_000;
 
 /** Time within which gateways must apply a configuration or a target's draining, in milliseconds. */
 const IN_FORCE_MS = 2_000;
@@ -37,7 +37,12 @@
   return items[Math.floor(random() * items.length)];
 }
 
-function markDisturbed(gateway: SoakGateway, ms: number): void {
+/**
+ * Excuses a gateway from time limits until it has recovered from a fault.
+ * @param gateway - The gateway.
+ * @param ms - Duration of the fault, in milliseconds.
+ */
+export function markDisturbed(gateway: SoakGateway, ms: number): void {
   gateway.disturbedUntil = Math.max(gateway.disturbedUntil, Date.now() + ms + SETTLE_MS);
 }
 
--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -17,6 +17,7 @@
   const hasRollouts = process.argv.includes('--rollouts');
   const hasLimits = process.argv.includes('--limits');
   const hasStatements = process.argv.includes('--statements');
+  const hasRestores = process.argv.includes('--restores');
   let failed = 0;
   for (let seed = first; seed < first + seeds; seed++) {
     const { broken, requests, served, faults, dir } = await runSoak({
@@ -25,6 +26,7 @@
       hasRollouts,
       hasLimits,
       hasStatements,
+      hasRestores,
       onFault: (name, atMs) => {
         if (isVerbose) process.stdout.write(`  ${(atMs / 1_000).toFixed(2)} s ${name}\n`);
       },
--- a/src/soak/runSoak.ts
+++ b/src/soak/runSoak.ts
@@ -7,6 +7,7 @@
 import type { Fault, FaultContext } from './faults.js';
 import { FAULTS } from './faults.js';
 import { nameLimit } from './limitFault.js';
+import { restoreStore } from './restoreFault.js';
 import { orderRollout } from './rolloutFault.js';
 import { SoakCallers } from './SoakCallers.js';
 import { SoakWorld } from './SoakWorld.js';
@@ -23,6 +24,8 @@
   readonly hasLimits?: boolean;
   /** Whether targets that ask for pauses or announce their shutdown are among the faults. */
   readonly hasStatements?: boolean;
+  /** Whether the store is at times restored from a copy. */
+  readonly hasRestores?: boolean;
   /** Called when a fault starts. */
   readonly onFault?: (name: string, atMs: number) => void;
 }
@@ -56,29 +59,36 @@
   });
 }
 
-/** Starts random faults without waiting for earlier ones to end; returns their names. */
+/** Returns the faults that the options add, by name. */
+function getOptionalFaults(options: SoakOptions): Readonly<Record<string, Fault>> {
+  const { hasRollouts, hasLimits, hasStatements, hasRestores } = options;
+  return {
+    ...(hasRollouts === true ? { orderRollout } : {}),
+    ...(hasLimits === true ? { nameLimit } : {}),
+    ...(hasStatements === true ? { askForPauses, announceDrain } : {}),
+    ...(hasRestores === true ? { restoreStore } : {}),
+  };
+}
+
+/**
+ * Starts each optional fault, and then random faults, without waiting for earlier ones to end;
+ * returns the names of the random ones.
+ */
 async function injectFaults(
   context: FaultContext,
-  { faultsMs, hasRollouts = false, hasLimits = false, hasStatements = false, onFault }: SoakOptions,
+  options: SoakOptions,
   startedAt: number,
 ): Promise<string[]> {
   const names: string[] = [];
-  const pending: Promise<void>[] = [];
-  const endsAt = Date.now() + faultsMs;
-  const faults: Readonly<Record<string, Fault>> = {
-    ...FAULTS,
-    ...(hasRollouts ? { orderRollout } : {}),
-    ...(hasLimits ? { nameLimit } : {}),
-    ...(hasStatements ? { askForPauses, announceDrain } : {}),
-  };
-  if (hasRollouts) pending.push(orderRollout(context));
-  if (hasLimits) pending.push(nameLimit(context));
-  if (hasStatements) pending.push(askForPauses(context), announceDrain(context));
+  const endsAt = Date.now() + options.faultsMs;
+  const optionalFaults = getOptionalFaults(options);
+  const faults: Readonly<Record<string, Fault>> = { ...FAULTS, ...optionalFaults };
+  const pending = Object.values(optionalFaults).map((fault) => fault(context));
   while (Date.now() < endsAt) {
     const all = Object.keys(faults);
     const name = all[Math.floor(context.random() * all.length)];
     names.push(name);
-    onFault?.(name, Date.now() - startedAt);
+    options.onFault?.(name, Date.now() - startedAt);
     pending.push(faults[name](context));
     await wait(context.random() * MAX_FAULT_GAP_MS);
   }
--- a/src/tests/fleet/FleetView.test.ts
+++ b/src/tests/fleet/FleetView.test.ts
@@ -154,3 +154,19 @@
   view.apply({ section: 'targets', items: [put('t-1')], revision: 30, isWhole: false });
   t.deepEqual(reportedNames, ['t-1']);
 });
+
+// A VM whose source is lost hears nothing for a while, and no entry expires because of that.
+test('a target that leaves is removed at once although this VM had lost its source', (t) => {
+  const { clock, view } = makeView();
+  view.confirmFromPeer({ origin: 'watcher', count: 1 }, clock.now());
+  clock.runUntil(clock.now() + 1_900);
+  view.confirmFromPeer({ origin: 'watcher', count: 2 }, clock.now());
+  view.apply({
+    section: 'targets',
+    items: [put('t-2')],
+    revision: 8,
+    isWhole: true,
+    isFromPeer: true,
+  });
+  t.deepEqual([...view.targets.keys()], ['t-2']);
+});
--- a/src/tests/soak/soak.test.ts
+++ b/src/tests/soak/soak.test.ts
@@ -122,3 +122,10 @@
     t.deepEqual(broken, []);
   },
 );
+
+// A gateway that compares revisions across a restore ignores changes until the numbers pass its own.
+test('changes reach all gateways after the store was restored from older copies', async (t) => {
+  t.timeout(90_000);
+  const { broken } = await runSoak({ seed: 7003, faultsMs: 6_000, hasRestores: true });
+  t.deepEqual(broken, []);
+});
