A VM that has lost its source does not take that for an outage of the store

Cause: a gap of more than 1.5 s between two confirmations counted as an outage of the store, after which removals of targets are deferred by 2.7 s. VMs of another zone, whose new source had a confirmation some ms older, measured less and dropped the targets at once.

A gap now counts as an outage if a call of this VM has failed in it, or if it is longer than three seconds: entries expire after several heartbeats. VMs that follow another one are told nothing of removals that that one defers.

--- a/src/fleet/FleetView.ts
+++ b/src/fleet/FleetView.ts
@@ -15,9 +15,19 @@
  */
 export const PARTIAL_REVISION = 0;
 
-/** The store counts as having been down if its confirmations are further apart, in milliseconds. */
+/**
+ * The store counts as having been down if its confirmations are further apart than this and a call
+ * of this VM has failed in between, in milliseconds.
+ */
 const STORE_OUTAGE_MS = 1_500;
 
+/**
+ * Without a failed call, it counts as down only if confirmations are this far apart, in
+ * milliseconds. A VM that has lost its source hears nothing for up to two seconds although the
+ * store is up, and targets miss several heartbeats before their entries expire.
+ */
+const UNSEEN_OUTAGE_MS = 3_000;
+
 /**
  * Time after the recovery of the store in which targets whose entries expired during the outage
  * register again, in milliseconds: about two seconds according to the platform, plus the time to
@@ -79,6 +89,9 @@
   /** When the store last confirmed each section; monotonic milliseconds. @internal */
   private readonly confirmedAt = new Map<Section, number>();
 
+  /** When a call of this VM to the store last failed; monotonic milliseconds. @internal */
+  private storeFailedAt = Number.NEGATIVE_INFINITY;
+
   /** When the store last answered again after an outage; monotonic milliseconds. @internal */
   private storeRecoveredAt = Number.NEGATIVE_INFINITY;
 
@@ -185,6 +198,11 @@
     }
   }
 
+  /** Records that a call of this VM to the store has failed. */
+  recordStoreFailure(): void {
+    this.storeFailedAt = this.clock.now();
+  }
+
   /**
    * Records a confirmation that another VM reported; ignored if it is not new.
    * @param confirmation - The confirmation.
@@ -208,11 +226,17 @@
     const previous = this.confirmedAt.get(section);
     if (previous !== undefined && at <= previous) return;
     this.confirmedAt.set(section, at);
-    if (section === 'targets' && previous !== undefined && at - previous > STORE_OUTAGE_MS) {
+    if (section === 'targets' && previous !== undefined && this.wasStoreDown(previous, at)) {
       this.storeRecoveredAt = at;
     }
   }
 
+  /** Whether the store was down between two confirmations. @internal */
+  private wasStoreDown(previous: number, at: number): boolean {
+    const hasFailed = this.storeFailedAt > previous;
+    return at - previous > (hasFailed ? STORE_OUTAGE_MS : UNSEEN_OUTAGE_MS);
+  }
+
   /**
    * Applies changes, unless the section is at a later revision already: another VM may be behind
    * this one, and its data would undo later changes.
--- a/src/fleet/StoreWatcher.ts
+++ b/src/fleet/StoreWatcher.ts
@@ -185,6 +185,7 @@
   /** @internal */
   private recordFailure(section: Section, err: Error): void {
     this.failures += 1;
+    this.parts.view.recordStoreFailure();
     const failure = err instanceof StoreCallError ? err.failure : 'unexpected';
     const { log, view } = this.parts;
     log.write('store.callFailed', {
