Order what is known of the store by epoch, then by revision

Cause: a store that comes back from an older copy gives revisions out again, and each section of the view takes nothing earlier than its revision, so that all changes are ignored until the numbers pass those that VMs know.

StorePosition (epoch, revision) replaces the number wherever positions are compared, with one function to compare them, so the compiler found the places: view, watcher, feed in both directions, lists of membership and registrar, orders of rollouts. - A watch that is answered in another epoch than it began in is listed anew: what came with that answer is not the whole. - An answer of an earlier epoch is a failed call (outdated); changes of one are ignored, and ages do not count as fresh. - The whole section is sent to followers, with what is kept although the store lacks it and for how long. A change of a later epoch that is not the whole makes the follower ask for the whole. - What the copy lacks is kept for 2.7 s (targets, as after an outage) or 5 s (zones out, orders, VMs), unless it is written again. - A drain of the same process never ends; the configuration goes by its version whatever its position. - VMs of earlier versions send no epoch: their data precedes all else, and they get the revisions that they know. - An epoch that cannot be read, or none, means the latest known one.

Found by the new tests: a timer of the system may fire some milliseconds early, and the removal that it was for was then forgotten.

--- a/src/core/model/index.ts
+++ b/src/core/model/index.ts
@@ -3,3 +3,4 @@
 export * from './ids.js';
 export * from './PeerMessage.js';
 export * from './StoreCall.js';
+export * from './StorePosition.js';
--- a/src/fleet/FeedClient.ts
+++ b/src/fleet/FeedClient.ts
@@ -4,7 +4,7 @@
 import type { VmAnnouncement } from '../balancing/index.js';
 import type { Clock } from '../timing/index.js';
 import type { FeedMessage } from './feedMessages.js';
-import { FeedReader, writeFeedMessage } from './feedMessages.js';
+import { decodeFeedMessage, FeedReader, writeFeedMessage } from './feedMessages.js';
 import { SECTIONS } from './FleetStore.js';
 import type { FleetView } from './FleetView.js';
 
@@ -23,7 +23,7 @@
   private readonly socket: Socket;
 
   /** @internal */
-  private readonly reader = new FeedReader<FeedMessage>();
+  private readonly reader = new FeedReader(decodeFeedMessage);
 
   /** @internal */
   private lastReceivedAt: number;
@@ -43,18 +43,14 @@
     private readonly view: FleetView,
     private readonly clock: Clock,
     private readonly onEnd: (reason: string) => void,
-    announce?: VmAnnouncement,
+    private readonly announce?: VmAnnouncement,
   ) {
     this.startedAt = clock.now();
     this.lastReceivedAt = this.startedAt;
     const [host, port] = address.split(':');
     this.socket = connect({ host, port: Number(port), noDelay: true });
     this.socket.setEncoding('utf8');
-    const revisions = SECTIONS.map((section) => [section, view.getRevision(section)]);
-    const version = view.table?.version;
-    this.socket.write(
-      writeFeedMessage({ revisions: Object.fromEntries(revisions), version, announce }),
-    );
+    this.requestSections();
     this.socket.on('data', (text: string) => this.receive(text));
     this.socket.once('error', (err) => this.closeWithReason(err.message));
     this.socket.once('close', () => this.closeWithReason('closed'));
@@ -79,6 +75,19 @@
     this.socket.destroy();
   }
 
+  /** Asks for what this VM lacks. @internal */
+  private requestSections(): void {
+    const { view, announce } = this;
+    const positions = SECTIONS.flatMap((section) => {
+      const position = view.getPosition(section);
+      return position === undefined ? [] : [[section, position]];
+    });
+    const version = view.table?.version;
+    this.socket.write(
+      writeFeedMessage({ positions: Object.fromEntries(positions), version, announce }),
+    );
+  }
+
   /** @internal */
   private closeWithReason(reason: string): void {
     if (this.isEnded) return;
@@ -104,10 +113,13 @@
   /** @internal */
   private handleMessage(message: FeedMessage): void {
     if (message.kind === 'change') {
-      this.view.apply({ ...message, isFromPeer: true });
+      const result = this.view.apply({ ...message, isFromPeer: true });
+      if (result === 'incomplete') this.requestSections();
       return;
     }
-    const { ageMs, origin, count } = message;
+    const { ageMs, epoch, origin, count } = message;
+    // A sender that has not read the targets since the store was restored has no fresh data.
+    if (epoch < (this.view.getPosition('targets')?.epoch ?? epoch)) return;
     this.lastAgeMs = ageMs;
     this.view.confirmFromPeer({ origin, count }, this.lastReceivedAt - ageMs);
   }
--- a/src/fleet/FleetMembership.ts
+++ b/src/fleet/FleetMembership.ts
@@ -3,7 +3,7 @@
 import { sleep } from '../timing/index.js';
 import type { AnnouncementParts } from './askSeedsToAnnounce.js';
 import { askSeedsToAnnounce } from './askSeedsToAnnounce.js';
-import { PARTIAL_REVISION } from './FleetView.js';
+import { PARTIAL_POSITION } from './sectionChanges.js';
 import type { FleetStore, ListFreshness, Section } from './FleetStore.js';
 
 /** Time in which VMs that start together have announced themselves, in milliseconds. */
@@ -177,10 +177,10 @@
   private async readPossiblyStale(section: Section): Promise<void> {
     try {
       const { store, view } = this.parts;
-      const { items, revision } = await store.list(section, 'mayBeOld', (page) =>
-        view.apply({ section, items: page, revision: PARTIAL_REVISION, isWhole: false }),
+      const { items, position } = await store.list(section, 'mayBeOld', (page) =>
+        view.apply({ section, items: page, position: PARTIAL_POSITION, isWhole: false }),
       );
-      view.apply({ section, items, revision, isWhole: true });
+      view.apply({ section, items, position, isWhole: true });
     } catch (err) {
       this.logFailure(section, err as Error);
     }
@@ -188,8 +188,8 @@
 
   /** @internal */
   private async readVms(freshness: ListFreshness): Promise<void> {
-    const { items, revision } = await this.parts.store.list('vms', freshness);
-    this.parts.view.apply({ section: 'vms', items, revision, isWhole: true });
+    const { items, position } = await this.parts.store.list('vms', freshness);
+    this.parts.view.apply({ section: 'vms', items, position, isWhole: true });
   }
 
   /** @internal */
--- a/src/fleet/FleetStore.ts
+++ b/src/fleet/FleetStore.ts
@@ -1,4 +1,5 @@
 import type { RoutingTable, TargetRegistration, VmRoster } from '../balancing/index.js';
+import type { StorePosition } from '../core/model/index.js';
 import type { RolloutOrder, RolloutState } from '../rollouts/index.js';
 
 /** Type of the objects in each section of the store; a section is read and watched as a whole. */
@@ -37,14 +38,15 @@
   readonly value: SectionValues[S] | undefined;
 }
 
-/** Objects of a section at a revision of the store. */
+/** Objects of a section at a position of the store. */
 export interface SectionItems<S extends Section> {
   readonly items: readonly StoredItem<S>[];
-  readonly revision: number;
+  readonly position: StorePosition;
 }
 
 /**
- * Result of a watch: changes since a revision, or `historyGone` if the store no longer has them.
+ * Result of a watch: changes since a position, or `historyGone` if the store no longer has them. If
+ * its epoch is another one than that of the position, the changes are not all that there are.
  */
 export type WatchAnswer<S extends Section> = SectionItems<S> | 'historyGone';
 
@@ -68,11 +70,15 @@
   /**
    * Waits for changes of a section.
    * @param section - The section.
-   * @param revision - Only changes after this revision are returned.
+   * @param position - Only changes after its revision are returned.
    * @param waitMs - Longest time to wait for a change, in milliseconds.
    * @returns No items if nothing has changed in that time.
    */
-  watch<S extends Section>(section: S, revision: number, waitMs: number): Promise<WatchAnswer<S>>;
+  watch<S extends Section>(
+    section: S,
+    position: StorePosition,
+    waitMs: number,
+  ): Promise<WatchAnswer<S>>;
   /**
    * Announces entry VMs under the name of one VM, and replaces its earlier announcement.
    * @param announcer - Name of the announcing VM.
@@ -82,10 +88,11 @@
    */
   announce(announcer: string, roster: VmRoster, hasAnnounced: boolean): Promise<void>;
   /**
-   * Writes the state of a rollout, unless its order has changed since the given revision.
-   * @param order - The order, with the revision that it was read at.
+   * Writes the state of a rollout, unless its order has changed since it was read.
+   * @param order - The order, with the position that it was read at.
    * @param state - The new state.
-   * @returns Whether the state was written.
+   * @returns Whether the state was written; false also if the store has been restored since, as the
+   * revision may then be that of another change.
    */
   writeRolloutState(order: RolloutOrder, state: RolloutState): Promise<boolean>;
 }
@@ -99,7 +106,9 @@
   /** No answer; a write may have taken effect, or may do so later. */
   | 'unknown'
   /** The answer does not fit the call. */
-  | 'protocol';
+  | 'protocol'
+  /** The answer is from before the store was restored. */
+  | 'outdated';
 
 /** Thrown when a call to the store fails. */
 export class StoreCallError extends Error {
--- a/src/fleet/FleetSync.ts
+++ b/src/fleet/FleetSync.ts
@@ -6,9 +6,9 @@
 import { AGE_BROADCAST_INTERVAL_MS, FeedServer } from './FeedServer.js';
 import type { FleetStore, Section } from './FleetStore.js';
 import type { FleetView } from './FleetView.js';
-import { PARTIAL_REVISION } from './FleetView.js';
 import type { TreeVm } from './FollowTree.js';
 import { findTreePosition, makeSeedVms, sortVmsForTree } from './FollowTree.js';
+import { logViewEvents } from './logViewEvents.js';
 import { Registrar } from './Registrar.js';
 import { StoreFallback, SOURCE_GRACE_MS } from './StoreFallback.js';
 import { StoreWatcher } from './StoreWatcher.js';
@@ -113,10 +113,7 @@
       if (section === 'vms') this.sortedVms = undefined;
     });
     view.onConfirm(() => this.server.broadcastAge());
-    view.onOutdated(({ section, revision, isFromPeer = false, items }, known) => {
-      if (revision === PARTIAL_REVISION || items.length === 0) return;
-      log.write('store.outdated', { section, revision, known, isFromPeer, items: items.length });
-    });
+    logViewEvents(view, log);
   }
 
   /** Number of messages sent so far to the followers of this VM. */
--- a/src/fleet/FleetView.ts
+++ b/src/fleet/FleetView.ts
@@ -4,16 +4,23 @@
   VmAnnouncement,
   VmRoster,
 } from '../balancing/index.js';
+import type { StorePosition } from '../core/model/index.js';
+import { comparePositions, isRestoredBetween, UNKNOWN_EPOCH } from '../core/model/index.js';
 import type { RolloutOrder } from '../rollouts/index.js';
 import type { Clock } from '../timing/index.js';
+import { carryOver } from './carryOver.js';
+import { DeferredRemovals } from './DeferredRemovals.js';
 import type { Section, StoredItem } from './FleetStore.js';
+import { SECTIONS } from './FleetStore.js';
 import { mergeRosters } from './mergeRosters.js';
-
-/**
- * Revision of a section of which only a part has been read. Revisions of the store are greater, so
- * any other change of the section supersedes the part.
- */
-export const PARTIAL_REVISION = 0;
+import type {
+  ApplyResult,
+  Confirmation,
+  MissingResolved,
+  SectionChange,
+  SectionRestore,
+} from './sectionChanges.js';
+import { PARTIAL_POSITION } from './sectionChanges.js';
 
 /**
  * The store counts as having been down if its confirmations are further apart than this and a call
@@ -29,36 +36,17 @@
 const UNSEEN_OUTAGE_MS = 3_000;
 
 /**
- * Time after the recovery of the store in which targets whose entries expired during the outage
- * register again, in milliseconds: about two seconds according to the platform, plus the time to
- * propagate.
+ * Time after an outage or a restore of the store in which objects that it lacks are written again,
+ * in milliseconds. Targets take about two seconds according to the platform, plus the time to
+ * propagate; operators and entry VMs may take somewhat longer.
  */
-const REREGISTRATION_MS = 2_700;
-
-/** Changes of a section, or the whole section. */
-export interface SectionChange<S extends Section> {
-  readonly section: S;
-  readonly items: readonly StoredItem<S>[];
-  /** Revision of the store that the section is at with these changes. */
-  readonly revision: number;
-  /** Whether the items are the whole section, so that objects which are not among them are gone. */
-  readonly isWhole: boolean;
-  /** Whether it came from another VM, which may keep targets that are missing in the store. */
-  readonly isFromPeer?: boolean;
-}
-
-/**
- * Identifies one confirmation by the store that data is current. A VM counts the data of another VM
- * as fresher only if it comes with a confirmation that it has not seen yet. Ages alone don't
- * suffice: the transit time is missing from them, so data looks fresher after each hop, and two VMs
- * that follow each other would never find theirs stale.
- */
-export interface Confirmation {
-  /** Run of the process that received it from the store. */
-  readonly origin: string;
-  /** Its number in that run. */
-  readonly count: number;
-}
+const REWRITE_MS: Readonly<Record<Section, number>> = {
+  configuration: 0,
+  targets: 2_700,
+  zonesOut: 5_000,
+  rollouts: 5_000,
+  vms: 5_000,
+};
 
 /** Sections that have to be confirmed for the data of a VM to count as fresh. */
 export const FRESHNESS_SECTIONS: readonly Section[] = ['configuration', 'targets'];
@@ -83,8 +71,8 @@
   /** All announced entry VMs, by name. */
   vms: ReadonlyMap<string, VmAnnouncement> = new Map();
 
-  /** Revision that each section is at. @internal */
-  private readonly revisions = new Map<Section, number>();
+  /** Position that each section is at. @internal */
+  private readonly positions = new Map<Section, StorePosition>();
 
   /** When the store last confirmed each section; monotonic milliseconds. @internal */
   private readonly confirmedAt = new Map<Section, number>();
@@ -95,12 +83,15 @@
   /** When the store last answered again after an outage; monotonic milliseconds. @internal */
   private storeRecoveredAt = Number.NEGATIVE_INFINITY;
 
+  /** Objects that the store lacks and that may be written again. @internal */
+  private readonly deferred: ReadonlyMap<Section, DeferredRemovals>;
+
   /**
-   * Targets that were missing when the store recovered, and the revision at which they were. They
-   * are removed unless they register again in time.
+   * Sections that were known before the store was last restored, so that this VM can tell which of
+   * their objects the store has lost.
    * @internal
    */
-  private readonly deferred = new Map<string, number>();
+  private readonly knownBeforeRestore = new Set<Section>();
 
   /** @internal */
   private readonly changeListeners: ((change: SectionChange<Section>) => void)[] = [];
@@ -109,8 +100,16 @@
   private readonly confirmListeners: (() => void)[] = [];
 
   /** @internal */
-  private readonly outdatedListeners: ((change: SectionChange<Section>, known: number) => void)[] =
-    [];
+  private readonly outdatedListeners: ((
+    change: SectionChange<Section>,
+    known: StorePosition,
+  ) => void)[] = [];
+
+  /** @internal */
+  private readonly restoreListeners: ((restore: SectionRestore) => void)[] = [];
+
+  /** @internal */
+  private readonly resolveListeners: ((resolved: MissingResolved) => void)[] = [];
 
   /** @internal */
   private latestConfirmation: Confirmation | undefined;
@@ -125,11 +124,29 @@
   constructor(
     private readonly clock: Clock,
     private readonly origin = 'self',
-  ) {}
+  ) {
+    const create = (section: Section) =>
+      new DeferredRemovals(clock, (names) => this.removeMissing(section, names));
+    this.deferred = new Map(SECTIONS.map((section) => [section, create(section)]));
+  }
 
-  /** Whether targets are kept that were missing when the store recovered and may register again. */
+  /** Whether targets are kept that the store lacks and that may register again. */
   get hasDeferredRemovals(): boolean {
-    return this.deferred.size > 0;
+    return this.getDeferred('targets').size > 0;
+  }
+
+  /** Latest epoch of the store that any section has been read in. */
+  get epoch(): number {
+    return Math.max(UNKNOWN_EPOCH, ...[...this.positions.values()].map(({ epoch }) => epoch));
+  }
+
+  /**
+   * Whether an object is kept although the store lacks it.
+   * @param section - Section of the object.
+   * @param name - Name of the object.
+   */
+  isMissing(section: Section, name: string): boolean {
+    return this.getDeferred(section).has(name);
   }
 
   /** Latest known confirmation by the store; undefined if there was none. */
@@ -154,13 +171,29 @@
   }
 
   /**
-   * Adds a listener for changes that are ignored because the section is at a later revision.
-   * @param listener - Called with the change and the known revision.
+   * Adds a listener for changes that are ignored because the section is at a later position.
+   * @param listener - Called with the change and the known position.
    */
-  onOutdated(listener: (change: SectionChange<Section>, known: number) => void): void {
+  onOutdated(listener: (change: SectionChange<Section>, known: StorePosition) => void): void {
     this.outdatedListeners.push(listener);
   }
 
+  /**
+   * Adds a listener for restores of the store.
+   * @param listener - Called for each section when it is first read after a restore.
+   */
+  onRestore(listener: (restore: SectionRestore) => void): void {
+    this.restoreListeners.push(listener);
+  }
+
+  /**
+   * Adds a listener for the end of the time in which missing objects may be written again.
+   * @param listener - Called for each section that had missing objects.
+   */
+  onMissingResolved(listener: (resolved: MissingResolved) => void): void {
+    this.resolveListeners.push(listener);
+  }
+
   /**
    * Time since the store confirmed the least recently confirmed of `FRESHNESS_SECTIONS`, in
    * milliseconds; infinite if one of them was never confirmed.
@@ -172,16 +205,17 @@
   }
 
   /**
-   * Revision that a section is at; undefined if nothing of it is known.
+   * Position that a section is at; undefined if nothing of it is known.
    * @param section - The section.
    */
-  getRevision(section: Section): number | undefined {
-    return this.revisions.get(section);
+  getPosition(section: Section): StorePosition | undefined {
+    return this.positions.get(section);
   }
 
   /** Whether only a part of a section has been read so far. */
   isPartial(section: Section): boolean {
-    return this.getRevision(section) === PARTIAL_REVISION;
+    const position = this.getPosition(section);
+    return position !== undefined && comparePositions(position, PARTIAL_POSITION) === 0;
   }
 
   /**
@@ -238,30 +272,57 @@
   }
 
   /**
-   * Applies changes, unless the section is at a later revision already: another VM may be behind
+   * Applies changes, unless the section is at a later position already: another VM may be behind
    * this one, and its data would undo later changes.
    * @param change - The changes.
    */
-  apply<S extends Section>(change: SectionChange<S>): void {
-    const { section, revision } = change;
-    this.cancelDeferredRemovals(change);
-    const knownRevision = this.revisions.get(section) ?? -1;
-    if (revision < knownRevision) {
-      for (const listener of this.outdatedListeners) listener(change, knownRevision);
-      return;
+  apply<S extends Section>(change: SectionChange<S>): ApplyResult {
+    const { section, position, isWhole } = change;
+    const before = this.positions.get(section);
+    const written = this.resolveWritten(change);
+    const isEarlier = before !== undefined && comparePositions(position, before) < 0;
+    if (isEarlier && !this.hasLaterTable(change)) {
+      this.outdatedListeners.forEach((listener) => listener(change, before));
+      return 'ignored';
     }
-    this.revisions.set(section, revision);
-    const changed = this.addRemovals(change).filter(
+    const isRestored = before !== undefined && isRestoredBetween(before, position);
+    // The configuration is a single object, so any change of it is the whole.
+    if (isRestored && !isWhole && section !== 'configuration') return 'incomplete';
+    if (!isEarlier) this.positions.set(section, position);
+    const changed = this.findChanges(change, before, written);
+    if (isRestored) this.beginRewrite(change);
+    const items = this.deferRemovals(change, changed, isRestored);
+    this.recordMissing(change);
+    for (const { name, value } of items) this.setEntry(section, name, value);
+    // The first reading of a section is reported even if it is empty, since listeners wait for it.
+    const isReported = items.length > 0 || before === undefined;
+    if (isRestored) this.reportRestore(section, before, position);
+    else if (isReported) this.reportChange({ section, items, position, isWhole: false });
+    return 'applied';
+  }
+
+  /**
+   * Returns the objects that differ from what is known, or that listeners have to be told of
+   * nevertheless.
+   * @internal
+   */
+  private findChanges<S extends Section>(
+    change: SectionChange<S>,
+    before: StorePosition | undefined,
+    written: ReadonlySet<string>,
+  ): readonly StoredItem<S>[] {
+    const { section, position } = change;
+    const isLater = before === undefined || comparePositions(position, before) > 0;
+    const carried = change.items.map(({ name, value }) => ({
+      name,
+      value: carryOver(section, this.getEntry(section, name), value),
+    }));
+    return this.addRemovals({ ...change, items: carried }).filter(
       (item) =>
         this.isChanged(section, item) ||
-        (revision > knownRevision && this.isReappearance(change, item)),
+        written.has(item.name) ||
+        (isLater && this.isReappearance(change, item)),
     );
-    const items = this.deferRemovals(section, changed, revision);
-    // The first reading of a section is reported even if it is empty, since listeners wait for it.
-    if (items.length === 0 && knownRevision >= 0) return;
-    for (const { name, value } of items) this.setEntry(section, name, value);
-    const applied = { section, items, revision, isWhole: false } as SectionChange<Section>;
-    for (const listener of this.changeListeners) listener(applied);
   }
 
   /**
@@ -269,9 +330,46 @@
    * @param section - The section.
    */
   getSnapshot<S extends Section>(section: S): SectionChange<S> {
-    const revision = this.revisions.get(section) ?? -1;
+    const position = this.positions.get(section) ?? { epoch: UNKNOWN_EPOCH, revision: -1 };
     const items = [...this.getEntries(section)].map(([name, value]) => ({ name, value }));
-    return { section, items, revision, isWhole: true } as SectionChange<S>;
+    const { names, dueInMs } = this.getDeferred(section);
+    const isTold = this.knownBeforeRestore.has(section);
+    const missing = isTold ? { names, dueInMs: Math.round(dueInMs) } : undefined;
+    return { section, items, position, isWhole: true, missing } as SectionChange<S>;
+  }
+
+  /**
+   * Whether a change brings a later configuration. Its version decides, whatever its position:
+   * after a restore, a peer may still know a later one than the store.
+   * @internal
+   */
+  private hasLaterTable<S extends Section>({ section, items }: SectionChange<S>): boolean {
+    return section === 'configuration' && items.some((item) => this.isChanged(section, item));
+  }
+
+  /** @internal */
+  private getDeferred(section: Section): DeferredRemovals {
+    return this.deferred.get(section) as DeferredRemovals;
+  }
+
+  /** @internal */
+  private getEntry<S extends Section>(section: S, name: string): StoredItem<S>['value'] {
+    return this.getEntries(section).get(name) as StoredItem<S>['value'];
+  }
+
+  /** @internal */
+  private reportChange(change: SectionChange<Section>): void {
+    for (const listener of this.changeListeners) listener(change);
+  }
+
+  /**
+   * Reports the whole section, since followers need to know what the store lacks.
+   * @internal
+   */
+  private reportRestore(section: Section, before: StorePosition, position: StorePosition): void {
+    this.reportChange(this.getSnapshot(section));
+    const { names: missing } = this.getDeferred(section);
+    for (const listener of this.restoreListeners) listener({ section, before, position, missing });
   }
 
   /** @internal */
@@ -297,32 +395,37 @@
   }
 
   /**
-   * Cancels the deferred removal of targets that have registered again, even if the change itself
-   * is older than the section's revision. A whole section from a peer is no evidence of that: the
-   * peer may only keep the targets because of its own deferred removals.
+   * Cancels the deferred removal of objects that have been written again, even if the change itself
+   * is older than the section's position. A whole section from a peer is no evidence of that unless
+   * it tells what is missing: the peer may only keep the objects because of its own deferred
+   * removals.
+   * @returns Names of the objects that were missing until now.
    * @internal
    */
-  private cancelDeferredRemovals(change: SectionChange<Section>): void {
-    const { section, items, revision, isWhole, isFromPeer } = change;
-    if (section !== 'targets' || (isWhole && isFromPeer === true)) return;
-    for (const { name, value } of items) {
-      if (value !== undefined && revision > (this.deferred.get(name) ?? Infinity)) {
-        this.deferred.delete(name);
-      }
-    }
+  private resolveWritten(change: SectionChange<Section>): ReadonlySet<string> {
+    const { section, items, position, isWhole, isFromPeer, missing } = change;
+    if (isWhole && isFromPeer === true && missing === undefined) return new Set();
+    const deferred = this.getDeferred(section);
+    const stillMissing = new Set(missing?.names);
+    const written = items.filter(
+      ({ name, value }) =>
+        value !== undefined && !stillMissing.has(name) && deferred.resolve(name, position),
+    );
+    return new Set(written.map(({ name }) => name));
   }
 
   /**
-   * Whether an unchanged target is reported to listeners nevertheless: followers that saw it
-   * missing when the store recovered have to learn that it has registered again.
+   * Whether an unchanged object is reported to listeners nevertheless: followers that found it
+   * missing after an outage or a restore of the store have to learn that it has been written again.
    * @internal
    */
   private isReappearance<S extends Section>(
     { section, isWhole }: SectionChange<S>,
     { value }: StoredItem<S>,
   ): boolean {
-    if (section !== 'targets' || isWhole || value === undefined) return false;
-    return this.clock.now() < this.storeRecoveredAt + REREGISTRATION_MS;
+    if (isWhole || value === undefined) return false;
+    if (section === 'targets' && this.isAfterOutage) return true;
+    return this.getDeferred(section).dueInMs > 0;
   }
 
   /** Adds a removal to a whole section for each known object that it lacks. @internal */
@@ -333,41 +436,69 @@
     return [...items, ...removed.map(([name]) => ({ name, value: undefined }))];
   }
 
+  /** Starts the time in which objects that a restored store lacks may be written again. @internal */
+  private beginRewrite({ section, missing }: SectionChange<Section>): void {
+    // A peer that knew the section before the restore tells what is missing.
+    if (missing !== undefined) return;
+    this.knownBeforeRestore.add(section);
+    const now = this.clock.now();
+    // Entries of targets may have expired in the copy.
+    if (section === 'targets') this.storeRecoveredAt = now;
+    this.getDeferred(section).keepUntil(now + REWRITE_MS[section]);
+  }
+
+  /** Takes over what the sender of a whole section keeps although the store lacks it. @internal */
+  private recordMissing({ section, position, missing }: SectionChange<Section>): void {
+    if (missing === undefined) return;
+    this.knownBeforeRestore.add(section);
+    if (missing.names.length === 0) return;
+    const deferred = this.getDeferred(section);
+    for (const name of missing.names) deferred.add(name, position);
+    deferred.keepUntil(this.clock.now() + missing.dueInMs);
+  }
+
   /**
-   * Takes out removals of targets that are missing just after the store recovered, and defers them.
-   * Entries expire during an outage although the targets are up, which would leave services without
-   * targets until these have registered again.
+   * Takes out removals of objects that may be written again, and defers them. Entries of targets
+   * expire during an outage although the targets are up, which would leave services without targets
+   * until these have registered again; a store that is restored from a copy lacks objects of all
+   * sections.
    * @returns The changes to apply now.
    * @internal
    */
   private deferRemovals<S extends Section>(
-    section: S,
+    { section, position, items: read, missing }: SectionChange<S>,
     items: readonly StoredItem<S>[],
-    revision: number,
+    isRestored: boolean,
   ): readonly StoredItem<S>[] {
-    if (section !== 'targets') return items;
-    const now = this.clock.now();
-    const leftMs = this.storeRecoveredAt + REREGISTRATION_MS - now;
-    const isDeferring = leftMs > 0;
-    const immediate = items.filter(({ name, value }) => {
-      if (value !== undefined || !isDeferring) {
-        this.deferred.delete(name);
+    const deferred = this.getDeferred(section);
+    const isAnyDeferred = section === 'targets' && this.isAfterOutage;
+    if (isAnyDeferred) deferred.keepUntil(this.storeRecoveredAt + REWRITE_MS.targets);
+    const isDeferring = deferred.dueInMs > 0 && missing === undefined;
+    const removedNames = new Set(read.map(({ name }) => name));
+    return items.filter(({ name, value }) => {
+      if (value !== undefined) return true;
+      const isExplicit = removedNames.has(name);
+      const mayReturn = isAnyDeferred || (!isExplicit && (isRestored || deferred.has(name)));
+      if (!isDeferring || !mayReturn) {
+        deferred.delete(name);
         return true;
       }
-      this.deferred.set(name, revision);
+      deferred.add(name, position);
       return false;
     });
-    if (isDeferring && this.deferred.size > 0) this.clock.after(leftMs, () => this.dropDeferred());
-    return immediate;
   }
 
-  /** Removes the targets that have not registered again in time. @internal */
-  private dropDeferred(): void {
-    if (this.clock.now() < this.storeRecoveredAt + REREGISTRATION_MS - 1) return;
-    const items = [...this.deferred.keys()].map((name) => ({ name, value: undefined }));
-    this.deferred.clear();
-    const revision = this.revisions.get('targets') ?? 0;
-    this.apply({ section: 'targets', items, revision, isWhole: false });
+  /** Whether targets whose entries expired in an outage of the store may register again. @internal */
+  private get isAfterOutage(): boolean {
+    return this.clock.now() < this.storeRecoveredAt + REWRITE_MS.targets;
+  }
+
+  /** Removes the objects that have not been written again in time. @internal */
+  private removeMissing(section: Section, removed: readonly string[]): void {
+    for (const listener of this.resolveListeners) listener({ section, removed });
+    const items = removed.map((name) => ({ name, value: undefined }));
+    const position = this.positions.get(section) ?? PARTIAL_POSITION;
+    this.apply({ section, items, position, isWhole: false });
   }
 
   /** @internal */
--- a/src/fleet/Registrar.ts
+++ b/src/fleet/Registrar.ts
@@ -69,8 +69,8 @@
       await store.announce(self.name, roster, previous !== undefined);
       log.write('fleet.announced', { vms: roster.vms.length });
       await sleep(clock, OTHER_REGISTRARS_MS);
-      const { items, revision } = await store.list('vms');
-      view.apply({ section: 'vms', items, revision, isWhole: true });
+      const { items, position } = await store.list('vms');
+      view.apply({ section: 'vms', items, position, isWhole: true });
     } catch (err) {
       // The VMs that asked get no answer, and announce themselves.
       log.write('store.callFailed', { section: 'vms', message: (err as Error).message });
--- a/src/fleet/RolloutStateWriter.ts
+++ b/src/fleet/RolloutStateWriter.ts
@@ -62,7 +62,7 @@
     const isMyTurn = now - (this.dueSince ?? now) >= Math.max(0, rank) * RANK_DELAY_MS;
     if (!isMyTurn || now < this.nextWriteAt) return;
     this.nextWriteAt = now + WRITE_INTERVAL_MS;
-    const fields = { order: order.id, state, revision: order.revision };
+    const fields = { order: order.id, state, revision: order.position.revision };
     try {
       const isWritten = await store.writeRolloutState(order, state);
       const inputs = coordinator.getInputs(clock.now());
--- a/src/fleet/StoreWatcher.ts
+++ b/src/fleet/StoreWatcher.ts
@@ -1,7 +1,8 @@
 import type { EventLog } from '../logging/EventLog.js';
 import type { Clock } from '../timing/index.js';
 import { sleep } from '../timing/index.js';
-import type { FleetStore, Section } from './FleetStore.js';
+import type { StorePosition } from '../core/model/index.js';
+import type { FleetStore, Section, WatchAnswer } from './FleetStore.js';
 import { SECTIONS, StoreCallError } from './FleetStore.js';
 import type { FleetView } from './FleetView.js';
 
@@ -62,8 +63,8 @@
 
 /** Keeps a `FleetView` up to date by watching each section of the store. */
 export class StoreWatcher {
-  /** Revisions to watch from; a section without one is listed first. @internal */
-  private readonly revisions = new Map<Section, number>();
+  /** Positions to watch from; a section without one is listed first. @internal */
+  private readonly positions = new Map<Section, StorePosition>();
 
   /**
    * Delay that preceded the next watch of each section, in milliseconds.
@@ -99,7 +100,7 @@
     if (this.isRunning) return;
     this.isRunning = true;
     this.generation += 1;
-    this.revisions.clear();
+    this.positions.clear();
     const { sections = SECTIONS } = this.parts;
     for (const section of sections) this.startLoop(section, this.generation, mode);
   }
@@ -140,38 +141,63 @@
     }
   }
 
-  /** Makes one call: lists the section, or watches it if its revision is known. @internal */
+  /** Makes one call: lists the section, or watches it if its position is known. @internal */
   private async readOrWatch(section: Section, generation: number): Promise<void> {
     const { store, view } = this.parts;
-    const knownRevision = this.revisions.get(section);
-    if (knownRevision === undefined) {
-      const { items, revision } = await store.list(section);
+    const known = this.positions.get(section);
+    if (known === undefined) {
+      const { items, position } = await store.list(section);
       if (this.generation !== generation) return;
+      this.checkEpoch(section, position);
       this.recordSuccess(section);
       view.confirm(section);
-      view.apply({ section, items, revision, isWhole: true });
-      this.revisions.set(section, revision);
+      view.apply({ section, items, position, isWhole: true });
+      this.positions.set(section, position);
       return;
     }
     // The delay is taken off the wait, so that confirmations keep their interval.
     const waitMs = WATCH_WAIT_MS[section] - (this.batchDelays.get(section) ?? 0);
     this.batchDelays.delete(section);
-    const answer = await store.watch(section, knownRevision, waitMs);
+    const answer = await store.watch(section, known, waitMs);
     if (this.generation !== generation) return;
+    if (answer !== 'historyGone') this.checkEpoch(section, answer.position);
     this.recordSuccess(section);
-    if (answer === 'historyGone') {
-      this.revisions.delete(section);
-      this.parts.log.write('store.historyGone', { section, revision: knownRevision });
+    if (answer === 'historyGone' || answer.position.epoch !== known.epoch) {
+      this.positions.delete(section);
+      this.logLostHistory(section, known, answer);
       return;
     }
+    const { items, position } = answer;
     view.confirm(section);
-    this.revisions.set(section, answer.revision);
-    view.apply({ section, items: answer.items, revision: answer.revision, isWhole: false });
-    if (answer.items.length === 0) return;
+    this.positions.set(section, position);
+    view.apply({ section, items, position, isWhole: false });
+    if (items.length === 0) return;
     this.batchDelays.set(section, BATCH_DELAY_MS[section]);
     await sleep(this.parts.clock, BATCH_DELAY_MS[section]);
   }
 
+  /**
+   * Throws `StoreCallError` if an answer is from before a restore that another call, or another VM,
+   * has shown.
+   * @internal
+   */
+  private checkEpoch(section: Section, { epoch }: StorePosition): void {
+    const known = this.parts.view.epoch;
+    if (epoch >= known) return;
+    throw new StoreCallError('outdated', `${section} was read in epoch ${epoch}, before ${known}`);
+  }
+
+  /** @internal */
+  private logLostHistory(
+    section: Section,
+    { epoch, revision }: StorePosition,
+    answer: WatchAnswer<Section>,
+  ): void {
+    const { log } = this.parts;
+    if (answer === 'historyGone') log.write('store.historyGone', { section, revision });
+    else log.write('store.restored', { section, before: epoch, epoch: answer.position.epoch });
+  }
+
   /** @internal */
   private recordSuccess(section: Section): void {
     const { log, view } = this.parts;
--- a/src/fleet/feedMessages.ts
+++ b/src/fleet/feedMessages.ts
@@ -1,13 +1,16 @@
 import { constants, deflateRawSync, inflateRawSync } from 'node:zlib';
 
 import type { VmAnnouncement } from '../balancing/index.js';
-import type { Section } from './FleetStore.js';
-import type { Confirmation, SectionChange } from './FleetView.js';
+import type { StorePosition } from '../core/model/index.js';
+import { UNKNOWN_EPOCH } from '../core/model/index.js';
+import type { RolloutOrder } from '../rollouts/index.js';
+import type { Section, StoredItem } from './FleetStore.js';
+import type { Confirmation, SectionChange } from './sectionChanges.js';
 
 /** First message of a follower: what it has already. */
 export interface FollowRequest {
-  /** Revision of each section that it has. */
-  readonly revisions: Readonly<Partial<Record<Section, number>>>;
+  /** Position of each section that it has. */
+  readonly positions: Readonly<Partial<Record<Section, StorePosition>>>;
   /** Version of its configuration; undefined if it has none. */
   readonly version?: number;
   /** The follower itself, if it asks to be announced in the store. */
@@ -19,10 +22,91 @@
   /** Changes of a section, or the whole section. */
   | ({ readonly kind: 'change' } & SectionChange<Section>)
   /**
-   * Latest confirmation by the store that the sender knows, and the age of its data, in
-   * milliseconds.
+   * Latest confirmation by the store that the sender knows, the age of its data in milliseconds,
+   * and the epoch of the store that its targets were read in.
    */
-  | ({ readonly kind: 'age'; readonly ageMs: number } & Confirmation);
+  | ({ readonly kind: 'age'; readonly ageMs: number; readonly epoch: number } & Confirmation);
+
+/**
+ * Form in which messages are sent. Revisions are separate from epochs, which VMs of earlier versions
+ * neither send nor read.
+ */
+type SentRequest = Omit<FollowRequest, 'positions'> & {
+  readonly revisions: Readonly<Partial<Record<Section, number>>>;
+  readonly epochs?: Readonly<Partial<Record<Section, number>>>;
+};
+
+type SentChange = Omit<SectionChange<Section>, 'position'> & {
+  readonly kind: 'change';
+  readonly revision: number;
+  readonly epoch?: number;
+};
+
+type SentAge = Omit<Extract<FeedMessage, { kind: 'age' }>, 'epoch'> & { readonly epoch?: number };
+
+type SentOrder = Omit<RolloutOrder, 'position'> & {
+  readonly position?: StorePosition;
+  readonly revision?: number;
+};
+
+function encodeItem<S extends Section>(section: S, item: StoredItem<S>): StoredItem<S> {
+  if (section !== 'rollouts' || item.value === undefined) return item;
+  const order = item.value as RolloutOrder;
+  return {
+    ...item,
+    value: { ...order, revision: order.position.revision },
+  } as unknown as StoredItem<S>;
+}
+
+function decodeItem<S extends Section>(section: S, item: StoredItem<S>): StoredItem<S> {
+  if (section !== 'rollouts' || item.value === undefined) return item;
+  const { revision = 0, ...order } = item.value as SentOrder;
+  const { position = { epoch: UNKNOWN_EPOCH, revision } } = order;
+  return { ...item, value: { ...order, position } } as unknown as StoredItem<S>;
+}
+
+function encodeChange({
+  position,
+  ...change
+}: Extract<FeedMessage, { kind: 'change' }>): SentChange {
+  const items = change.items.map((item) => encodeItem(change.section, item));
+  return { ...change, items, ...position };
+}
+
+function encodeRequest({ positions, ...request }: FollowRequest): SentRequest {
+  const pick = (field: keyof StorePosition) =>
+    Object.fromEntries(
+      Object.entries(positions).map(([section, position]) => [section, position[field]]),
+    );
+  return { ...request, revisions: pick('revision'), epochs: pick('epoch') };
+}
+
+/**
+ * Decodes a message of a VM to its followers.
+ * @param sent - The message as it was received.
+ */
+export function decodeFeedMessage(sent: SentChange | SentAge): FeedMessage {
+  if (sent.kind === 'age') return { ...sent, epoch: sent.epoch ?? UNKNOWN_EPOCH };
+  const { revision, epoch = UNKNOWN_EPOCH, ...change } = sent;
+  const items = change.items.map((item) => decodeItem(change.section, item));
+  return { ...change, items, position: { epoch, revision } };
+}
+
+/**
+ * Decodes the request of a follower.
+ * @param sent - The request as it was received.
+ */
+export function decodeFollowRequest({
+  revisions,
+  epochs = {},
+  ...request
+}: SentRequest): FollowRequest {
+  const positions = Object.entries(revisions).map(([section, revision]) => [
+    section,
+    { epoch: epochs[section as Section] ?? UNKNOWN_EPOCH, revision },
+  ]);
+  return { ...request, positions: Object.fromEntries(positions) };
+}
 
 /** Longest accepted line, in characters; a whole section of the largest fleet is much shorter. */
 const MAX_LINE_LENGTH = 16 * 1024 * 1024;
@@ -47,12 +131,17 @@
   readonly data: string;
 }
 
+function encodeMessage(message: FeedMessage | FollowRequest): SentChange | SentAge | SentRequest {
+  if (!('kind' in message)) return encodeRequest(message);
+  return message.kind === 'change' ? encodeChange(message) : message;
+}
+
 /**
  * Encodes a message as one line, compressed if it is long.
  * @param message - The message.
  */
 export function writeFeedMessage(message: FeedMessage | FollowRequest): string {
-  const text = JSON.stringify(message);
+  const text = JSON.stringify(encodeMessage(message));
   if (text.length < MIN_PACKED_LENGTH) return `${text}\n`;
   // The fastest level, since it runs on the thread that serves requests.
   const data = deflateRawSync(text, { level: constants.Z_BEST_SPEED }).toString('base64');
@@ -73,10 +162,13 @@
 }
 
 /** Decodes messages from the chunks of a stream. */
-export class FeedReader<M> {
+export class FeedReader<Sent, M> {
   /** @internal */
   private partialLine = '';
 
+  /** @param decode - Decodes one message. */
+  constructor(private readonly decode: (sent: Sent) => M) {}
+
   /**
    * Decodes a chunk. Throws `RangeError` if a line is too long, and the error of the JSON parser or
    * of zlib if a line can't be decoded.
@@ -87,6 +179,6 @@
     const lines = (this.partialLine + text).split('\n');
     this.partialLine = lines.pop() ?? '';
     if (this.partialLine.length > MAX_LINE_LENGTH) throw new RangeError('feed line is too long');
-    return lines.map((line) => parseLine<M>(line));
+    return lines.map((line) => this.decode(parseLine<Sent>(line)));
   }
 }
--- /dev/null
+++ b/src/fleet/sectionChanges.ts
@@ -0,0 +1,68 @@
+import type { StorePosition } from '../core/model/index.js';
+import { UNKNOWN_EPOCH } from '../core/model/index.js';
+import type { Section, StoredItem } from './FleetStore.js';
+
+/**
+ * Position of a section of which only a part has been read. Positions of the store are later, so any
+ * other change of the section supersedes the part.
+ */
+export const PARTIAL_POSITION: StorePosition = { epoch: UNKNOWN_EPOCH, revision: 0 };
+
+/** Changes of a section, or the whole section. */
+export interface SectionChange<S extends Section> {
+  readonly section: S;
+  readonly items: readonly StoredItem<S>[];
+  /** Position of the store that the section is at with these changes. */
+  readonly position: StorePosition;
+  /** Whether the items are the whole section, so that objects which are not among them are gone. */
+  readonly isWhole: boolean;
+  /** Whether it came from another VM, which may keep objects that are missing in the store. */
+  readonly isFromPeer?: boolean;
+  /**
+   * Of a whole section from another VM: what it keeps although the store lacks it. Undefined if the
+   * VM cannot tell, because it did not know the section before the store lost objects.
+   */
+  readonly missing?: MissingObjects;
+}
+
+/** Objects that a VM keeps although the store lacks them. */
+export interface MissingObjects {
+  readonly names: readonly string[];
+  /** Time until those that are still missing are removed, in milliseconds. */
+  readonly dueInMs: number;
+}
+
+/**
+ * Result of applying changes: `ignored` if the section is at a later position, and `incomplete` if
+ * the changes follow a restore of the store after which the whole section has not been read yet.
+ */
+export type ApplyResult = 'applied' | 'ignored' | 'incomplete';
+
+/** A section was read for the first time after the store was restored. */
+export interface SectionRestore {
+  readonly section: Section;
+  readonly before: StorePosition;
+  readonly position: StorePosition;
+  /** Objects that are known and that the store lacks. */
+  readonly missing: readonly string[];
+}
+
+/** End of the time in which objects that the store lacks may be written again. */
+export interface MissingResolved {
+  readonly section: Section;
+  /** Objects that have not been written again, and are removed. */
+  readonly removed: readonly string[];
+}
+
+/**
+ * Identifies one confirmation by the store that data is current. A VM counts the data of another VM
+ * as fresher only if it comes with a confirmation that it has not seen yet. Ages alone don't
+ * suffice: the transit time is missing from them, so data looks fresher after each hop, and two VMs
+ * that follow each other would never find theirs stale.
+ */
+export interface Confirmation {
+  /** Run of the process that received it from the store. */
+  readonly origin: string;
+  /** Its number in that run. */
+  readonly count: number;
+}
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -121,11 +121,12 @@
     const { settings, clock, log, random } = parts;
     this.state = createBalancerState(settings.balancing, clock.now());
     this.timers = new TimerService(clock);
-    this.store = new ObjectStore(
-      settings.storeAddress,
-      (section, name, reason) => log.write('store.unreadable', { section, name, reason }),
-      (before, epoch) => log.write('store.epochChanged', { before, epoch }),
-    );
+    this.store = new ObjectStore(settings.storeAddress, {
+      onUnreadable: (section, name, reason) =>
+        log.write('store.unreadable', { section, name, reason }),
+      onEpochChange: (before, epoch) => log.write('store.epochChanged', { before, epoch }),
+      onEpochUnreadable: (text) => log.write('store.epochUnreadable', { text }),
+    });
     const runId = `${settings.self.name}/${random()}`;
     this.view = new FleetView(clock, runId);
     const { self, listen, seeds } = settings;
--- a/src/lab/playRollout.ts
+++ b/src/lab/playRollout.ts
@@ -105,7 +105,7 @@
       service: 'lab',
       version: 'v2',
       durationMs: plan.durationMs,
-      revision: 1,
+      position: { epoch: 0, revision: 1 },
       state: undefined,
     };
     this.vms = Array.from({ length: plan.vms }, () => ({
--- a/src/platform/ObjectStore.ts
+++ b/src/platform/ObjectStore.ts
@@ -2,6 +2,8 @@
 import { Agent, request } from 'node:http';
 
 import type { VmRoster } from '../balancing/index.js';
+import type { StorePosition } from '../core/model/index.js';
+import { UNKNOWN_EPOCH } from '../core/model/index.js';
 import type {
   FleetStore,
   ListFreshness,
@@ -23,6 +25,7 @@
   encodeRolloutStatus,
 } from './decode.js';
 import { STORE_EPOCH_HEADER } from './headers.js';
+import { readEpoch } from './readEpoch.js';
 
 const OBJECTS_PATH = '/masticlink/objects';
 
@@ -58,6 +61,8 @@
 
 interface Answer {
   readonly status: number;
+  /** Epoch that the store was in. */
+  readonly epoch: number;
   readonly body: Readonly<Record<string, unknown>>;
 }
 
@@ -65,7 +70,7 @@
 interface SectionDecoder<S extends Section> {
   readonly kind: string;
   /** Returns undefined for objects of this kind that do not belong to the section. */
-  decode(object: StoredObject): SectionValues[S] | undefined;
+  decode(object: StoredObject, epoch: number): SectionValues[S] | undefined;
 }
 
 /**
@@ -93,14 +98,21 @@
   },
   rollouts: {
     kind: 'rollouts',
-    decode: ({ metadata, spec, status }) =>
-      metadata.deleting === true ? undefined : decodeRollout(metadata, spec, status),
+    decode: ({ metadata, spec, status }, epoch) =>
+      metadata.deleting === true ? undefined : decodeRollout(metadata, spec, status, epoch),
   },
   vms: { kind: 'entry-vms', decode: ({ spec }) => decodeRoster(spec) },
 };
 
-/** Called for each stored object that cannot be decoded. */
-export type UnreadableHandler = (section: Section, name: string, reason: string) => void;
+/** Handlers of what the store's answers show besides their content. */
+export interface ObjectStoreHandlers {
+  /** Called for each stored object that cannot be decoded. */
+  onUnreadable(section: Section, name: string, reason: string): void;
+  /** Called when an answer states a later epoch than all before it. */
+  onEpochChange?(before: number, epoch: number): void;
+  /** Called for the first of a series of answers with an epoch that cannot be read. */
+  onEpochUnreadable?(text: string): void;
+}
 
 function makeError(call: string, section: Section, status: number): StoreCallError {
   return new StoreCallError(
@@ -109,7 +121,7 @@
   );
 }
 
-async function readAnswer(res: IncomingMessage, call: string): Promise<Answer> {
+async function readAnswer(res: IncomingMessage, call: string, epoch: number): Promise<Answer> {
   const chunks: Buffer[] = [];
   try {
     for await (const chunk of res) chunks.push(chunk as Buffer);
@@ -121,7 +133,7 @@
   if (status === UNAVAILABLE) throw new StoreCallError('unavailable', `${call}: store unavailable`);
   const text = Buffer.concat(chunks).toString();
   try {
-    return { status, body: text === '' ? {} : (JSON.parse(text) as Answer['body']) };
+    return { status, epoch, body: text === '' ? {} : (JSON.parse(text) as Answer['body']) };
   } catch {
     throw new StoreCallError('protocol', `${call}: the answer is not valid JSON`);
   }
@@ -135,18 +147,19 @@
   /** Number of calls made so far, by method and section. */
   readonly calls = new Map<string, number>();
 
-  /** Epoch that the latest answer stated; undefined if none was stated. */
-  epoch: string | undefined;
+  /** Latest epoch that an answer has stated; it applies to answers that state none. @internal */
+  private epoch = UNKNOWN_EPOCH;
+
+  /** @internal */
+  private isEpochUnreadable = false;
 
   /**
    * @param address - IP address and port.
-   * @param onUnreadable - Called for each object that cannot be decoded.
-   * @param onEpochChange - Called when an answer states another epoch than the one before it.
+   * @param handlers - Handlers of what the answers show besides their content.
    */
   constructor(
     private address: string,
-    private readonly onUnreadable: UnreadableHandler,
-    private readonly onEpochChange: (before: string | undefined, epoch: string) => void = () => {},
+    private readonly handlers: ObjectStoreHandlers,
   ) {}
 
   /**
@@ -164,17 +177,23 @@
   ): Promise<SectionItems<S>> {
     const items: StoredItem<S>[] = [];
     let after = '';
+    let listEpoch: number | undefined;
     for (;;) {
       const query = new URLSearchParams();
       if (after !== '') query.set('after', after);
       if (freshness === 'mayBeOld') query.set('allow_stale', '1');
       const path = `${OBJECTS_PATH}/${DECODERS[section].kind}${query.size > 0 ? `?${query}` : ''}`;
-      const { status, body } = await this.call('GET', path, section);
+      const { status, body, epoch } = await this.call('GET', path, section);
       if (status !== OK || !Array.isArray(body.items)) throw makeError('list', section, status);
+      if (epoch !== (listEpoch ?? epoch)) {
+        throw new StoreCallError('outdated', `the store was restored during a list of ${section}`);
+      }
+      listEpoch = epoch;
       const objects = body.items as StoredObject[];
-      const page = objects.map((object) => this.decode(section, object, false));
+      const page = objects.map((object) => this.decode(section, object, epoch));
       items.push(...page);
-      if (body.has_more !== true) return { items, revision: Number(body.store_revision) };
+      const position = { epoch, revision: Number(body.store_revision) };
+      if (body.has_more !== true) return { items, position };
       onPage(page);
       after = objects[objects.length - 1].metadata.name;
     }
@@ -182,17 +201,21 @@
 
   async watch<S extends Section>(
     section: S,
-    revision: number,
+    { revision }: StorePosition,
     waitMs: number,
   ): Promise<WatchAnswer<S>> {
     const { kind } = DECODERS[section];
     const path = `${OBJECTS_PATH}/${kind}?watch=${revision}&wait_ms=${waitMs}`;
-    const { status, body } = await this.call('GET', path, section, undefined, waitMs);
+    const { status, body, epoch } = await this.call('GET', path, section, undefined, waitMs);
     if (status === GONE) return 'historyGone';
     if (status !== OK || !Array.isArray(body.events)) throw makeError('watch', section, status);
     const events = body.events as { object: StoredObject; deleted: boolean }[];
-    const items = events.map(({ object, deleted }) => this.decode(section, object, deleted));
-    return { items, revision: Number(body.store_revision) };
+    const items = events.map(({ object, deleted }) =>
+      deleted
+        ? { name: object.metadata.name, value: undefined }
+        : this.decode(section, object, epoch),
+    );
+    return { items, position: { epoch, revision: Number(body.store_revision) } };
   }
 
   async announce(announcer: string, roster: VmRoster, hasAnnounced: boolean): Promise<void> {
@@ -208,11 +231,12 @@
   }
 
   async writeRolloutState(order: RolloutOrder, state: RolloutState): Promise<boolean> {
-    const { name, version, revision } = order;
-    const object = { metadata: { name, revision }, status: encodeRolloutStatus(version, state) };
+    const { name, version, position } = order;
+    const metadata = { name, revision: position.revision };
+    const object = { metadata, status: encodeRolloutStatus(version, state) };
     const path = `${OBJECTS_PATH}/${DECODERS.rollouts.kind}/${name}/status`;
-    const { status } = await this.call('PUT', path, 'rollouts', object);
-    if (status === OK) return true;
+    const { status, epoch } = await this.call('PUT', path, 'rollouts', object);
+    if (status === OK) return epoch === position.epoch;
     // Another VM has written a state, or an operator has changed or removed the order.
     if (status === CONFLICT || status === NOT_FOUND) return false;
     throw makeError('write', 'rollouts', status);
@@ -240,25 +264,36 @@
   private decode<S extends Section>(
     section: S,
     object: StoredObject,
-    isDeleted: boolean,
+    epoch: number,
   ): StoredItem<S> {
     const { name } = object.metadata;
-    if (isDeleted) return { name, value: undefined };
     try {
-      return { name, value: DECODERS[section].decode(object) };
+      return { name, value: DECODERS[section].decode(object, epoch) };
     } catch (err) {
       if (!(err instanceof DecodeError)) throw err;
-      this.onUnreadable(section, name, err.message);
+      this.handlers.onUnreadable(section, name, err.message);
       return { name, value: undefined };
     }
   }
 
-  /** @internal */
-  private recordEpoch({ headers }: IncomingMessage): void {
-    const epoch = headers[STORE_EPOCH_HEADER];
-    if (typeof epoch !== 'string' || epoch === this.epoch) return;
-    this.onEpochChange(this.epoch, epoch);
-    this.epoch = epoch;
+  /**
+   * Returns the epoch that an answer states, or the latest known one if it states none.
+   * @internal
+   */
+  private recordEpoch({ headers }: IncomingMessage): number {
+    const { onEpochChange, onEpochUnreadable } = this.handlers;
+    const epoch = readEpoch(headers);
+    if (epoch === 'unreadable' && !this.isEpochUnreadable) {
+      onEpochUnreadable?.(String(headers[STORE_EPOCH_HEADER]));
+    }
+    this.isEpochUnreadable = epoch === 'unreadable';
+    if (typeof epoch !== 'number') return this.epoch;
+    // A late answer may be from an earlier epoch.
+    if (epoch > this.epoch) {
+      onEpochChange?.(this.epoch, epoch);
+      this.epoch = epoch;
+    }
+    return epoch;
   }
 
   /** @internal */
@@ -291,8 +326,7 @@
       };
       req = request({ host, port, method, path, headers, agent: this.agent }, (res) => {
         startTimer(ANSWER_TIMEOUT_MS);
-        this.recordEpoch(res);
-        readAnswer(res, `${method} ${path}`).then(resolve, reject);
+        readAnswer(res, `${method} ${path}`, this.recordEpoch(res)).then(resolve, reject);
       });
       startTimer(waitMs > 0 ? waitMs + WATCH_MARGIN_MS : CALL_TIMEOUT_MS);
       req.once('error', (err) => fail(err.message));
--- a/src/platform/decode.ts
+++ b/src/platform/decode.ts
@@ -8,6 +8,7 @@
   VmRoster,
   WeightedService,
 } from '../balancing/index.js';
+import type { StorePosition } from '../core/model/index.js';
 import type { RolloutOrder, RolloutState } from '../rollouts/index.js';
 
 /** A field of a stored object is missing or invalid. */
@@ -208,11 +209,13 @@
  * @param metadata - Metadata of the stored object.
  * @param spec - Content of the object.
  * @param status - State of the rollout as last written; ignored unless it is for the same version.
+ * @param epoch - Epoch of the store that the object was read in.
  */
 export function decodeRollout(
   metadata: RolloutMetadata,
   spec: unknown,
   status: unknown,
+  epoch: StorePosition['epoch'],
 ): RolloutOrder {
   const order = asObject(spec, 'rollout');
   const version = asNonEmptyString(order.target_version, 'target_version');
@@ -224,7 +227,7 @@
     service: asNonEmptyString(order.service, 'service'),
     version,
     durationMs: asDurationMs(order.duration, 'duration'),
-    revision: asPositiveInteger(metadata.revision, 'revision'),
+    position: { epoch, revision: asPositiveInteger(metadata.revision, 'revision') },
     state: isForVersion ? ROLLOUT_STATES[String(storedStatus.state)] : undefined,
   };
 }
