--- a/src/fleet/RolloutStateWriter.ts
+++ b/src/fleet/RolloutStateWriter.ts
@@ -50,11 +50,32 @@
     order: RolloutOrder,
     coordinator: RolloutCoordinator,
     rank: number,
+  ): Promise<void> {
+    const { clock } = this.parts;
+    const state = coordinator.getDueState(clock.now()) ?? 'running';
+    if (order.state === state) return;
+    await this.write(order, state, rank, () => ({ ...coordinator.getInputs(clock.now()) }));
+  }
+
+  /**
+   * Writes the final state of an order again after the store has lost it; failures are logged.
+   * @param order - The order, with the state that is known.
+   * @param rank - Position of this VM in the order of coordinators; 0 is the first.
+   */
+  async writeLostState(order: RolloutOrder, rank: number): Promise<void> {
+    const { state } = order;
+    if (state !== undefined) await this.write(order, state, rank, () => ({ isAgain: true }));
+  }
+
+  /** @internal */
+  private async write(
+    order: RolloutOrder,
+    state: RolloutState,
+    rank: number,
+    getInputs: () => Readonly<Record<string, unknown>>,
   ): Promise<void> {
     const { store, clock, log } = this.parts;
     const now = clock.now();
-    const state = coordinator.getDueState(now) ?? 'running';
-    if (order.state === state) return;
     if (this.dueState !== state) {
       this.dueState = state;
       this.dueSince = now;
@@ -65,8 +86,7 @@
     const fields = { order: order.id, state, revision: order.position.revision };
     try {
       const isWritten = await store.writeRolloutState(order, state);
-      const inputs = coordinator.getInputs(clock.now());
-      log.write('rollout.written', { ...fields, isWritten, ...inputs });
+      log.write('rollout.written', { ...fields, isWritten, ...getInputs() });
     } catch (err) {
       this.nextWriteAt = clock.now() + FAILED_RETRY_MS;
       log.write('rollout.writeFailed', { ...fields, message: (err as Error).message });
--- a/src/fleet/RolloutSync.ts
+++ b/src/fleet/RolloutSync.ts
@@ -78,6 +78,9 @@
   /** Orders in progress, by id. @internal */
   private readonly runningOrders = new Map<string, RunningOrder>();
 
+  /** Finished orders whose state the store has lost, by id. @internal */
+  private readonly lostStates = new Map<string, Pick<RunningOrder, 'order' | 'writer'>>();
+
   /** @internal */
   private readonly coordinators: CoordinatorChoice;
 
@@ -126,6 +129,7 @@
   /** @internal */
   private updateOrders(): void {
     const { view, clock, store, log } = this.parts;
+    this.updateLostStates();
     const orders = [...view.rollouts.values()].filter((order) => !isFinished(order));
     const ids = new Set(orders.map(({ id }) => id));
     for (const id of this.runningOrders.keys()) if (!ids.has(id)) this.runningOrders.delete(id);
@@ -145,14 +149,50 @@
     }
   }
 
+  /** Finds the orders whose final state the store has lost. @internal */
+  private updateLostStates(): void {
+    const { view, clock, store, log } = this.parts;
+    const lost = [...view.rollouts.values()].filter(({ isStateLost }) => isStateLost === true);
+    const ids = new Set(lost.map(({ id }) => id));
+    for (const id of this.lostStates.keys()) if (!ids.has(id)) this.lostStates.delete(id);
+    for (const order of lost) {
+      const { writer } = this.lostStates.get(order.id) ?? {
+        writer: new RolloutStateWriter({ store, clock, log }),
+      };
+      this.lostStates.set(order.id, { order, writer });
+    }
+  }
+
+  /**
+   * Whether an order was read since the store was last restored. An earlier revision may by now be
+   * that of another change, so no state is written for it.
+   * @internal
+   */
+  private isCurrent({ position, name }: RolloutOrder): boolean {
+    const { view } = this.parts;
+    return position.epoch >= view.epoch && !view.isMissing('rollouts', name);
+  }
+
+  /** @internal */
+  private writeStates(): void {
+    const { rank } = this.coordinators;
+    for (const { order, coordinator, writer } of this.runningOrders.values()) {
+      if (coordinator !== undefined && this.isCurrent(order)) {
+        writer.writeIfDue(order, coordinator, rank);
+      }
+    }
+    for (const { order, writer } of this.lostStates.values()) {
+      if (this.isCurrent(order)) writer.writeLostState(order, rank);
+    }
+  }
+
   /** @internal */
   private reportAll(): void {
     for (const running of this.runningOrders.values()) {
       this.sendReport(running);
       this.applyGuidance(running);
-      const { order, coordinator, writer } = running;
-      if (coordinator !== undefined) writer.writeIfDue(order, coordinator, this.coordinators.rank);
     }
+    this.writeStates();
   }
 
   /** @internal */
