A VM announces itself again when a restored store lacks its announcement

A VM whose announcement is lost with the copy's later changes would be dropped by all others, and its address given to no caller once the objects that are kept have been removed.

The play 'a VM announces itself again' failed before and passes.

--- a/src/fleet/FleetMembership.ts
+++ b/src/fleet/FleetMembership.ts
@@ -3,8 +3,8 @@
 import { sleep } from '../timing/index.js';
 import type { AnnouncementParts } from './askSeedsToAnnounce.js';
 import { askSeedsToAnnounce } from './askSeedsToAnnounce.js';
-import { PARTIAL_POSITION } from './sectionChanges.js';
 import type { FleetStore, ListFreshness, Section } from './FleetStore.js';
+import { PARTIAL_POSITION } from './sectionChanges.js';
 
 /** Time in which VMs that start together have announced themselves, in milliseconds. */
 const FIRST_START_SETTLE_MS = 800;
@@ -73,11 +73,7 @@
       await Promise.race([servingReads, sleep(this.parts.clock, MAX_VM_LIST_DELAY_MS)]);
       await this.readVms('mayBeOld');
       onVmsKnown();
-      const announced = view.vms.get(self.name);
-      const isKnown =
-        announced?.callers === self.callers &&
-        announced.peers === self.peers &&
-        announced.linkMbps === self.linkMbps;
+      const isKnown = this.isAnnounced;
       log.write('fleet.joined', { vms: view.vms.size, isKnown });
       if (!isKnown) await this.announce([self]);
       this.hasJoined = true;
@@ -103,23 +99,41 @@
   /**
    * Repeats the announcement if this VM is missing from the list. A process that restarts soon
    * after a planned stop may read a list from before it left, and so have skipped its announcement.
+   * A store that was restored may lack the announcement, or have an earlier one.
    * @internal
    */
   private reannounceIfMissing(): void {
-    const { self, view, clock } = this.parts;
-    const isMissing = (): boolean => this.hasJoined && !this.isLeaving && !view.vms.has(self.name);
-    if (this.isReannouncing || !isMissing()) return;
+    const { clock } = this.parts;
+    if (this.isReannouncing || !this.isAnnouncementMissing) return;
     this.isReannouncing = true;
     clock.after(RETRY_DELAY_MS, () => {
       this.isReannouncing = false;
-      if (!isMissing()) return;
-      this.announce([self]).catch((err: Error) => {
+      if (!this.isAnnouncementMissing) return;
+      this.announce([this.parts.self]).catch((err: Error) => {
         this.logFailure('vms', err);
         this.reannounceIfMissing();
       });
     });
   }
 
+  /** Whether the store lacks this VM, or has an earlier address of it. @internal */
+  private get isAnnouncementMissing(): boolean {
+    const { self, view } = this.parts;
+    if (!this.hasJoined || this.isLeaving) return false;
+    return !this.isAnnounced || view.isMissing('vms', self.name);
+  }
+
+  /** Whether this VM is listed as it is. @internal */
+  private get isAnnounced(): boolean {
+    const { self, view } = this.parts;
+    const announced = view.vms.get(self.name);
+    return (
+      announced?.callers === self.callers &&
+      announced.peers === self.peers &&
+      announced.linkMbps === self.linkMbps
+    );
+  }
+
   /**
    * Joins while all VMs start together: a seed announces this VM, or it announces itself.
    * @internal
