Divide the time in which a change has to be in force among the stages of its way

Adding up the constants shows that the bound broke without any test: data counted as stale after 1.4 s, the check ran each 0.12 s, the next source had 0.4 s, then came another check and two calls to the store: some 2.1 s, of which deployments allow 2 (config_apply, drain), and 0.2 s more for each VM further down.

Rejected: the constants of before with a shorter grace alone, since a slow store then makes fresh data look stale no later, and the sum stays above the bound further down (reckoned, not played).

--- a/src/config/GatewaySettings.ts
+++ b/src/config/GatewaySettings.ts
@@ -19,6 +19,8 @@
   /** Peer addresses of entry VMs that may be running, queried while the store is unavailable. */
   readonly seeds: readonly string[];
   readonly balancing: BalancingSettings;
+  /** Shortest time in which any change of the store has to be in force, in milliseconds. */
+  readonly changeBoundMs: number;
   /** Time from SIGTERM until the process is killed, in milliseconds. */
   readonly graceMs: number;
   /** Maximum time for which callers may cache the addresses that they receive, in milliseconds. */
--- a/src/config/gatewaySettingsKeys.ts
+++ b/src/config/gatewaySettingsKeys.ts
@@ -88,6 +88,16 @@
       '0',
       'Requests on top that a bad version may get.',
     ),
+    'configuration-in-force': withDefault(
+      duration({ min: 1_000, max: DAY_MS }),
+      '2s',
+      'Time in which a changed configuration has to be in force on all VMs.',
+    ),
+    'drain-in-force': withDefault(
+      duration({ min: 1_000, max: DAY_MS }),
+      '2s',
+      'Time in which a target that has registered its shutdown must get no more requests.',
+    ),
     grace: withDefault(durationUpToOneDay, '6s', 'Time from SIGTERM until the process is killed.'),
     'address-ttl-most': withDefault(
       durationUpToOneDay,
--- a/src/config/readGatewaySettings.ts
+++ b/src/config/readGatewaySettings.ts
@@ -42,6 +42,7 @@
           ? { share: bounds['trial-share'], slack: bounds['trial-slack'] }
           : undefined,
     },
+    changeBoundMs: Math.min(bounds['configuration-in-force'], bounds['drain-in-force']),
     graceMs: bounds.grace,
     addressTtlMostMs: bounds['address-ttl-most'],
   };
--- a/src/fleet/FleetSync.ts
+++ b/src/fleet/FleetSync.ts
@@ -10,25 +10,13 @@
 import { findTreePosition, makeSeedVms, sortVmsForTree } from './FollowTree.js';
 import { logViewEvents } from './logViewEvents.js';
 import { Registrar } from './Registrar.js';
-import { StoreFallback, SOURCE_GRACE_MS } from './StoreFallback.js';
+import type { PropagationTimes } from './propagation.js';
+import { StoreFallback } from './StoreFallback.js';
 import { StoreWatcher } from './StoreWatcher.js';
 
-/** Data older than this is stale, and a more recent source is looked for, in milliseconds. */
-const STALE_MS = 1_400;
-
-/**
- * Added to `STALE_MS` for each VM between the source and a watcher, in milliseconds. When a watcher
- * is lost, its direct followers find another one in this time, and the VMs below them keep their
- * source.
- */
-const STALE_PER_HOP_MS = 200;
-
 /** A source that was lost, silent or stale is not chosen again for this time, in milliseconds. */
 const SOURCE_COOLDOWN_MS = 3_000;
 
-/** Interval of the checks of the source, in milliseconds. */
-const CHECK_INTERVAL_MS = 120;
-
 /** Dependencies of `FleetSync`. */
 export interface FleetSyncParts {
   readonly self: VmAnnouncement;
@@ -41,6 +29,8 @@
   readonly log: EventLog;
   /** Sections of the store that are watched. */
   readonly sections: readonly Section[];
+  /** Times of the stages by which changes reach all VMs. */
+  readonly propagation: PropagationTimes;
   random(): number;
 }
 
@@ -78,7 +68,7 @@
   private readonly avoidedUntil = new Map<string, number>();
 
   /** @internal */
-  private readonly fallback = new StoreFallback();
+  private readonly fallback: StoreFallback;
 
   /** Whether this VM is one of those that watch the store for all others. @internal */
   private isWatcher = false;
@@ -97,7 +87,8 @@
 
   /** @param parts - Dependencies. */
   constructor(private readonly parts: FleetSyncParts) {
-    const { view, log, store, clock, sections, random } = parts;
+    const { view, log, store, clock, sections, random, propagation } = parts;
+    this.fallback = new StoreFallback(propagation.sourceGraceMs);
     this.storeWatcher = new StoreWatcher({
       store,
       sections,
@@ -105,6 +96,7 @@
       clock,
       log,
       random,
+      propagation,
       onFailure: () => this.handleStoreFailure(),
     });
     const registrar = new Registrar(parts);
@@ -124,7 +116,7 @@
   /** Starts to listen, and to check the source periodically once `begin` was called. */
   start(timers: TimerService): void {
     this.server.start(this.parts.listen);
-    timers.subscribe(CHECK_INTERVAL_MS, () => this.updateRole());
+    timers.subscribe(this.parts.propagation.checkMs, () => this.updateRole());
     timers.subscribe(AGE_BROADCAST_INTERVAL_MS, () => this.server.broadcastAge());
   }
 
@@ -167,12 +159,11 @@
     else this.unfollow();
   }
 
-  /**
-   * Whether the data is stale although this VM has watched the store for `SOURCE_GRACE_MS`.
-   * @internal
-   */
+  /** Whether the data is stale although this VM has had the time to read the store. @internal */
   private isOwnWatchStale(now: number): boolean {
-    return now - this.watchingSince > SOURCE_GRACE_MS && this.parts.view.getAgeMs() > STALE_MS;
+    const { view, propagation } = this.parts;
+    const isWatching = now - this.watchingSince > propagation.sourceGraceMs;
+    return isWatching && view.getAgeMs() > propagation.staleMs;
   }
 
   /** @internal */
@@ -224,7 +215,8 @@
   /** @internal */
   private isSourceFresh(): boolean {
     const { client } = this;
-    const maxAgeMs = STALE_MS + STALE_PER_HOP_MS * this.hops;
+    const { staleMs, stalePerHopMs } = this.parts.propagation;
+    const maxAgeMs = staleMs + stalePerHopMs * this.hops;
     return client !== undefined && !client.isSilent && client.getAgeMs() < maxAgeMs;
   }
 
@@ -268,11 +260,11 @@
 
   /** Follows a VM, unless the current source is fresh or was connected only just now. @internal */
   private follow(source: TreeVm): void {
-    const { view, clock, log, self } = this.parts;
+    const { view, clock, log, self, propagation } = this.parts;
     const { peers } = source;
     if (source.name === self.name || this.client?.address === peers) return;
     const isInGracePeriod =
-      this.client !== undefined && clock.now() - this.client.startedAt < SOURCE_GRACE_MS;
+      this.client !== undefined && clock.now() - this.client.startedAt < propagation.sourceGraceMs;
     if (isInGracePeriod || this.isSourceFresh()) return;
     this.unfollow();
     const client: FeedClient = new FeedClient(peers, view, clock, (reason) => {
--- a/src/fleet/StoreFallback.ts
+++ b/src/fleet/StoreFallback.ts
@@ -12,10 +12,9 @@
 const MAX_FAILURE_PAUSE_MS = 3_000;
 
 /**
- * Time in which a newly connected source has to deliver fresh data, in milliseconds: for the first
- * one, and the maximum, since each further source in a row gets more.
+ * Longest time in which a newly connected source has to deliver fresh data, in milliseconds; each
+ * further source in a row gets more.
  */
-export const SOURCE_GRACE_MS = 400;
 const MAX_SOURCE_GRACE_MS = 2_000;
 
 /**
@@ -37,6 +36,9 @@
   /** No direct watch starts before this time; monotonic milliseconds. @internal */
   private retryAt = 0;
 
+  /** @param graceMs - Time in which the first new source has to deliver fresh data, in milliseconds. */
+  constructor(private readonly graceMs: number) {}
+
   /**
    * Whether to watch the store directly.
    * @param now - Monotonic milliseconds.
@@ -50,7 +52,7 @@
    * number of sources in a row that had none, since a store outage is then more likely.
    */
   get sourceGraceMs(): number {
-    return Math.min(MAX_SOURCE_GRACE_MS, SOURCE_GRACE_MS * (1 + this.consecutiveLosses));
+    return Math.min(MAX_SOURCE_GRACE_MS, this.graceMs * (1 + this.consecutiveLosses));
   }
 
   /**
@@ -68,7 +70,7 @@
    * @param connectedMs - Time since the connection was started, in milliseconds.
    */
   recordSourceWaiting(now: number, connectedMs: number): void {
-    if (this.consecutiveLosses > 0 && connectedMs > SOURCE_GRACE_MS) this.startDirectWatch(now);
+    if (this.consecutiveLosses > 0 && connectedMs > this.graceMs) this.startDirectWatch(now);
   }
 
   /** Records that the source delivers fresh data, which ends a direct watch. */
--- a/src/fleet/StoreWatcher.ts
+++ b/src/fleet/StoreWatcher.ts
@@ -5,15 +5,14 @@
 import type { FleetStore, Section, WatchAnswer } from './FleetStore.js';
 import { SECTIONS, StoreCallError } from './FleetStore.js';
 import type { FleetView } from './FleetView.js';
+import type { PropagationTimes } from './propagation.js';
 
 /**
- * Time that a watch waits for changes, in milliseconds. A dead connection is noticed only when a
- * watch does not return in time, so the wait is short for sections whose changes have to be known
- * within two seconds. Each watch is a billed call, so it is longer for the others.
+ * Time that a watch waits for changes, in milliseconds, of the sections whose changes have more time
+ * than those of `FRESHNESS_SECTIONS`. A dead connection is noticed only when a watch does not return
+ * in time. Each watch is a billed call, so the wait is as long as these changes allow.
  */
-const WATCH_WAIT_MS: Readonly<Record<Section, number>> = {
-  configuration: 900,
-  targets: 900,
+const WATCH_WAIT_MS: Readonly<Record<Exclude<Section, 'configuration' | 'targets'>, number>> = {
   zonesOut: 2_200,
   rollouts: 3_000,
   vms: 5_000,
@@ -47,6 +46,8 @@
   readonly log: EventLog;
   /** Sections to watch; all by default. */
   readonly sections?: readonly Section[];
+  /** Times of the stages by which changes reach all VMs. */
+  readonly propagation: PropagationTimes;
   random(): number;
   /** Called after each failed call. */
   onFailure?(): void;
@@ -156,7 +157,7 @@
       return;
     }
     // The delay is taken off the wait, so that confirmations keep their interval.
-    const waitMs = WATCH_WAIT_MS[section] - (this.batchDelays.get(section) ?? 0);
+    const waitMs = this.getWatchWaitMs(section) - (this.batchDelays.get(section) ?? 0);
     this.batchDelays.delete(section);
     const answer = await store.watch(section, known, waitMs);
     if (this.generation !== generation) return;
@@ -176,6 +177,13 @@
     await sleep(this.parts.clock, BATCH_DELAY_MS[section]);
   }
 
+  /** @internal */
+  private getWatchWaitMs(section: Section): number {
+    return section === 'configuration' || section === 'targets'
+      ? this.parts.propagation.watchWaitMs
+      : WATCH_WAIT_MS[section];
+  }
+
   /**
    * Throws `StoreCallError` if an answer is from before a restore that another call, or another VM,
    * has shown.
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -8,6 +8,7 @@
 import { FleetSync } from '../fleet/FleetSync.js';
 import { FleetView } from '../fleet/FleetView.js';
 import { LimitSync } from '../fleet/LimitSync.js';
+import { dividePropagation } from '../fleet/propagation.js';
 import { NeighbourMonitor } from '../fleet/NeighbourMonitor.js';
 import { RolloutSync } from '../fleet/RolloutSync.js';
 import type { EventLog } from '../logging/EventLog.js';
@@ -20,6 +21,7 @@
 import { BalancerLoop } from './BalancerLoop.js';
 import { CallerRequestHandler } from './CallerRequestHandler.js';
 import { createStateSources } from './createStateSources.js';
+import { createStoreHandlers } from './createStoreHandlers.js';
 import { GatewayEndpoints } from './GatewayEndpoints.js';
 import { GatewayMetrics } from './GatewayMetrics.js';
 import { getOwnRollout } from './getOwnRollout.js';
@@ -121,19 +123,15 @@
     const { settings, clock, log, random } = parts;
     this.state = createBalancerState(settings.balancing, clock.now());
     this.timers = new TimerService(clock);
-    this.store = new ObjectStore(settings.storeAddress, {
-      onUnreadable: (section, name, reason) =>
-        log.write('store.unreadable', { section, name, reason }),
-      onEpochChange: (before, epoch) => log.write('store.epochChanged', { before, epoch }),
-      onEpochUnreadable: (text) => log.write('store.epochUnreadable', { text }),
-    });
+    this.store = new ObjectStore(settings.storeAddress, createStoreHandlers(log));
     const runId = `${settings.self.name}/${random()}`;
     this.view = new FleetView(clock, runId);
     const { self, listen, seeds } = settings;
     const { store, view } = this;
     const { rollouts: exposureBound } = settings.balancing;
     const sections = exposureBound === undefined ? SECTIONS_WITHOUT_ROLLOUTS : SECTIONS;
-    const fleetParts = { self, store, view, clock, log, sections, random };
+    const propagation = dividePropagation(settings.changeBoundMs);
+    const fleetParts = { self, store, view, clock, log, sections, propagation, random };
     this.fleetSync = new FleetSync({ ...fleetParts, listen: listen.peers, seeds });
     this.membership = new FleetMembership({
       ...fleetParts,
--- /dev/null
+++ b/src/gateway/createStoreHandlers.ts
@@ -0,0 +1,15 @@
+import type { EventLog } from '../logging/EventLog.js';
+import type { ObjectStoreHandlers } from '../platform/index.js';
+
+/**
+ * Creates handlers that log what the answers of the store show besides their content.
+ * @param log - Receives the lines.
+ */
+export function createStoreHandlers(log: EventLog): ObjectStoreHandlers {
+  return {
+    onUnreadable: (section, name, reason) =>
+      log.write('store.unreadable', { section, name, reason }),
+    onEpochChange: (before, epoch) => log.write('store.epochChanged', { before, epoch }),
+    onEpochUnreadable: (text) => log.write('store.epochUnreadable', { text }),
+  };
+}
--- a/src/tests/fleet/RestoreScene.ts
+++ b/src/tests/fleet/RestoreScene.ts
@@ -4,6 +4,7 @@
 import { FleetMembership } from '../../fleet/FleetMembership.js';
 import { SECTIONS } from '../../fleet/FleetStore.js';
 import { FleetView } from '../../fleet/FleetView.js';
+import { dividePropagation } from '../../fleet/propagation.js';
 import { StoreWatcher } from '../../fleet/StoreWatcher.js';
 import { EventLog } from '../../logging/EventLog.js';
 import { ObjectStore } from '../../platform/index.js';
@@ -87,7 +88,8 @@
       now: () => 0,
       wallNow: () => 0,
     });
-    const parts = { store: objects, view, clock, log, random: () => 0.5 };
+    const propagation = dividePropagation(2_000);
+    const parts = { store: objects, view, clock, log, random: () => 0.5, propagation };
     const watcher = new StoreWatcher(parts);
     const membership = new FleetMembership({
       ...parts,
--- a/src/tests/fleet/StoreFallback.test.ts
+++ b/src/tests/fleet/StoreFallback.test.ts
@@ -3,18 +3,21 @@
 import type { FleetStore } from '../../fleet/FleetStore.js';
 import { StoreCallError } from '../../fleet/FleetStore.js';
 import { FleetView } from '../../fleet/FleetView.js';
+import { dividePropagation } from '../../fleet/propagation.js';
 import { StoreFallback } from '../../fleet/StoreFallback.js';
 import { StoreWatcher } from '../../fleet/StoreWatcher.js';
 import { EventLog } from '../../logging/EventLog.js';
 import { VirtualClock } from '../../proof/VirtualClock.js';
 import { createRandom } from '../../standIns/models/index.js';
 
+const PROPAGATION = dividePropagation(2_000);
+
 const CHECK_INTERVAL_MS = 120;
 
 /** Counts the calls that VMs without fresh data make in a store outage of eight seconds. */
 function countCalls(vms: number): number {
   const random = createRandom(1);
-  const fallbacks = Array.from({ length: vms }, () => new StoreFallback());
+  const fallbacks = Array.from({ length: vms }, () => new StoreFallback(PROPAGATION.sourceGraceMs));
   let calls = 0;
   for (let now = 0; now < 8_000; now += CHECK_INTERVAL_MS) {
     for (const fallback of fallbacks) {
@@ -36,7 +39,7 @@
 test('a VM that loses its source tries another one before the store', (t) => {
   // A third of the VMs is isolated. Their followers need no call to the store while the next VM in
   // the order is up to date; calls by each of them would be billed and slow down the store for all.
-  const fallback = new StoreFallback();
+  const fallback = new StoreFallback(PROPAGATION.sourceGraceMs);
   fallback.recordSourceLost(5_000);
   t.false(fallback.shouldWatchStore(5_000));
   fallback.recordSourceWaiting(5_300, 300);
@@ -49,7 +52,7 @@
 test('a VM watches the store once the second source in a row has no fresh data', (t) => {
   // Both sources may be isolated while the store and this VM are not. Configurations would be
   // applied seconds late here.
-  const fallback = new StoreFallback();
+  const fallback = new StoreFallback(PROPAGATION.sourceGraceMs);
   fallback.recordSourceLost(5_000);
   fallback.recordSourceWaiting(5_401, 401);
   t.true(fallback.shouldWatchStore(5_401));
@@ -86,6 +89,7 @@
       wallNow: () => 0,
     }),
     random: createRandom(1),
+    propagation: PROPAGATION,
     onFailure: () => mirror.stop(),
   });
   mirror.start('canaryFirst');
--- a/src/tests/fleet/StoreWatcher.test.ts
+++ b/src/tests/fleet/StoreWatcher.test.ts
@@ -3,12 +3,15 @@
 import type { StorePosition } from '../../core/model/index.js';
 import type { FleetStore, Section, SectionItems } from '../../fleet/FleetStore.js';
 import { FleetView } from '../../fleet/FleetView.js';
+import { dividePropagation } from '../../fleet/propagation.js';
 import { StoreWatcher } from '../../fleet/StoreWatcher.js';
 import { EventLog } from '../../logging/EventLog.js';
 import { VirtualClock } from '../../proof/VirtualClock.js';
 import { makeTarget } from '../balancing/scene.js';
 import { at as position } from './at.js';
 
+const PROPAGATION = dividePropagation(2_000);
+
 async function flushPromises(): Promise<void> {
   for (let i = 0; i < 5; i++) await new Promise(setImmediate);
 }
@@ -48,7 +51,14 @@
     now: () => clock.now(),
     wallNow: () => 0,
   });
-  const mirror = new StoreWatcher({ store, view, clock, log, random: () => 0.5 });
+  const mirror = new StoreWatcher({
+    store,
+    view,
+    clock,
+    log,
+    random: () => 0.5,
+    propagation: PROPAGATION,
+  });
   mirror.start();
   await flushPromises();
   for (let i = 0; i < 40; i++) {
@@ -99,7 +109,14 @@
     now: () => clock.now(),
     wallNow: () => 0,
   });
-  const mirror = new StoreWatcher({ store, view, clock, log, random: () => 0.5 });
+  const mirror = new StoreWatcher({
+    store,
+    view,
+    clock,
+    log,
+    random: () => 0.5,
+    propagation: PROPAGATION,
+  });
   mirror.start();
   for (let i = 0; i < 200; i++) {
     clock.runUntil(clock.now() + 50);
--- a/src/tests/fleet/firstStart.test.ts
+++ b/src/tests/fleet/firstStart.test.ts
@@ -8,6 +8,7 @@
 import { SECTIONS_WITHOUT_ROLLOUTS } from '../../fleet/FleetStore.js';
 import { FleetSync } from '../../fleet/FleetSync.js';
 import { FleetView } from '../../fleet/FleetView.js';
+import { dividePropagation } from '../../fleet/propagation.js';
 import { EventLog } from '../../logging/EventLog.js';
 import { findPorts } from '../../soak/findPorts.js';
 import { SystemClock, TimerService } from '../../timing/index.js';
@@ -78,7 +79,8 @@
     const view = new FleetView(clock, self.name);
     const others = seeds.filter((address) => address !== self.peers);
     const sections = SECTIONS_WITHOUT_ROLLOUTS;
-    const known = { sections, random: Math.random, seeds: others };
+    const propagation = dividePropagation(2_000);
+    const known = { sections, propagation, random: Math.random, seeds: others };
     const parts = { self, store, view, clock, log, ...known };
     const sync = new FleetSync({ ...parts, listen: { host: HOST, port: ports[i] } });
     const timers = new TimerService(clock);
