A list of several pages is watched from its first page on

A target on the first page of a list that registers its shutdown before the last page is read would get requests until its next change: the list took the revision of its last page, and the watch that follows reports only later changes. The position is now that of the first page, and changes between the pages are reported again.

The test 'a watch from a list reports what has changed between its pages' failed before and passes. With it come tests of odd epochs (none, no number, one that falls, a restore between two pages, a conditional write in another epoch), which pass as committed before.

--- a/src/platform/ObjectStore.ts
+++ b/src/platform/ObjectStore.ts
@@ -177,7 +177,7 @@
   ): Promise<SectionItems<S>> {
     const items: StoredItem<S>[] = [];
     let after = '';
-    let listEpoch: number | undefined;
+    let position: StorePosition | undefined;
     for (;;) {
       const query = new URLSearchParams();
       if (after !== '') query.set('after', after);
@@ -185,14 +185,14 @@
       const path = `${OBJECTS_PATH}/${DECODERS[section].kind}${query.size > 0 ? `?${query}` : ''}`;
       const { status, body, epoch } = await this.call('GET', path, section);
       if (status !== OK || !Array.isArray(body.items)) throw makeError('list', section, status);
-      if (epoch !== (listEpoch ?? epoch)) {
+      // A watch from the first page reports changes that were made between the pages.
+      position ??= { epoch, revision: Number(body.store_revision) };
+      if (epoch !== position.epoch) {
         throw new StoreCallError('outdated', `the store was restored during a list of ${section}`);
       }
-      listEpoch = epoch;
       const objects = body.items as StoredObject[];
       const page = objects.map((object) => this.decode(section, object, epoch));
       items.push(...page);
-      const position = { epoch, revision: Number(body.store_revision) };
       if (body.has_more !== true) return { items, position };
       onPage(page);
       after = objects[objects.length - 1].metadata.name;
--- /dev/null
+++ b/src/tests/platform/ObjectStore.test.ts
@@ -0,0 +1,102 @@
+import type { ExecutionContext } from 'ava';
+import test from 'ava';
+
+import { UNKNOWN_EPOCH } from '../../core/model/index.js';
+import { StoreCallError } from '../../fleet/FleetStore.js';
+import type { ObjectStoreHandlers } from '../../platform/index.js';
+import { ObjectStore } from '../../platform/index.js';
+import { PlatformStore, putRollout, setZoneOut } from '../../platform/standIn/index.js';
+
+async function start(t: ExecutionContext, handlers: Partial<ObjectStoreHandlers> = {}) {
+  const platform = new PlatformStore();
+  await platform.start();
+  const store = new ObjectStore(platform.address, { onUnreadable: () => {}, ...handlers });
+  t.teardown(async () => {
+    store.close();
+    await platform.stop();
+  });
+  return { platform, store };
+}
+
+const ODD_EPOCHS: Readonly<Record<string, string | undefined>> = {
+  'is absent': undefined,
+  'is empty': '',
+  'is a word': 'second',
+  'is negative': '-3',
+  'is a fraction': '2.5',
+  'is too large': '9'.repeat(30),
+};
+
+for (const [name, text] of Object.entries(ODD_EPOCHS)) {
+  // Changes would be ignored, or taken for those of another epoch.
+  test(`the latest known epoch is assumed if the stated one ${name}`, async (t) => {
+    const unreadable: string[] = [];
+    const { platform, store } = await start(t, {
+      onEpochUnreadable: (value) => unreadable.push(value),
+    });
+    platform.formatEpoch = () => text;
+    t.is((await store.list('zonesOut')).position.epoch, UNKNOWN_EPOCH);
+    platform.formatEpoch = () => '4';
+    t.is((await store.list('zonesOut')).position.epoch, 4);
+    platform.formatEpoch = () => text;
+    t.is((await store.list('zonesOut')).position.epoch, 4);
+    await store.list('zonesOut');
+    t.deepEqual(unreadable, text === undefined ? [] : [text, text]);
+  });
+}
+
+// A late answer of an earlier epoch would be taken for the current state.
+test('an answer has the epoch that it states although a later one is known', async (t) => {
+  const changes: number[][] = [];
+  const { platform, store } = await start(t, {
+    onEpochChange: (before, epoch) => changes.push([before, epoch]),
+  });
+  for (const epoch of ['2', '3', '2', '3', '5']) {
+    platform.formatEpoch = () => epoch;
+    t.is((await store.list('zonesOut')).position.epoch, Number(epoch));
+  }
+  t.deepEqual(changes, [
+    [UNKNOWN_EPOCH, 2],
+    [2, 3],
+    [3, 5],
+  ]);
+});
+
+// Pages of two epochs together are a state that the store never had.
+test('a list during which the store is restored fails', async (t) => {
+  const { platform, store } = await start(t);
+  for (let i = 0; i < 60; i++) setZoneOut(platform, `zone-${i}`, true);
+  let pages = 0;
+  platform.formatEpoch = () => {
+    pages += 1;
+    return String(pages);
+  };
+  const err = await t.throwsAsync(store.list('zonesOut'), { instanceOf: StoreCallError });
+  t.is(err.failure, 'outdated');
+});
+
+// After a restore the revision may be that of another change, and the condition holds by accident.
+test('a state that is written in another epoch than its order was read in counts as not written', async (t) => {
+  const { platform, store } = await start(t);
+  putRollout(platform, 'horaires', 'v2', 9_000);
+  const [{ value: order }] = (await store.list('rollouts')).items;
+  if (order === undefined) throw new Error('the order is not readable');
+  platform.formatEpoch = () => '2';
+  t.false(await store.writeRolloutState(order, 'running'));
+});
+
+// An object on the first page that changes before the last page is read would never be read again.
+test('a watch from a list reports what has changed between its pages', async (t) => {
+  const { platform, store } = await start(t);
+  for (let i = 0; i < 60; i++) putRollout(platform, `service-${i}`, 'v2', 9_000);
+  const { items, position } = await store.list('rollouts', 'now', () =>
+    putRollout(platform, 'service-0', 'v3', 9_000),
+  );
+  t.is(items.find(({ name }) => name === 'service-0')?.value?.version, 'v2');
+  const answer = await store.watch('rollouts', position, 100);
+  if (answer === 'historyGone') throw new Error('the history is gone');
+  t.deepEqual(
+    answer.items.map(({ name, value }) => `${name} ${value?.version}`),
+    ['service-0 v3'],
+  );
+});
