Tell an unknown epoch from the first one of a store that counts from zero

A store whose first epoch is 0 would have had its first restore taken for the beginning of stated epochs, after which nothing is kept that the copy lacks. An unknown epoch is now -1. The test 'objects are kept when the first epoch of a store is followed by the second' failed before and passes.

--- a/src/core/model/StorePosition.ts
+++ b/src/core/model/StorePosition.ts
@@ -9,8 +9,8 @@
   readonly revision: number;
 }
 
-/** Epoch of data whose epoch is not known; it precedes all others. */
-export const UNKNOWN_EPOCH = 0;
+/** Epoch of data whose epoch is not known; it precedes all others, the first of which may be 0. */
+export const UNKNOWN_EPOCH = -1;
 
 /**
  * Compares two positions.
