Explain restores of the store before a request

A request that is answered by an older configuration just after a restore looked like a wrong decision: explain showed the configuration in force, and not that the store had lost a later one. The latest restore, ignored change and final removal of each section now stand among the state of the VM.

--- a/src/report/explainRequest.ts
+++ b/src/report/explainRequest.ts
@@ -20,12 +20,29 @@
   'process.stopping',
 ]);
 
-type FieldsFormatter = (fields: Readonly<Record<string, unknown>>) => string;
+/** Events that describe the state of one section of the store; the latest of each section counts. */
+const SECTION_STATE_EVENTS: ReadonlySet<string> = new Set([
+  'store.sectionRestored',
+  'store.missingRemoved',
+  'store.outdated',
+]);
 
 function formatValue(value: unknown): string {
   return value === undefined || value === null ? 'unknown' : String(value);
 }
 
+/** Returns what a line describes the state of; undefined if it describes no state of its VM. */
+function getStateKey({ event, fields }: LogLine): string | undefined {
+  if (SECTION_STATE_EVENTS.has(event)) return `${event} ${formatValue(fields.section)}`;
+  return VM_STATE_EVENTS.has(event) ? event : undefined;
+}
+
+type FieldsFormatter = (fields: Readonly<Record<string, unknown>>) => string;
+
+function formatNames(names: unknown): string {
+  return Array.isArray(names) && names.length > 0 ? names.join(', ') : 'none';
+}
+
 /** Descriptions of the `reason` field in the last log line of a request. */
 export const REASON_DESCRIPTIONS: Readonly<Record<string, string>> = {
   notConfigured: 'this VM had no configuration yet',
@@ -93,6 +110,16 @@
     `(expected ${formatValue(f.expectedMs)} ms)`,
   'request.refused': describeEnd,
   'request.failed': describeEnd,
+  'store.sectionRestored': (f) =>
+    `the store was restored from a copy; ${formatValue(f.section)} of epoch ${formatValue(f.epoch)} lacked ` +
+    `${formatValue(f.missing)} objects, which were kept: ${formatNames(f.names)}`,
+  'store.missingRemoved': (f) =>
+    `${formatValue(f.removed)} objects of ${formatValue(f.section)} were not written again and removed: ${ 
+    formatNames(f.names)}`,
+  'store.outdated': (f) =>
+    `${formatValue(f.items)} objects of ${formatValue(f.section)} at epoch ${formatValue(f.epoch)}, revision ` +
+    `${formatValue(f.revision)} were ignored, since epoch ${formatValue(f.knownEpoch)}, revision ` +
+    `${formatValue(f.known)} was known`,
   'request.callerLeft': (f) => `the caller disconnected after ${formatValue(f.tookMs)} ms`,
 };
 
@@ -132,9 +159,10 @@
   for (const line of lines.slice(0, first)) {
     // A new process does not know the state of the previous one.
     if (line.event === 'process.started') stateLines.clear();
-    if (!VM_STATE_EVENTS.has(line.event)) continue;
-    stateLines.delete(line.event);
-    stateLines.set(line.event, line);
+    const key = getStateKey(line);
+    if (key === undefined) continue;
+    stateLines.delete(key);
+    stateLines.set(key, line);
   }
   const targetLines = lines.flatMap((line) => {
     const at = Date.parse(line.time);
--- a/src/tests/report/explainRequest.test.ts
+++ b/src/tests/report/explainRequest.test.ts
@@ -154,3 +154,43 @@
     ),
   );
 });
+
+// Without the restore, a request by an older configuration looks like a wrong decision.
+test('a request is explained with the restores of the store before it', (t) => {
+  const restore = { before: 1, epoch: 2, revision: 7, known: 49 };
+  t.snapshot(
+    explainRequest(
+      [
+        line('vm-1', 100, 'config.adopted', { version: 54, routes: 19 }),
+        line('vm-1', 200, 'store.sectionRestored', {
+          section: 'configuration',
+          ...restore,
+          missing: 0,
+          names: [],
+        }),
+        line('vm-1', 210, 'store.sectionRestored', {
+          section: 'targets',
+          ...restore,
+          missing: 2,
+          names: ['t-1', 't-2'],
+        }),
+        line('vm-1', 250, 'store.outdated', {
+          section: 'targets',
+          epoch: 1,
+          revision: 60,
+          knownEpoch: 2,
+          known: 7,
+          isFromPeer: true,
+          items: 1,
+        }),
+        line('vm-1', 2_910, 'store.missingRemoved', {
+          section: 'targets',
+          removed: 1,
+          names: ['t-2'],
+        }),
+        line('vm-1', 3_000, 'request.refused', { id: 'r-1', status: 404, reason: 'noRoute' }),
+      ],
+      'r-1',
+    ),
+  );
+});
