Soak: each request has an id of its own

Traced from the gateways' logs: two requests of two callers, 20 s apart and to two gateways, had the same id; each ran once. Ids came from 32 random bits, of which some thousand requests repeat one now and then. The number of the request is now part of its id.

--- a/src/soak/SoakCallers.ts
+++ b/src/soak/SoakCallers.ts
@@ -136,7 +136,8 @@
 
   /** @internal */
   private createRecord(port: number, isIdempotent: boolean): CallerRecord {
-    const id = Math.floor(this.random() * 2 ** 48).toString(16);
+    // The random part alone has 32 bits, and repeats among some thousand requests now and then.
+    const id = `${Math.floor(this.random() * 2 ** 48).toString(16)}.${this.records.length}`;
     const record: CallerRecord = { id, isIdempotent, sentAt: Date.now(), port };
     this.records.push(record);
     return record;
