A configuration that is known is not sent to all followers at each restore

Followers now get the new position, and the configuration only if its version is later.

The new test failed before and passes.

--- a/src/fleet/FleetView.ts
+++ b/src/fleet/FleetView.ts
@@ -294,10 +294,11 @@
     const items = this.deferRemovals(change, changed, isRestored);
     this.recordMissing(change);
     for (const { name, value } of items) this.setEntry(section, name, value);
+    if (isRestored) this.reportRestore(before, { section, items, position, isWhole: false });
     // The first reading of a section is reported even if it is empty, since listeners wait for it.
-    const isReported = items.length > 0 || before === undefined;
-    if (isRestored) this.reportRestore(section, before, position);
-    else if (isReported) this.reportChange({ section, items, position, isWhole: false });
+    else if (items.length > 0 || before === undefined) {
+      this.reportChange({ section, items, position, isWhole: false });
+    }
     return 'applied';
   }
 
@@ -363,11 +364,13 @@
   }
 
   /**
-   * Reports the whole section, since followers need to know what the store lacks.
+   * Reports the whole section, since followers need to know what the store lacks. Of the
+   * configuration, which is large, they only need a later version.
    * @internal
    */
-  private reportRestore(section: Section, before: StorePosition, position: StorePosition): void {
-    this.reportChange(this.getSnapshot(section));
+  private reportRestore(before: StorePosition, change: SectionChange<Section>): void {
+    const { section, position } = change;
+    this.reportChange(section === 'configuration' ? change : this.getSnapshot(section));
     const { names: missing } = this.getDeferred(section);
     for (const listener of this.restoreListeners) listener({ section, before, position, missing });
   }
--- a/src/tests/fleet/restoredView.test.ts
+++ b/src/tests/fleet/restoredView.test.ts
@@ -149,6 +149,22 @@
   t.is(view.table?.version, 58);
 });
 
+// The largest configurations fill slow links for half a second if they are sent to all followers.
+test('a known configuration is not sent to followers again after a restore', (t) => {
+  const view = new FleetView(new VirtualClock());
+  const items = [{ name: 'main', value: TABLE }];
+  const change = { section: 'configuration', items, isWhole: true } as const;
+  view.apply({ ...change, position: at(50) });
+  const sent: SectionChange<'configuration'>[] = [];
+  view.onChange((each) => sent.push(each as SectionChange<'configuration'>));
+  view.apply({ ...change, position: at(20, 2) });
+  t.deepEqual(sent, [{ section: 'configuration', items: [], position: at(20, 2), isWhole: false }]);
+  const follower = new FleetView(new VirtualClock());
+  follower.apply({ ...change, position: at(50) });
+  t.is(follower.apply({ ...sent[0], isFromPeer: true }), 'applied');
+  t.deepEqual(follower.getPosition('configuration'), at(20, 2));
+});
+
 function makeOrder(changes: Partial<RolloutOrder>): RolloutOrder {
   return {
     id: 'horaires@40/v2',
