--- a/src/fleet/propagation.ts
+++ b/src/fleet/propagation.ts
@@ -17,10 +17,7 @@
   readonly readMs: number;
 }
 
-/**
- * Shares of the bound. A watch has to be answered well before data counts as stale, also by a slow
- * store; `getLongestPropagationMs` adds up the others.
- */
+/** Shares of the bound. Also a slow store answers a watch well before data counts as stale. */
 const SHARES: Readonly<Record<keyof PropagationTimes, number>> = {
   watchWaitMs: 0.375,
   staleMs: 0.6,
@@ -30,7 +27,7 @@
   readMs: 0.05,
 };
 
-/** Longer bounds are not used up: data that is this old hides a lost source, in milliseconds. */
+/** Of longer bounds only this much is used, so that a lost source is noticed early, in milliseconds. */
 const MAX_USED_BOUND_MS = 4_000;
 
 /** Most VMs between a source and a watcher, in fleets of up to some hundred VMs. */
--- a/src/report/explainRequest.ts
+++ b/src/report/explainRequest.ts
@@ -114,8 +114,9 @@
     `the store was restored from a copy; ${formatValue(f.section)} of epoch ${formatValue(f.epoch)} lacked ` +
     `${formatValue(f.missing)} objects, which were kept: ${formatNames(f.names)}`,
   'store.missingRemoved': (f) =>
-    `${formatValue(f.removed)} objects of ${formatValue(f.section)} were not written again and removed: ${ 
-    formatNames(f.names)}`,
+    `${formatValue(f.removed)} objects of ${formatValue(f.section)} were not written again and removed: ${formatNames(
+      f.names,
+    )}`,
   'store.outdated': (f) =>
     `${formatValue(f.items)} objects of ${formatValue(f.section)} at epoch ${formatValue(f.epoch)}, revision ` +
     `${formatValue(f.revision)} were ignored, since epoch ${formatValue(f.knownEpoch)}, revision ` +
--- a/src/tests/fleet/RestoreScene.ts
+++ b/src/tests/fleet/RestoreScene.ts
@@ -80,7 +80,7 @@
   async start(): Promise<void> {
     await this.store.start();
     this.publish(1);
-    for (const id of TARGETS) putTarget(this.store, makeTarget(id));
+    for (const id of TARGETS) this.addTarget(id);
     const objects = new ObjectStore(this.store.address, { onUnreadable: () => {} });
     const { clock, self, watcherView: view } = this;
     const log = new EventLog('vm-1', {
@@ -120,6 +120,11 @@
     putConfiguration(this.store, { ...TABLE, version, routes: [ROUTE] });
   }
 
+  /** Lets a target register. */
+  addTarget(id: string): void {
+    putTarget(this.store, makeTarget(id));
+  }
+
   /** Lets a target register that it drains. */
   drain(id: string): void {
     putTarget(this.store, makeTarget(id, { isDraining: true }));
--- a/src/tests/fleet/storeRestore.test.ts
+++ b/src/tests/fleet/storeRestore.test.ts
@@ -15,6 +15,12 @@
   'without an absence, with its revisions given out again': { hasReusedRevisions: true },
 };
 
+function wait(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
+
 async function startScene(t: ExecutionContext): Promise<RestoreScene> {
   const scene = new RestoreScene();
   t.teardown(() => scene.stop());
@@ -42,9 +48,7 @@
     scene.onChange = ({ table, targets }) => {
       hasUndone ||= table?.version === 1 || targets.get('t-1')?.isDraining === false;
     };
-    await new Promise((resolve) => {
-      setTimeout(resolve, 100);
-    });
+    await wait(100);
     writeAgain();
     await scene.waitForAll(
       ({ table, targets }) =>
@@ -59,11 +63,7 @@
   const scene = await startScene(t);
   const writeAgain = await scene.loseChanges(
     () => {
-      scene.store.put('servers', 't-9', scene.store.getSpec('servers', 't-1'), {
-        state: 'ready',
-        sequence: 1,
-        warmup_left: '0ms',
-      });
+      scene.addTarget('t-9');
       scene.takeOut('phare');
     },
     ({ targets, zonesOut }) => targets.has('t-9') && zonesOut.has('phare'),
@@ -72,13 +72,9 @@
   scene.onChange = ({ targets, zonesOut }) => {
     hasLost ||= !targets.has('t-9') || !zonesOut.has('phare');
   };
-  await new Promise((resolve) => {
-    setTimeout(resolve, 1_500);
-  });
+  await wait(1_500);
   writeAgain();
-  await new Promise((resolve) => {
-    setTimeout(resolve, 3_000);
-  });
+  await wait(3_000);
   t.false(hasLost);
   scene.remove('servers', 't-9');
   scene.remove('evacuations', 'phare');
@@ -90,11 +86,7 @@
   const scene = await startScene(t);
   await scene.loseChanges(
     () => {
-      scene.store.put('servers', 't-9', scene.store.getSpec('servers', 't-1'), {
-        state: 'ready',
-        sequence: 1,
-        warmup_left: '0ms',
-      });
+      scene.addTarget('t-9');
       scene.takeOut('phare');
     },
     ({ targets, zonesOut }) => targets.has('t-9') && zonesOut.has('phare'),
@@ -145,8 +137,6 @@
   for (let i = 0; i < 60; i++) scene.writeOther();
   store.remove('rollouts', 'horaires');
   putRollout(store, 'horaires', 'v2', 10_000);
-  await new Promise((resolve) => {
-    setTimeout(resolve, 4_000);
-  });
+  await wait(4_000);
   t.true(isAlwaysCompleted);
 });
