Tests of restores: the VM of a scene leaves when the scene stops

Traced by reading: when a play ends before its VM has seen its own announcement again, the VM removes it from its view five seconds later and from then on announces itself every 0.7 s to a store that is gone. The scene's VM now leaves. In the product a VM that stops leaves as well.

--- a/src/tests/fleet/RestoreScene.ts
+++ b/src/tests/fleet/RestoreScene.ts
@@ -107,6 +107,8 @@
     await membership.join();
     const client = new FeedClient(`127.0.0.1:${port}`, this.followerView, clock, () => {});
     this.stops.push(
+      // A VM that is not leaving would go on announcing itself to the stopped store.
+      () => membership.leave(),
       () => client.stop(),
       () => server.stop(),
       () => watcher.stop(),
