Stand-in store: lost changes are found by its content, not by its history

Traced from the gateways' logs: no VM ever knew a target of v2. The fault storeForgets clears the history at 0.03 s, and what operators and targets write again after a restore was taken from the history, so that the targets were never registered again. It is now the difference of objects.

The new test failed before and passes.

--- a/src/platform/standIn/PlatformStore.ts
+++ b/src/platform/standIn/PlatformStore.ts
@@ -39,12 +39,7 @@
 const HISTORY_SIZE = 500;
 
 /** Kinds of objects that operators and targets write again after the store has lost them. */
-const REWRITTEN_KINDS: ReadonlySet<string> = new Set([
-  'config',
-  'servers',
-  'evacuations',
-  'rollouts',
-]);
+const REWRITTEN_KINDS: readonly string[] = ['config', 'servers', 'evacuations', 'rollouts'];
 
 const PATH_PATTERN = /^\/masticlink\/objects\/([\w-]+)(?:\/([^/?]+))?(\/status)?$/;
 
@@ -168,27 +163,36 @@
   }
 
   /**
-   * Lists the changes of operators and targets that a copy lacks, the last one of each object, in
-   * order. After a restore they are made again, except where an object has changed meanwhile.
+   * Lists the objects of operators and targets that differ from a copy. After a restore they are
+   * written again, except where an object has changed meanwhile. The history is no help, since it
+   * may have been cleared.
    * @param copy - The copy.
-   * @returns A function for each change that makes it again.
+   * @returns A function for each object that writes it again.
    */
-  getChangesSince({ revision, objectsByKind }: StoreCopy): readonly (() => void)[] {
-    const lost = this.events.filter(
-      (event) => event.revision > revision && REWRITTEN_KINDS.has(event.kind),
-    );
-    const byObject = new Map(
-      lost.map((event) => [`${event.kind}/${event.object.metadata.name}`, event]),
-    );
-    return [...byObject.values()].map(({ kind, object, deleted }) => () => {
-      const { name } = object.metadata;
-      const current = this.getObjects(kind).get(name);
-      if (current !== objectsByKind.get(kind)?.get(name)) return;
-      if (deleted) this.remove(kind, name);
-      else this.put(kind, name, object.spec, kind === 'servers' ? object.status : current?.status);
+  getChangesSince({ objectsByKind }: StoreCopy): readonly (() => void)[] {
+    return REWRITTEN_KINDS.flatMap((kind) => {
+      const copied = objectsByKind.get(kind) ?? new Map<string, StoredObject>();
+      const current = new Map(this.getObjects(kind));
+      const names = [...new Set([...copied.keys(), ...current.keys()])];
+      return names
+        .filter((name) => copied.get(name) !== current.get(name))
+        .map((name) => () => this.writeAgain(kind, name, copied.get(name), current.get(name)));
     });
   }
 
+  /** @internal */
+  private writeAgain(
+    kind: string,
+    name: string,
+    copied: StoredObject | undefined,
+    lost: StoredObject | undefined,
+  ): void {
+    const object = this.getObjects(kind).get(name);
+    if (object !== copied) return;
+    if (lost === undefined) this.remove(kind, name);
+    else this.put(kind, name, lost.spec, kind === 'servers' ? lost.status : object?.status);
+  }
+
   /** @internal */
   private getObjects(kind: string): Map<string, StoredObject> {
     const known = this.objectsByKind.get(kind) ?? new Map<string, StoredObject>();
--- /dev/null
+++ b/src/tests/platform/PlatformStore.test.ts
@@ -0,0 +1,20 @@
+import test from 'ava';
+
+import { PlatformStore, removeTarget, putTarget } from '../../platform/standIn/index.js';
+import { makeTarget } from '../balancing/scene.js';
+
+// Targets that are never registered again make gateways fail guarantees that they keep.
+test('lost changes are made again although the history was cleared', (t) => {
+  const store = new PlatformStore();
+  putTarget(store, makeTarget('t-1'));
+  const copy = store.copy();
+  putTarget(store, makeTarget('t-2'));
+  removeTarget(store, 't-1');
+  store.clearHistory();
+  const lostChanges = store.getChangesSince(copy);
+  store.restore(copy);
+  t.deepEqual([store.getSpec('servers', 't-2')], [undefined]);
+  for (const writeAgain of lostChanges) writeAgain();
+  t.not(store.getSpec('servers', 't-2'), undefined);
+  t.is(store.getSpec('servers', 't-1'), undefined);
+});
