Failing test: a request that ends the targets which run it is sent on and on

Trials with gateways as processes, and targets that crash under a request with a given body and are replaced after 3 s.

--- a/src/platform/standIn/PlatformTarget.ts
+++ b/src/platform/standIn/PlatformTarget.ts
@@ -29,6 +29,10 @@
   readonly onRun: (requestId: string) => void;
   /** Called when a request is rejected because the target has paused. */
   readonly onPause?: (requestId: string) => void;
+  /** Whether the target crashes when it runs a request with this body. */
+  readonly isFatal?: (body: string) => boolean;
+  /** Called when a request has crashed the target. */
+  readonly onCrash?: (requestId: string) => void;
 }
 
 /** Factor by which the work of a slow target takes longer. */
@@ -80,8 +84,9 @@
   /** @param options - Properties of the target. */
   constructor(private readonly options: PlatformTargetOptions) {
     this.server = createServer((req, res) => {
-      req.resume();
-      this.handle(req, res);
+      const chunks: Buffer[] = [];
+      req.on('data', (chunk: Buffer) => chunks.push(chunk));
+      req.once('end', () => this.handle(req, res, Buffer.concat(chunks).toString()));
     });
   }
 
@@ -101,7 +106,7 @@
   }
 
   /** @internal */
-  private handle(req: IncomingMessage, res: ServerResponse): void {
+  private handle(req: IncomingMessage, res: ServerResponse, body: string): void {
     const { id, slots } = this.options;
     res.setHeader(LOAD_HEADER, `${this.running},${this.queue.length},${slots},100`);
     res.setHeader(TARGET_ID_HEADER, id);
@@ -118,8 +123,8 @@
     else if (this.pause !== undefined) this.reject(requestId, res, this.pause);
     else if (this.behaviour === 'sheds' || this.queue.length >= QUEUE_SIZE) {
       res.writeHead(503, { [NOT_EXECUTED_HEADER]: '1' }).end();
-    } else if (this.running < slots) this.run(requestId, res);
-    else this.queue.push(() => this.run(requestId, res));
+    } else if (this.running < slots) this.run(requestId, res, body);
+    else this.queue.push(() => this.run(requestId, res, body));
   }
 
   /** @internal */
@@ -129,18 +134,23 @@
   }
 
   /** @internal */
-  private run(requestId: string, res: ServerResponse): void {
+  private run(requestId: string, res: ServerResponse, body: string): void {
     if (res.destroyed) {
       this.queue.shift()?.();
       return;
     }
-    const { workMs, onRun } = this.options;
+    const { workMs, onRun, isFatal, onCrash } = this.options;
     this.running += 1;
     this.runCount += 1;
     onRun(requestId);
     const { behaviour, isSlow } = this;
     const timer = setTimeout(
-      () => this.finish(requestId, res, behaviour),
+      () => {
+        if (isFatal?.(body) === true) {
+          this.crash();
+          onCrash?.(requestId);
+        } else this.finish(requestId, res, behaviour);
+      },
       workMs * (isSlow ? SLOWDOWN_FACTOR : 1),
     );
     res.once('close', () => {
--- a/src/soak/SoakCallers.ts
+++ b/src/soak/SoakCallers.ts
@@ -43,6 +43,11 @@
 /** Time for which callers cache gateway addresses, in milliseconds. */
 const ADDRESS_TTL_MS = 2_000;
 
+function getMethod(isIdempotent: boolean, body: string | undefined): string {
+  if (!isIdempotent) return 'POST';
+  return body === undefined ? 'GET' : 'PUT';
+}
+
 /** Load generator whose callers cache gateway addresses and reuse their connections. */
 export class SoakCallers {
   readonly records: CallerRecord[] = [];
@@ -88,7 +93,7 @@
   }
 
   /** Sends one request to a gateway and returns its record once it has ended. */
-  send(port: number, path: string, isIdempotent: boolean): Promise<CallerRecord> {
+  send(port: number, path: string, isIdempotent: boolean, body?: string): Promise<CallerRecord> {
     const record = this.createRecord(port, isIdempotent);
     const { id } = record;
     return new Promise((resolve) => {
@@ -101,7 +106,7 @@
         host: '127.0.0.1',
         port,
         path,
-        method: isIdempotent ? 'GET' : 'POST',
+        method: getMethod(isIdempotent, body),
         agent: this.agent,
         headers: { Host: HOST, ...writeCallerHeaders(id, REQUEST_TIMEOUT_MS) },
       });
@@ -117,7 +122,7 @@
           finish(res.statusCode ?? 0, isOwn && isSigned);
         });
       });
-      req.end();
+      req.end(body);
     });
   }
 
--- a/src/soak/SoakWorld.ts
+++ b/src/soak/SoakWorld.ts
@@ -9,7 +9,7 @@
   putTarget,
   removeTarget,
 } from '../platform/standIn/index.js';
-import type { Ban, PauseRecord, RunRecord } from './checkSoak.js';
+import type { Ban, CrashRecord, PauseRecord, RunRecord } from './checkSoak.js';
 import { FaultProxy } from './FaultProxy.js';
 import { findPorts } from './findPorts.js';
 import type { GatewayPorts } from './SoakGateway.js';
@@ -21,10 +21,13 @@
 export const SERVICE = 'soak';
 
 const DEFAULT_GATEWAY_COUNT = 4;
-const TARGET_COUNT = 6;
+const DEFAULT_TARGET_COUNT = 6;
 const SLOTS_PER_TARGET = 4;
 const WORK_MS = 25;
 
+/** Time until a target that a request has crashed is replaced by a new one, in milliseconds. */
+const CRASH_RECOVERY_MS = 3_000;
+
 /** Pauses that targets ask for, in milliseconds; undefined for values that are no seconds. */
 export const PAUSES_MS: Readonly<Record<string, number | undefined>> = {
   3: 3_000,
@@ -84,6 +87,12 @@
   /** When the answers of a target began to state that it is shutting down. */
   readonly drains: { readonly target: string; readonly at: number }[] = [];
 
+  /** Targets that requests have crashed, in order of time. */
+  readonly crashes: CrashRecord[] = [];
+
+  /** Bodies of requests that crash the target that runs them. */
+  readonly fatalBodies = new Set<string>();
+
   /** Periods in which the link to a target is disturbed, in Unix milliseconds. */
   readonly linkFaults: {
     readonly target: string;
@@ -109,20 +118,25 @@
   /** @internal */
   private startedTargets = 0;
 
+  /** @internal */
+  private isStopped = false;
+
   /**
    * @param dir - Directory for settings and logs.
    * @param gatewayCount - Number of gateways to run.
+   * @param targetCount - Number of targets at the start.
    */
   constructor(
     private readonly dir: string,
     private readonly gatewayCount = DEFAULT_GATEWAY_COUNT,
+    private readonly targetCount = DEFAULT_TARGET_COUNT,
   ) {}
 
   /** Starts the store, the targets and the gateways. */
   async start(): Promise<void> {
     await this.store.start();
     this.publishConfiguration();
-    for (let i = 0; i < TARGET_COUNT; i++) await this.addTarget(ZONES[i % ZONES.length]);
+    for (let i = 0; i < this.targetCount; i++) await this.addTarget(ZONES[i % ZONES.length]);
     const ports = await findPorts(this.gatewayCount * 5);
     for (let i = 0; i < this.gatewayCount; i++) {
       const [callers, readiness, addresses, peers, metrics] = ports.slice(i * 5, i * 5 + 5);
@@ -133,6 +147,7 @@
 
   /** Stops gateways, targets, proxies and store. */
   async stop(): Promise<void> {
+    this.isStopped = true;
     for (const gateway of this.gateways) gateway.kill();
     for (const { model, link } of this.targets) {
       model.crash();
@@ -179,6 +194,8 @@
           at: Date.now(),
           pauseMs: PAUSES_MS[model.pause ?? ''],
         }),
+      isFatal: (body) => this.fatalBodies.has(body),
+      onCrash: (requestId) => this.replaceCrashed(id, requestId),
     });
     const link = new FaultProxy(await model.start());
     const address = await link.start();
@@ -213,6 +230,26 @@
     target.link.stop();
   }
 
+  /**
+   * Crashes a target without a request, and replaces it after a while.
+   * @param target - The target.
+   */
+  crashTarget(target: SoakTarget): void {
+    target.model.crash();
+    this.replaceCrashed(target.entry.id, undefined);
+  }
+
+  /** Records a crash. Its target stays registered until another one takes its place. @internal */
+  private replaceCrashed(id: string, requestId: string | undefined): void {
+    this.crashes.push({ target: id, requestId, at: Date.now() });
+    const crashed = this.targets.find(({ entry }) => entry.id === id);
+    setTimeout(() => {
+      if (this.isStopped || crashed === undefined || !this.targets.includes(crashed)) return;
+      this.removeTarget(crashed);
+      this.addTarget(crashed.entry.zone).catch(() => undefined);
+    }, CRASH_RECOVERY_MS);
+  }
+
   /** @internal */
   private publishConfiguration(): void {
     this.configurationVersion += 1;
--- a/src/soak/checkSoak.ts
+++ b/src/soak/checkSoak.ts
@@ -20,6 +20,14 @@
   readonly pauseMs: number | undefined;
 }
 
+/** A target that crashed. */
+export interface CrashRecord {
+  readonly target: string;
+  /** Id of the request that crashed it; undefined if it crashed for another reason. */
+  readonly requestId: string | undefined;
+  readonly at: number;
+}
+
 /** A period in which a target must not receive requests. */
 export interface Ban {
   readonly target: string;
