Log which failed attempts had the same request

The record could not show which attempts were copies of one request. attempt.failed now has the request's fingerprint, a hash of method, host, path with its query, and body.

--- a/src/balancing/PendingRequest.ts
+++ b/src/balancing/PendingRequest.ts
@@ -34,6 +34,8 @@
   readonly id: RequestId;
   /** Id that the caller gave it. */
   readonly callerRequestId: string | undefined;
+  /** Hash of what the request asks for, the same for its copies at all entry VMs. */
+  readonly fingerprint: string;
   readonly route: Route;
   readonly service: ServiceName;
   /** Version that the request is for while its service is being moved to another one. */
--- a/src/balancing/events.ts
+++ b/src/balancing/events.ts
@@ -15,6 +15,8 @@
   readonly request: RequestId;
   /** Id that the caller gave the request, used to find it in the log; undefined if it gave none. */
   readonly callerRequestId: string | undefined;
+  /** Hash of what the request asks for, the same for its copies at all entry VMs. */
+  readonly fingerprint: string;
   readonly host: string;
   /** Path with its query string. */
   readonly path: string;
--- a/src/balancing/requestHandlers.ts
+++ b/src/balancing/requestHandlers.ts
@@ -58,6 +58,7 @@
   const pending: PendingRequest = {
     id: event.request,
     callerRequestId: event.callerRequestId,
+    fingerprint: event.fingerprint,
     route,
     service,
     track: drawTrack(state, service, route.name, context),
@@ -205,6 +206,7 @@
       id: pending.callerRequestId,
       attempt: event.attempt,
       target: attempt.target.entry.id,
+      fingerprint: pending.fingerprint,
       end: end.kind,
       status: end.kind === 'answered' ? end.status : undefined,
       tookMs: Math.round(now - attempt.sentAt),
--- a/src/gateway/CallerRequestHandler.ts
+++ b/src/gateway/CallerRequestHandler.ts
@@ -7,6 +7,7 @@
 import type { Clock } from '../timing/index.js';
 import type { ActiveRequests } from './ActiveRequests.js';
 import { CallerExchange } from './CallerExchange.js';
+import { createFingerprint } from './createFingerprint.js';
 
 /** Dependencies of `CallerRequestHandler`. */
 export interface CallerRequestHandlerParts {
@@ -90,12 +91,15 @@
       dispatch({ kind: 'callerLeft', request });
     });
     const { allowedMs } = readCallerHead(req.headers);
+    const { method = 'GET', url: path = '/' } = req;
+    const { host = '' } = req.headers;
     dispatch({
       kind: 'requestArrived',
       request,
       callerRequestId: exchange.callerRequestId,
-      host: req.headers.host ?? '',
-      path: req.url ?? '/',
+      fingerprint: createFingerprint({ method, host, path, body: exchange.body }),
+      host,
+      path,
       allowedMs,
       arrivedAt,
     });
--- a/src/lab/LabVm.ts
+++ b/src/lab/LabVm.ts
@@ -163,6 +163,7 @@
       kind: 'requestArrived',
       request,
       callerRequestId: undefined,
+      fingerprint: `${each.path} ${request}`,
       host: LAB_HOST,
       path: each.path,
       allowedMs: each.allowedMs,
--- a/src/tests/balancing/scene.ts
+++ b/src/tests/balancing/scene.ts
@@ -101,12 +101,17 @@
   }
 
   /** Sends a caller's request and returns its id. */
-  arrive(path = '/horaires/today', allowedMs: number | undefined = 4_000): number {
+  arrive(
+    path = '/horaires/today',
+    allowedMs: number | undefined = 4_000,
+    fingerprint = path,
+  ): number {
     this.lastRequest += 1;
     this.dispatch({
       kind: 'requestArrived',
       request: this.lastRequest,
       callerRequestId: `r-${this.lastRequest}`,
+      fingerprint,
       host: 'door.example',
       path,
       allowedMs,
--- a/src/tests/balancing/starting.test.ts
+++ b/src/tests/balancing/starting.test.ts
@@ -23,6 +23,7 @@
       kind: 'requestArrived',
       request,
       callerRequestId: `r-${request}`,
+      fingerprint: `f-${request}`,
       host: 'door.example',
       path: '/horaires/today',
       allowedMs: ALLOWED_MS,
