Refuse requests that crash the targets which run them, by one count for all VMs

Ruled out: that ends are not recognised (target.dead follows each within milliseconds).

A fingerprint (method, host, path with query, body) is suspected when the connection of an attempt broke, the target accepts no connection since, and another target has answered since. VMs tell each other what they did not know yet; a crash is a member of a set by run of target, an answer clears, a run that answers later has not crashed. From three on copies are refused at once (503, not run), with the time to come back; one VM tries one copy after 5 min, then 20, 80. Second attempts end after the second crash, hedges after the first.

The property test found that a run's crash had two times at two VMs, so that an answer between them counted at one only; now the earliest holds.

--- a/src/balancing/BalancerState.ts
+++ b/src/balancing/BalancerState.ts
@@ -1,6 +1,8 @@
 import type { AttemptId, RequestId, ServiceName, TargetId, ZoneName } from '../core/model/index.js';
 import { CallerTimes } from './CallerTimes.js';
 import { ColdAllowance } from './ColdAllowance.js';
+import { CrashLedger } from '../crashes/index.js';
+import type { BrokenRun } from './crashes.js';
 import type { RequestArrived } from './events.js';
 import type { PendingRequest, PendingAttempt } from './PendingRequest.js';
 import type { RoutingTable, ServicePolicy } from './model.js';
@@ -56,6 +58,12 @@
   /** Permits to send to limited targets: `permits` holds those of this VM, `issuer` grants them. */
   readonly permits: PermitPool;
   readonly issuer: PermitIssuer;
+  /** Requests that were running on targets when these crashed. */
+  readonly crashes: CrashLedger;
+  /** Runs of targets that may have crashed, by `getRunKey`. */
+  readonly brokenRuns: Map<string, BrokenRun>;
+  /** When any target last answered a request or a probe; monotonic milliseconds. */
+  lastAnswerAt: number;
   /** Unknown headers of targets' answers that have been logged. */
   readonly loggedUnreadHeaders: Set<string>;
   readonly probeBudget: ProbeBudget;
@@ -99,6 +107,9 @@
     limits: new LimitView(),
     permits: new PermitPool(),
     issuer: new PermitIssuer(),
+    crashes: new CrashLedger(),
+    brokenRuns: new Map(),
+    lastAnswerAt: Number.NEGATIVE_INFINITY,
     loggedUnreadHeaders: new Set(),
     probeBudget: new ProbeBudget(settings.probesPerTargetAndSecond),
     workTimes: new WorkTimes(),
--- a/src/balancing/effects.ts
+++ b/src/balancing/effects.ts
@@ -1,4 +1,5 @@
 import type { AttemptId, RequestId, TargetId } from '../core/model/index.js';
+import type { CrashNews } from '../crashes/index.js';
 import type { LimitedTarget, LimitReport, PermitAnswer, PermitAsk } from '../limits/index.js';
 
 /** Why this entry VM answers a request locally, without an answer from a target. */
@@ -13,6 +14,8 @@
   | 'limited'
   /** All usable targets want no requests from this VM for some time. */
   | 'paused'
+  /** Targets crashed whenever they ran the request. */
+  | 'crashesTargets'
   /** All targets that were probed are full, or would answer too late. */
   | 'overloaded'
   /** Targets rejected the request, and it may not be sent to another one. */
@@ -49,6 +52,8 @@
   | 'request.failed'
   | 'request.callerLeft'
   | 'request.kept'
+  | 'request.suspected'
+  | 'request.cleared'
   | 'attempt.failed'
   | 'target.added'
   | 'target.removed'
@@ -106,4 +111,6 @@
   | { readonly kind: 'returnPermit'; readonly vm: string; readonly target: LimitedTarget }
   /** Tells a few other VMs which limits targets have advertised. */
   | { readonly kind: 'gossipLimits'; readonly reports: readonly LimitReport[] }
+  /** Tells a few other VMs which requests were running on targets that crashed. */
+  | { readonly kind: 'gossipCrashes'; readonly news: CrashNews }
   | LogEffect;
--- a/src/balancing/endings.ts
+++ b/src/balancing/endings.ts
@@ -30,6 +30,7 @@
   noTarget: 503,
   limited: 503,
   paused: 503,
+  crashesTargets: 503,
   overloaded: 503,
   rejected: 503,
   rejectedWithRoom: 503,
@@ -44,6 +45,7 @@
   'noTarget',
   'limited',
   'paused',
+  'crashesTargets',
   'overloaded',
   'rejected',
   'rejectedWithRoom',
@@ -96,6 +98,9 @@
     now + earlyMs < getLatestStartAt(pending, state.workTimes.get(pending.route));
   if (reason === 'rejectedWithRoom' && canStillBeOnTime) return Math.round(earlyMs);
   const usualMs = getRetryAfterMs(pending.callerTimeoutAt - now, random());
+  if (reason === 'crashesTargets') {
+    return Math.max(usualMs, Math.ceil(state.crashes.getRefusalMs(pending.fingerprint, now)));
+  }
   if (reason !== 'limited' && reason !== 'paused') return usualMs;
   const unavailableMs = Math.ceil(getNextAvailableAt(state, pending.service, now) - now);
   if (reason === 'limited') return Math.max(usualMs, unavailableMs);
@@ -121,6 +126,15 @@
   return returnPermits(state, round.permitTargets, now);
 }
 
+function getSuspectFields(
+  { crashes }: BalancerState,
+  { fingerprint }: PendingRequest,
+  now: number,
+): Readonly<Record<string, unknown>> {
+  const crashed = crashes.getCrashes(fingerprint, now).map(({ target }) => target);
+  return { fingerprint, crashed };
+}
+
 /**
  * Answers a request locally, without an answer from a target, and removes it.
  * @param state - State of this entry VM.
@@ -160,6 +174,7 @@
         rounds: pending.roundCount,
         configuration: state.table?.version,
         tried: [...pending.triedTargets],
+        ...(reason === 'crashesTargets' ? getSuspectFields(state, pending, context.now) : {}),
         retryAfterMs,
       },
     },
--- a/src/balancing/events.ts
+++ b/src/balancing/events.ts
@@ -1,4 +1,5 @@
 import type { AttemptId, RequestId, TargetId, ZoneName } from '../core/model/index.js';
+import type { CrashNews } from '../crashes/index.js';
 import type { LimitedTarget, LimitReport, PermitAnswer, PermitAsk } from '../limits/index.js';
 import type { RolloutGuidance, RolloutOrder } from '../rollouts/index.js';
 import type {
@@ -44,7 +45,9 @@
   | { readonly kind: 'stranger' }
   | { readonly kind: 'refused' }
   | { readonly kind: 'silent' }
-  /** The connection broke, or the answer was unreadable. */
+  /** The connection was established and ended without an answer. */
+  | { readonly kind: 'unanswered' }
+  /** The answer was unreadable. */
   | ({ readonly kind: 'broken' } & TargetStatements);
 
 export interface ProbeEnded {
@@ -170,6 +173,12 @@
   readonly answer: PermitAnswer;
 }
 
+/** Another VM has reported crashes of targets, and the requests that were running on them. */
+export interface CrashesReported {
+  readonly kind: 'crashesReported';
+  readonly news: CrashNews;
+}
+
 /** A graceful shutdown began. */
 export interface StopAsked {
   readonly kind: 'stopAsked';
@@ -193,4 +202,5 @@
   | PermitAsked
   | PermitAnswered
   | PermitReturned
+  | CrashesReported
   | StopAsked;
--- a/src/balancing/fleetHandlers.ts
+++ b/src/balancing/fleetHandlers.ts
@@ -9,6 +9,7 @@
   VmsChanged,
   ZonesOutRead,
 } from './events.js';
+import { recordGone, recordHeard } from './crashes.js';
 import { markDead } from './learning.js';
 import { removeExpiredLimits, recordLimit } from './limits.js';
 import type { TargetRegistration } from './model.js';
@@ -158,11 +159,12 @@
     recordOutcome(record, true, now);
     return stated;
   }
+  const heard = recordHeard(state, record, now);
   record.reading = end.reading;
   record.sentSinceReading = 0;
   // A probe's result without a limit ends none: only answers to requests are sure to name it.
   const limits = end.limit === undefined ? [] : recordLimit(state, record, end.limit, now);
-  const effects = [...stated, ...limits, ...updateColdUntil(record, end.coldMs, now)];
+  const effects = [...heard, ...stated, ...limits, ...updateColdUntil(record, end.coldMs, now)];
   if (record.deadCount === 0) return effects;
   record.deadCount = 0;
   const { id, service } = record.entry;
@@ -190,6 +192,22 @@
   });
 }
 
+/** Applies the result of a probe, answered or not. */
+function applyProbeResult(
+  state: BalancerState,
+  record: TargetRecord,
+  end: ProbeResult,
+  now: number,
+): BalancerEffect[] {
+  if (end.kind === 'answered' || end.kind === 'broken') {
+    return applyAnsweredProbe(state, record, end, now);
+  }
+  const gone = recordGone(state, record, now);
+  if (end.kind !== 'unanswered') return [...markDead(record, now), ...gone];
+  recordOutcome(record, true, now);
+  return gone;
+}
+
 /** Applies the result of a probe and places the requests that waited for it. */
 export function handleProbeEnded(
   state: BalancerState,
@@ -200,10 +218,7 @@
   if (record === undefined || record.entry.bornAt !== event.bornAt) return [];
   record.probeSentAt = undefined;
   const { end } = event;
-  const effects =
-    end.kind === 'answered' || end.kind === 'broken'
-      ? applyAnsweredProbe(state, record, end, context.now)
-      : markDead(record, context.now);
+  const effects = applyProbeResult(state, record, end, context.now);
   effects.push(...placeProbeWaiters(state, record, context));
   if (end.kind === 'answered') {
     effects.push(...placeWaitingRequests(state, record.entry.service, context));
--- a/src/balancing/learning.ts
+++ b/src/balancing/learning.ts
@@ -1,4 +1,5 @@
-import type { BalancerState } from './BalancerState.js';
+import type { BalancerContext, BalancerState } from './BalancerState.js';
+import { recordBreak, recordGone, recordHeard, recordSurvived } from './crashes.js';
 import { getServiceCurve } from './BalancerState.js';
 import type { BalancerEffect } from './effects.js';
 import type { AttemptResult } from './events.js';
@@ -83,6 +84,20 @@
   ];
 }
 
+/** Records what the result of an attempt says about crashes of its target. */
+function learnAboutCrashes(
+  state: BalancerState,
+  { fingerprint }: PendingRequest,
+  target: TargetRecord,
+  end: AttemptResult,
+  context: BalancerContext,
+): BalancerEffect[] {
+  if (end.kind === 'broken') return recordBreak(state, target, fingerprint, context);
+  const effects = recordHeard(state, target, context.now);
+  if (end.kind !== 'answered') return effects;
+  return [...effects, ...recordSurvived(state, fingerprint, target, context.now)];
+}
+
 function isPauseRequested(end: AttemptResult): boolean {
   return 'pauseMs' in end && typeof end.pauseMs === 'number' && end.pauseMs > 0;
 }
@@ -93,18 +108,24 @@
  * @param pending - The request.
  * @param attempt - The attempt.
  * @param end - Result of the attempt.
- * @param now - Monotonic milliseconds.
+ * @param context - Clock and random source.
  */
 export function learnFromAttempt(
   state: BalancerState,
   pending: PendingRequest,
   attempt: PendingAttempt,
   end: AttemptResult,
-  now: number,
+  context: BalancerContext,
 ): BalancerEffect[] {
   const { target } = attempt;
-  if (end.kind === 'unsent' || end.kind === 'misdirected') return markDead(target, now);
-  const effects = recordAnswerHead(state, target, end, now);
+  const { now } = context;
+  if (end.kind === 'unsent' || end.kind === 'misdirected') {
+    return [...markDead(target, now), ...recordGone(state, target, now)];
+  }
+  const effects = [
+    ...learnAboutCrashes(state, pending, target, end, context),
+    ...recordAnswerHead(state, target, end, now),
+  ];
   const isSuccess = end.kind === 'answered' && end.status < MIN_FAILURE_STATUS;
   // The pause already keeps requests away; a raised score would do so after its end as well.
   if (!isPauseRequested(end)) recordOutcome(target, !isSuccess, now);
--- a/src/balancing/placing.ts
+++ b/src/balancing/placing.ts
@@ -2,6 +2,7 @@
 import { shouldGiveUp } from './admission.js';
 import { getUnavailableReason, hasRecoveringTarget } from './availability.js';
 import type { BalancerContext, BalancerState } from './BalancerState.js';
+import { isRefusedForCrashes } from './crashes.js';
 import type { Candidate } from './candidates.js';
 import { findBestCandidate, getUsableTargets } from './candidates.js';
 import type { BalancerEffect } from './effects.js';
@@ -221,6 +222,7 @@
       pending.service === service &&
       pending.attempts.size === 0 &&
       pending.roundCount >= PREFERRED_ROUND_COUNT &&
+      !isRefusedForCrashes(state, pending.fingerprint, now) &&
       // Probes in flight may find a better target shortly.
       pending.round === undefined &&
       now < pending.deadlineAt,
@@ -245,6 +247,9 @@
   context: BalancerContext,
 ): BalancerEffect[] {
   const { now } = context;
+  if (pending.attempts.size === 0 && isRefusedForCrashes(state, pending.fingerprint, now)) {
+    return refuseOrFail(state, pending, 'crashesTargets', context);
+  }
   const { round } = pending;
   const hasRound = round !== undefined;
   const hasRoundEnded = isRoundOver(round, now);
--- a/src/balancing/probing.ts
+++ b/src/balancing/probing.ts
@@ -24,7 +24,17 @@
   return { target: entry.id, bornAt: entry.bornAt, address: entry.address };
 }
 
-function startProbe(state: BalancerState, record: TargetRecord, now: number): BalancerEffect {
+/**
+ * Probes a target, whatever the probe budget is.
+ * @param state - State of this entry VM.
+ * @param record - The target; it must have no probe in flight.
+ * @param now - Monotonic milliseconds.
+ */
+export function startProbe(
+  state: BalancerState,
+  record: TargetRecord,
+  now: number,
+): BalancerEffect {
   record.probeSentAt = now;
   const path = state.services.get(record.entry.service)?.healthPath ?? '/health';
   return { kind: 'probe', to: toDestination(record), path };
--- a/src/balancing/reduceBalancer.ts
+++ b/src/balancing/reduceBalancer.ts
@@ -1,4 +1,5 @@
 import type { BalancerContext, BalancerState } from './BalancerState.js';
+import { handleCrashesReported } from './crashes.js';
 import type { BalancerEffect } from './effects.js';
 import type { BalancerEvent } from './events.js';
 import {
@@ -62,6 +63,7 @@
     reclaimPermit(state, target, now);
     return [];
   },
+  crashesReported: handleCrashesReported,
   stopAsked: (state, _event, { now }) => {
     state.shutdownStartedAt ??= now;
     return [];
--- a/src/balancing/requestHandlers.ts
+++ b/src/balancing/requestHandlers.ts
@@ -1,5 +1,6 @@
 import { isServicePaused } from './availability.js';
 import type { BalancerContext, BalancerState } from './BalancerState.js';
+import { mayRetryAfterCrashes } from './crashes.js';
 import type { BalancerEffect } from './effects.js';
 import { answerLocally, refuseOrFail, removeRequest, removeAttempt } from './endings.js';
 import type { AttemptResult, AttemptEnded, CallerLeft, RequestArrived, WakeDue } from './events.js';
@@ -192,7 +193,8 @@
   const pending = attempt && state.pendingRequests.get(attempt.request);
   if (attempt === undefined || pending === undefined) return [];
   removeAttempt(state, attempt);
-  const effects = learnFromAttempt(state, pending, attempt, end, now);
+  const mayRetry = mayRetryAfterCrashes(state, pending, end.kind === 'broken', now);
+  const effects = learnFromAttempt(state, pending, attempt, end, context);
   const hasNotRun = HAS_NOT_RUN[end.kind];
   if (!hasNotRun) pending.hasPossiblyRun = true;
   leaveTrial(state, pending, now);
@@ -214,7 +216,7 @@
   });
   // Another open attempt may still bring the answer.
   if (pending.attempts.size > 0) return effects;
-  if (end.kind === 'unsent' || tryTakeRetry(state, pending, hasNotRun, now)) {
+  if (end.kind === 'unsent' || (mayRetry && tryTakeRetry(state, pending, hasNotRun, now))) {
     pending.nextRoundAt = now;
     return [...effects, ...placeRequest(state, pending, context)];
   }
@@ -265,6 +267,8 @@
   const { now } = context;
   leaveTrial(state, pending, now);
   if (!route.isIdempotent || triedTargets.size >= route.maxTargets) return [];
+  // A hedge of a request that crashes targets would crash a second one.
+  if (!mayRetryAfterCrashes(state, pending, true, now)) return [];
   if (!pending.isHedged) {
     if (!state.retryBudget.take(service, state.liveVms.length, now, HEDGE_BUDGET_SHARE)) return [];
     pending.isHedged = true;
--- a/src/fleet/NeighbourMonitor.ts
+++ b/src/fleet/NeighbourMonitor.ts
@@ -148,6 +148,18 @@
     for (const { peers } of this.neighbours) this.send(text, peers);
   }
 
+  /**
+   * Sends a datagram to each neighbour, and to each VM that has this one as a neighbour. Sent along
+   * both directions, news reach also a VM that no other one has chosen.
+   * @param text - Content of the datagram.
+   */
+  sendToLinked(text: string): void {
+    const addresses = this.neighbours.map(({ peers }) => peers);
+    for (const address of new Set([...addresses, ...this.lastPingAt.keys()])) {
+      this.send(text, address);
+    }
+  }
+
   /** Closes the socket. */
   stop(): void {
     this.socket.close();
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -7,14 +7,11 @@
 import { SECTIONS, SECTIONS_WITHOUT_ROLLOUTS } from '../fleet/FleetStore.js';
 import { FleetSync } from '../fleet/FleetSync.js';
 import { FleetView } from '../fleet/FleetView.js';
-import { LimitSync } from '../fleet/LimitSync.js';
 import { dividePropagation } from '../fleet/propagation.js';
 import { NeighbourMonitor } from '../fleet/NeighbourMonitor.js';
-import { RolloutSync } from '../fleet/RolloutSync.js';
 import type { EventLog } from '../logging/EventLog.js';
 import { ObjectStore } from '../platform/index.js';
 import type { Section } from '../fleet/FleetStore.js';
-import type { ExposureBound } from '../rollouts/index.js';
 import type { Clock } from '../timing/index.js';
 import { TimerService } from '../timing/index.js';
 import { ActiveRequests } from './ActiveRequests.js';
@@ -24,10 +21,10 @@
 import { createStoreHandlers } from './createStoreHandlers.js';
 import { GatewayEndpoints } from './GatewayEndpoints.js';
 import { GatewayMetrics } from './GatewayMetrics.js';
-import { getOwnRollout } from './getOwnRollout.js';
 import { RequestTimers } from './RequestTimers.js';
 import { TargetAgents } from './TargetAgents.js';
 import { TargetProber } from './TargetProber.js';
+import { VmMessages } from './VmMessages.js';
 import { writeAddressAnswer } from './writeAddressAnswer.js';
 
 /** Largest head of a request, in bytes; no configuration so far allows more. */
@@ -86,10 +83,7 @@
   private readonly neighbours: NeighbourMonitor;
 
   /** @internal */
-  private readonly limitSync: LimitSync;
-
-  /** Undefined if the settings do not enable rollouts. @internal */
-  private readonly rolloutSync: RolloutSync | undefined;
+  private readonly messages: VmMessages;
 
   /** @internal */
   private readonly loop: BalancerLoop;
@@ -176,44 +170,10 @@
       log,
       isReady: () => this.isReady,
       onChange: () => this.dispatchVmsChanged(),
-      onMessage: (text, address) => {
-        if (!this.limitSync.receive(text, address)) this.rolloutSync?.receive(text, address);
-      },
-    });
-    this.limitSync = this.createLimitSync();
-    this.rolloutSync = exposureBound && this.createRolloutSync(runId, exposureBound);
-  }
-
-  /** @internal */
-  private createLimitSync(): LimitSync {
-    const { clock, log } = this.parts;
-    return new LimitSync({
-      view: this.view,
-      clock,
-      log,
-      neighbours: this.neighbours,
-      getFreshReports: () => this.state.limits.getFreshReports(clock.now()),
-      dispatch: this.loop.dispatch,
-    });
-  }
-
-  /** @internal */
-  private createRolloutSync(runId: string, exposureBound: ExposureBound): RolloutSync {
-    const { settings, clock, log } = this.parts;
-    const { store, view } = this;
-    return new RolloutSync({
-      self: settings.self,
-      run: runId,
-      store,
-      view,
-      clock,
-      log,
-      bound: exposureBound,
-      send: (text, address) => this.neighbours.send(text, address),
-      getOwnRollout: (order) => getOwnRollout(this.state, order, clock.now()),
-      onGuidance: (order, guidance, until) =>
-        this.loop.dispatch({ kind: 'rolloutGuided', order, guidance, until }),
+      onMessage: (text, address) => this.messages.receive(text, address),
     });
+    const { state, neighbours } = this;
+    this.messages = new VmMessages({ ...fleetParts, settings, runId, state, neighbours, dispatch });
   }
 
   /**
@@ -227,8 +187,7 @@
     await this.listen();
     this.fleetSync.start(this.timers);
     this.neighbours.start(this.timers);
-    this.limitSync.start(this.timers);
-    this.rolloutSync?.start(this.timers);
+    this.messages.start(this.timers);
     const { self } = settings;
     log.write('process.started', { ...self, storeAddress: settings.storeAddress, at: clock.now() });
   }
@@ -380,7 +339,8 @@
       case 'answerPermit':
       case 'returnPermit':
       case 'gossipLimits':
-        this.limitSync.runEffect(effect);
+      case 'gossipCrashes':
+        this.messages.runEffect(effect);
         break;
       default:
         this.metrics.record(effect);
--- a/src/gateway/TargetProber.ts
+++ b/src/gateway/TargetProber.ts
@@ -82,7 +82,7 @@
     req.once('error', () => {
       // Targets close idle connections without notice, which says nothing about their health.
       if (req.reusedSocket) this.send(to, path, finish);
-      else finish({ kind: isConnected ? 'broken' : 'refused' });
+      else finish({ kind: isConnected ? 'unanswered' : 'refused' });
     });
     req.once('close', () => clearTimeout(timer));
     req.end();
--- a/src/report/explainRequest.ts
+++ b/src/report/explainRequest.ts
@@ -51,6 +51,7 @@
   noTarget: 'no target of the service was usable',
   limited: 'all live targets advertised rate limits, and those allowed no further request',
   paused: 'all live targets wanted no requests from this VM for some time',
+  crashesTargets: 'targets crashed whenever they ran it, and it was not sent again',
   overloaded:
     'every target that was probed was full, slow or cold, and waiting would not have helped',
   rejected: 'targets rejected it, and the route or the retry budget allowed no further attempt',
@@ -67,6 +68,7 @@
   retryAfterMs,
   rounds,
   sinceFirstMs,
+  crashed,
 }: Readonly<Record<string, unknown>>): string {
   const why = REASON_DESCRIPTIONS[formatValue(reason)] ?? formatValue(reason);
   const retryText =
@@ -76,9 +78,10 @@
   const roundsText = rounds === undefined ? '' : `; ${formatValue(rounds)} rounds of probes`;
   const firstRequestText =
     sinceFirstMs === undefined ? '' : `; first tried ${formatValue(sinceFirstMs)} ms earlier`;
+  const crashedText = crashed === undefined ? '' : ` (${formatNames(crashed)})`;
   // A request that is refused before its route is known has no `tookMs`.
   const durationText = tookMs === undefined ? 'at once' : `after ${formatValue(tookMs)} ms`;
-  return `answered ${formatValue(status)} ${durationText}: ${why}${roundsText}${firstRequestText}${retryText}`;
+  return `answered ${formatValue(status)} ${durationText}: ${why}${crashedText}${roundsText}${firstRequestText}${retryText}`;
 }
 
 const EVENT_FORMATTERS: Readonly<Record<string, FieldsFormatter>> = {
