--- a/src/soak/FaultProxy.ts
+++ b/src/soak/FaultProxy.ts
@@ -12,19 +12,27 @@
   | 'reset'
   /** Data and closes are dropped in both directions; connections stay open. */
   | 'silent'
+  /** Open connections live on, and new ones are reset. */
+  | 'newReset'
   /** Data and closes from the far side are dropped. */
   | 'oneWay';
 
 /** Delay of each chunk on a delayed link, in milliseconds. */
 const DELAY_MS = 150;
 
+/** Time until the other side of a connection is closed if it must not see the close, in ms. */
+const CLOSE_DELAY_MS = 3_000;
+
 /** TCP proxy between two processes that injects network faults. */
 export class FaultProxy {
   /** @internal */
   private mode: LinkMode = 'sound';
 
+  /** Modes for the connections of single sources, by IP address. @internal */
+  private readonly modesBySource = new Map<string, LinkMode>();
+
   /** @internal */
-  private readonly sockets = new Set<Socket>();
+  private readonly sockets = new Map<Socket, string>();
 
   /** @internal */
   private readonly server: Server;
@@ -45,49 +53,83 @@
   /** Changes the mode of the link, also for open connections. */
   setMode(mode: LinkMode): void {
     this.mode = mode;
-    if (mode === 'reset') for (const socket of this.sockets) resetSocket(socket);
+    if (mode === 'reset') for (const socket of this.sockets.keys()) resetSocket(socket);
+  }
+
+  /**
+   * Changes the mode for the connections of one source.
+   * @param source - IP address of the source.
+   * @param mode - The mode; undefined for that of the link.
+   */
+  setModeFor(source: string, mode: LinkMode | undefined): void {
+    if (mode === undefined) this.modesBySource.delete(source);
+    else this.modesBySource.set(source, mode);
+    if (mode !== 'reset') return;
+    for (const [socket, each] of this.sockets) if (each === source) resetSocket(socket);
   }
 
   /** Stops listening and closes all connections. */
   stop(): void {
     this.server.close();
-    for (const socket of this.sockets) socket.destroy();
+    for (const socket of this.sockets.keys()) socket.destroy();
   }
 
   /** @internal */
   private accept(near: Socket): void {
-    if (this.mode === 'reset') {
+    const source = near.remoteAddress ?? '';
+    const mode = this.getMode(source);
+    if (mode === 'reset' || mode === 'newReset') {
       resetSocket(near);
       return;
     }
+    if (mode === 'silent') {
+      this.hold(near, source);
+      return;
+    }
     const [host, port] = this.target.split(':');
     const far = connect({ host, port: Number(port) });
-    this.forward(near, far, 'out');
-    this.forward(far, near, 'back');
+    this.forward(near, far, source, 'out');
+    this.forward(far, near, source, 'back');
+  }
+
+  /** Keeps a connection open until its opener closes it. @internal */
+  private hold(near: Socket, source: string): void {
+    this.sockets.set(near, source);
+    near.on('error', () => near.destroy());
+    near.once('close', () => this.sockets.delete(near));
+    near.resume();
+  }
+
+  /** @internal */
+  private getMode(source: string): LinkMode {
+    return this.modesBySource.get(source) ?? this.mode;
   }
 
   /** @internal */
-  private forward(from: Socket, to: Socket, way: 'out' | 'back'): void {
-    this.sockets.add(from);
-    from.on('data', (data) => this.deliver(data, to, way));
-    from.on('end', () => this.canForward(way) && to.end());
+  private forward(from: Socket, to: Socket, source: string, way: 'out' | 'back'): void {
+    this.sockets.set(from, source);
+    from.on('data', (data) => this.deliver(data, to, source, way));
+    from.on('end', () => this.canForward(source, way) && to.end());
     // Resets and closes are passed on to the other side, as they would be without a proxy.
     from.on('error', () => resetSocket(to));
     from.once('close', () => {
       this.sockets.delete(from);
-      if (this.canForward(way)) to.destroySoon();
+      if (this.canForward(source, way)) to.destroySoon();
+      // The far side does not see the close, but the socket must not be kept for ever.
+      else setTimeout(() => to.destroy(), CLOSE_DELAY_MS).unref();
     });
   }
 
   /** @internal */
-  private deliver(data: Buffer, to: Socket, way: 'out' | 'back'): void {
-    if (!this.canForward(way)) return;
-    if (this.mode === 'delayed') setTimeout(() => to.write(data), DELAY_MS);
+  private deliver(data: Buffer, to: Socket, source: string, way: 'out' | 'back'): void {
+    if (!this.canForward(source, way)) return;
+    if (this.getMode(source) === 'delayed') setTimeout(() => to.write(data), DELAY_MS);
     else to.write(data);
   }
 
   /** @internal */
-  private canForward(way: 'out' | 'back'): boolean {
-    return this.mode !== 'silent' && !(this.mode === 'oneWay' && way === 'back');
+  private canForward(source: string, way: 'out' | 'back'): boolean {
+    const mode = this.getMode(source);
+    return mode !== 'silent' && !(mode === 'oneWay' && way === 'back');
   }
 }
--- a/src/soak/SoakGateway.ts
+++ b/src/soak/SoakGateway.ts
@@ -18,6 +18,8 @@
   readonly zone: string;
   readonly ports: GatewayPorts;
   readonly storeAddress: string;
+  /** IP address that its connections come from. */
+  readonly source: string;
   /** Directory for its settings and log. */
   readonly dir: string;
 }
@@ -29,6 +31,7 @@
 export const TRIAL_SHARE = 0.1;
 export const TRIAL_SLACK = 50;
 
+const BIND_SOURCE = new URL('./bindSource.js', import.meta.url).pathname;
 const GATEWAY_MAIN = new URL('../gateway/main.js', import.meta.url).pathname;
 
 /** How a process that was asked to stop has ended. */
@@ -80,10 +83,14 @@
   start(): void {
     if (this.isRunning) return;
     this.startCount += 1;
-    const { dir } = this.options;
+    const { dir, source } = this.options;
     const log = createWriteStream(join(dir, `gateway.log`), { flags: 'a' });
-    const env = { PATH: process.env.PATH, MASTICLINK_CONFIG: join(dir, 'gateway.ini') };
-    this.child = spawn(process.execPath, [GATEWAY_MAIN], {
+    const env = {
+      PATH: process.env.PATH,
+      MASTICLINK_CONFIG: join(dir, 'gateway.ini'),
+      MASTICLINK_SOAK_SOURCE: source,
+    };
+    this.child = spawn(process.execPath, ['--import', BIND_SOURCE, GATEWAY_MAIN], {
       env,
       stdio: ['ignore', 'pipe', 'pipe'],
     });
--- a/src/soak/SoakWorld.ts
+++ b/src/soak/SoakWorld.ts
@@ -10,6 +10,7 @@
   removeTarget,
 } from '../platform/standIn/index.js';
 import type { Ban, CrashRecord, PauseRecord, RunRecord } from './checkSoak.js';
+import type { LinkMode } from './FaultProxy.js';
 import { FaultProxy } from './FaultProxy.js';
 import { findPorts } from './findPorts.js';
 import type { GatewayPorts } from './SoakGateway.js';
@@ -25,6 +26,9 @@
 const SLOTS_PER_TARGET = 4;
 const WORK_MS = 25;
 
+/** Last part of the loopback address that the connections of the first gateway come from. */
+const FIRST_SOURCE = 11;
+
 /** Time until a target that a request has crashed is replaced by a new one, in milliseconds. */
 const CRASH_RECOVERY_MS = 3_000;
 
@@ -118,6 +122,9 @@
   /** @internal */
   private startedTargets = 0;
 
+  /** Modes of the paths from gateways to all targets, by source. @internal */
+  private readonly pathModes = new Map<string, LinkMode>();
+
   /** @internal */
   private isStopped = false;
 
@@ -198,6 +205,7 @@
       onCrash: (requestId) => this.replaceCrashed(id, requestId),
     });
     const link = new FaultProxy(await model.start());
+    for (const [source, mode] of this.pathModes) link.setModeFor(source, mode);
     const address = await link.start();
     const entry: TargetRegistration = {
       id,
@@ -230,6 +238,18 @@
     target.link.stop();
   }
 
+  /**
+   * Changes the mode of the paths from a gateway to all targets.
+   * @param gateway - The gateway.
+   * @param mode - The mode; undefined to restore the paths.
+   */
+  setPathMode(gateway: SoakGateway, mode: LinkMode | undefined): void {
+    const { source } = gateway.options;
+    if (mode === undefined) this.pathModes.delete(source);
+    else this.pathModes.set(source, mode);
+    for (const { link } of this.targets) link.setModeFor(source, mode);
+  }
+
   /**
    * Crashes a target without a request, and replaces it after a while.
    * @param target - The target.
@@ -275,6 +295,7 @@
     const name = `vm-${index + 1}`;
     const dir = join(this.dir, name);
     const zone = ZONES[index % ZONES.length];
-    this.gateways.push(new SoakGateway({ name, zone, ports, storeAddress, dir }));
+    const source = `127.0.0.${FIRST_SOURCE + index}`;
+    this.gateways.push(new SoakGateway({ name, zone, ports, storeAddress, source, dir }));
   }
 }
--- a/src/tests/soak/SoakGateway.test.ts
+++ b/src/tests/soak/SoakGateway.test.ts
@@ -16,6 +16,7 @@
     name: 'vm-1',
     zone: 'z-1',
     ports,
+    source: '127.0.0.1',
     storeAddress: '127.0.0.1:1',
     dir,
   });
