A VM that does not reach a service's targets passes its requests on to one that does

A VM held each target for dead by itself, never concluded that its own path was lost, and had no other way. Ruled out: admission under load and marks that spread (all target.dead are of the VMs that were cut, the others serve).

Five targets of a service that fail in a row without an answer of any other put it out of reach; its requests go to another VM's address for callers, which decides on them as on its own, one hop only. A refusal there is not run, so the next VM is asked; anything else may have run, and nobody is asked again. What was held against targets meanwhile is forgotten at the first answer; attempts that nothing was heard since count against no version.

--- a/src/balancing/BalancerState.ts
+++ b/src/balancing/BalancerState.ts
@@ -4,6 +4,8 @@
 import { CrashLedger } from '../crashes/index.js';
 import type { BrokenRun } from './crashes.js';
 import type { RequestArrived } from './events.js';
+import { HelperPool } from './HelperPool.js';
+import type { ServiceReach } from './ServiceReach.js';
 import type { PendingRequest, PendingAttempt } from './PendingRequest.js';
 import type { RoutingTable, ServicePolicy } from './model.js';
 import { LimitView, PermitIssuer, PermitPool } from '../limits/index.js';
@@ -62,8 +64,12 @@
   readonly crashes: CrashLedger;
   /** Runs of targets that may have crashed, by `getRunKey`. */
   readonly brokenRuns: Map<string, BrokenRun>;
-  /** When any target last answered a request or a probe; monotonic milliseconds. */
-  lastAnswerAt: number;
+  /** What has been heard from each service's targets. */
+  readonly reach: Map<ServiceName, ServiceReach>;
+  /** Other VMs that requests are passed on to while this one does not reach their targets. */
+  readonly helpers: HelperPool;
+  /** Requests that were passed on and not answered yet, by the id of the attempt. */
+  readonly forwards: Map<AttemptId, PendingRequest>;
   /** Unknown headers of targets' answers that have been logged. */
   readonly loggedUnreadHeaders: Set<string>;
   readonly probeBudget: ProbeBudget;
@@ -109,7 +115,9 @@
     issuer: new PermitIssuer(),
     crashes: new CrashLedger(),
     brokenRuns: new Map(),
-    lastAnswerAt: Number.NEGATIVE_INFINITY,
+    reach: new Map(),
+    helpers: new HelperPool(),
+    forwards: new Map(),
     loggedUnreadHeaders: new Set(),
     probeBudget: new ProbeBudget(settings.probesPerTargetAndSecond),
     workTimes: new WorkTimes(),
--- a/src/balancing/PendingRequest.ts
+++ b/src/balancing/PendingRequest.ts
@@ -29,6 +29,14 @@
   readonly permitTargets: Set<TargetRecord>;
 }
 
+/** A request that is passed on to another VM. */
+export interface Forward {
+  readonly id: AttemptId;
+  readonly vm: string;
+  /** Monotonic milliseconds. */
+  readonly sentAt: number;
+}
+
 /** A request that has arrived and has no answer yet. */
 export interface PendingRequest {
   readonly id: RequestId;
@@ -52,6 +60,14 @@
   readonly deadlineAt: number;
   /** When the caller gives up on its own; monotonic milliseconds. */
   readonly callerTimeoutAt: number;
+  /** Maximum number of targets that it is sent to. */
+  readonly maxTargets: number;
+  /** Whether another VM has passed it on. */
+  readonly isForwarded: boolean;
+  /** Set while it is passed on to another VM. */
+  forward: Forward | undefined;
+  /** VMs that it was passed on to. */
+  readonly helpersTried: Set<string>;
   round: ProbeRound | undefined;
   /** Probe rounds started so far. */
   roundCount: number;
--- a/src/balancing/crashes.ts
+++ b/src/balancing/crashes.ts
@@ -1,4 +1,5 @@
 import { getRendezvousWinner } from '../core/hash.js';
+import type { ServiceName } from '../core/model/index.js';
 import type { CrashNews, TargetRun } from '../crashes/index.js';
 import { getRunKey } from '../crashes/index.js';
 import type { BalancerContext, BalancerState } from './BalancerState.js';
@@ -6,6 +7,7 @@
 import type { CrashesReported } from './events.js';
 import type { PendingRequest } from './PendingRequest.js';
 import { startProbe } from './probing.js';
+import { hasHeardSince } from './reachability.js';
 import type { TargetRecord } from './TargetRecord.js';
 import { isDraining } from './TargetRecord.js';
 
@@ -27,6 +29,7 @@
 /** A run of a target whose connections broke while it was running requests. */
 export interface BrokenRun {
   readonly run: TargetRun;
+  readonly service: ServiceName;
   /** When the first connection broke; monotonic milliseconds. */
   readonly at: number;
   /** Fingerprints of the requests that it was running. */
@@ -84,7 +87,11 @@
   const effects: BalancerEffect[] = [];
   for (const [key, broken] of state.brokenRuns) {
     if (now - broken.at > PROOF_TIMEOUT_MS) state.brokenRuns.delete(key);
-    else if (!broken.isRecorded && broken.isGone && state.lastAnswerAt >= broken.at) {
+    else if (
+      !broken.isRecorded &&
+      broken.isGone &&
+      hasHeardSince(state, broken.service, broken.at)
+    ) {
       broken.isRecorded = true;
       for (const fingerprint of broken.fingerprints) {
         effects.push(...recordCrash(state, broken, fingerprint, now));
@@ -125,7 +132,14 @@
     return known.isRecorded ? recordCrash(state, known, fingerprint, now) : [];
   }
   const fingerprints = new Set([fingerprint]);
-  state.brokenRuns.set(key, { run, at: now, fingerprints, isGone: false, isRecorded: false });
+  state.brokenRuns.set(key, {
+    run,
+    service: entry.service,
+    at: now,
+    fingerprints,
+    isGone: false,
+    isRecorded: false,
+  });
   const others = (state.targetsByService.get(entry.service) ?? []).filter(
     (other) => other !== record && other.deadUntil <= now && !isDraining(other),
   );
@@ -164,7 +178,6 @@
   record: TargetRecord,
   now: number,
 ): BalancerEffect[] {
-  state.lastAnswerAt = now;
   const run = toRun(record);
   if (state.brokenRuns.size > 0) state.brokenRuns.delete(getRunKey(run));
   const effects = state.brokenRuns.size > 0 ? recordProvedCrashes(state, now) : [];
--- a/src/balancing/effects.ts
+++ b/src/balancing/effects.ts
@@ -1,5 +1,6 @@
 import type { AttemptId, RequestId, TargetId } from '../core/model/index.js';
 import type { CrashNews } from '../crashes/index.js';
+import type { ForwardTerms } from './events.js';
 import type { LimitedTarget, LimitReport, PermitAnswer, PermitAsk } from '../limits/index.js';
 
 /** Why this entry VM answers a request locally, without an answer from a target. */
@@ -52,6 +53,10 @@
   | 'request.failed'
   | 'request.callerLeft'
   | 'request.kept'
+  | 'request.forwarded'
+  | 'forward.failed'
+  | 'service.unreachable'
+  | 'service.reachable'
   | 'request.suspected'
   | 'request.cleared'
   | 'attempt.failed'
@@ -86,7 +91,19 @@
       /** Time until the request's deadline, in milliseconds. */
       readonly allowedMs: number;
     }
-  /** Cancels an attempt; at most a `statementsRead` event follows, for an answer on its way. */
+  /** Passes a request on to another VM. */
+  | {
+      readonly kind: 'forwardRequest';
+      readonly request: RequestId;
+      readonly attempt: AttemptId;
+      readonly vm: string;
+      /** Time until the request's deadline, in milliseconds. */
+      readonly allowedMs: number;
+      readonly terms: ForwardTerms;
+    }
+  /** Closes idle connections to targets, since they may be dead. */
+  | { readonly kind: 'dropIdleConnections'; readonly targets: readonly Destination[] }
+  /** Cancels an attempt or a forward; for an attempt at most a `statementsRead` event follows, for an answer on its way. */
   | { readonly kind: 'cancelAttempt'; readonly attempt: AttemptId }
   /** Delivers the answer of a completed attempt to the caller. */
   | { readonly kind: 'deliver'; readonly request: RequestId; readonly attempt: AttemptId }
--- a/src/balancing/endings.ts
+++ b/src/balancing/endings.ts
@@ -63,15 +63,29 @@
 }
 
 /**
- * Cancels all open attempts of a request.
+ * Records that a request is no longer passed on to another VM.
+ * @param state - State of this entry VM.
+ * @param pending - The request.
+ */
+export function removeForward(state: BalancerState, pending: PendingRequest): void {
+  if (pending.forward === undefined) return;
+  state.forwards.delete(pending.forward.id);
+  state.helpers.recordEnd(pending.forward.vm);
+  pending.forward = undefined;
+}
+
+/**
+ * Cancels all open attempts of a request, also if it is passed on to another VM.
  * @param state - State of this entry VM.
  * @param pending - The request.
  */
 export function cancelAttempts(state: BalancerState, pending: PendingRequest): BalancerEffect[] {
-  return [...pending.attempts].map((attempt) => {
-    removeAttempt(state, attempt);
-    return { kind: 'cancelAttempt', attempt: attempt.id };
-  });
+  const { forward } = pending;
+  removeForward(state, pending);
+  const cancelled = [...pending.attempts].map(({ id }) => id);
+  for (const attempt of pending.attempts) removeAttempt(state, attempt);
+  if (forward !== undefined) cancelled.push(forward.id);
+  return cancelled.map((attempt) => ({ kind: 'cancelAttempt', attempt }));
 }
 
 /**
--- a/src/balancing/events.ts
+++ b/src/balancing/events.ts
@@ -1,4 +1,4 @@
-import type { AttemptId, RequestId, TargetId, ZoneName } from '../core/model/index.js';
+import type { AttemptId, RequestId, ServiceName, TargetId, ZoneName } from '../core/model/index.js';
 import type { CrashNews } from '../crashes/index.js';
 import type { LimitedTarget, LimitReport, PermitAnswer, PermitAsk } from '../limits/index.js';
 import type { RolloutGuidance, RolloutOrder } from '../rollouts/index.js';
@@ -25,6 +25,16 @@
   readonly allowedMs: number | undefined;
   /** When the request's headers were read; monotonic milliseconds. */
   readonly arrivedAt: number;
+  /** Set if another VM, which does not reach the targets, has passed the request on. */
+  readonly forwarded?: ForwardTerms;
+}
+
+/** What a VM decides on a request that it passes on. */
+export interface ForwardTerms {
+  /** Maximum number of targets that the request may still be sent to. */
+  readonly maxTargets: number;
+  /** Service that the request is for, chosen among those of its route. */
+  readonly service: ServiceName;
 }
 
 /** The caller closed its connection before it received an answer. */
@@ -87,6 +97,25 @@
   readonly end: AttemptResult;
 }
 
+/** Result of passing a request on to another VM. */
+export type ForwardResult =
+  /** A complete answer, ready to be delivered. */
+  | { readonly kind: 'answered'; readonly status: number }
+  /** The VM has not run the request; its reason is undefined if it gave none. */
+  | { readonly kind: 'refused'; readonly reason: string | undefined }
+  /** The VM answered with an error of its own; the request may have run. */
+  | { readonly kind: 'failed'; readonly reason: string }
+  /** No connection was established, so nothing was sent. */
+  | { readonly kind: 'unsent' }
+  /** The connection broke, or the answer was unusable; the request may have run. */
+  | { readonly kind: 'broken' };
+
+export interface ForwardEnded {
+  readonly kind: 'forwardEnded';
+  readonly attempt: AttemptId;
+  readonly end: ForwardResult;
+}
+
 /** An answer arrived for an attempt that had been cancelled. */
 export interface StatementsRead {
   readonly kind: 'statementsRead';
@@ -190,6 +219,7 @@
   | CallerLeft
   | ProbeEnded
   | AttemptEnded
+  | ForwardEnded
   | StatementsRead
   | WakeDue
   | TableRead
--- a/src/balancing/fleetHandlers.ts
+++ b/src/balancing/fleetHandlers.ts
@@ -9,8 +9,8 @@
   VmsChanged,
   ZonesOutRead,
 } from './events.js';
-import { recordGone, recordHeard } from './crashes.js';
-import { markDead } from './learning.js';
+import { recordGone } from './crashes.js';
+import { markDead, recordTargetAnswer, recordTargetFailure } from './learning.js';
 import { removeExpiredLimits, recordLimit } from './limits.js';
 import type { TargetRegistration } from './model.js';
 import { placeRequest, placeWaitingRequests } from './placing.js';
@@ -136,6 +136,7 @@
   if (announced.join() !== state.announcedVms.join()) state.announcedVms = announced;
   if (vms.join() === state.liveVms.join()) return [];
   state.liveVms = vms;
+  state.helpers.keepOnly(new Set(vms));
   return [{ kind: 'log', event: 'vms.changed', fields: { count: vms.length } }];
 }
 
@@ -154,12 +155,13 @@
   end: Extract<ProbeResult, { kind: 'answered' | 'broken' }>,
   now: number,
 ): BalancerEffect[] {
+  const heard = recordTargetAnswer(state, record, now);
   const stated = recordStatements(state, record, end, 'probe', now);
   if (end.kind === 'broken') {
     recordOutcome(record, true, now);
-    return stated;
+    return [...heard, ...stated];
   }
-  const heard = recordHeard(state, record, now);
+
   record.reading = end.reading;
   record.sentSinceReading = 0;
   // A probe's result without a limit ends none: only answers to requests are sure to name it.
@@ -202,10 +204,13 @@
   if (end.kind === 'answered' || end.kind === 'broken') {
     return applyAnsweredProbe(state, record, end, now);
   }
-  const gone = recordGone(state, record, now);
-  if (end.kind !== 'unanswered') return [...markDead(record, now), ...gone];
+  if (end.kind === 'stranger') {
+    return [...markDead(record, now), ...recordGone(state, record, now)];
+  }
+  const failure = recordTargetFailure(state, record, now);
+  if (end.kind !== 'unanswered') return [...markDead(record, now), ...failure];
   recordOutcome(record, true, now);
-  return gone;
+  return failure;
 }
 
 /** Applies the result of a probe and places the requests that waited for it. */
--- a/src/balancing/learning.ts
+++ b/src/balancing/learning.ts
@@ -5,6 +5,7 @@
 import type { AttemptResult } from './events.js';
 import type { PendingRequest, PendingAttempt } from './PendingRequest.js';
 import { recordLimit } from './limits.js';
+import { hasHeardSince, recordReached, recordUnreached } from './reachability.js';
 import { DEAD_MAX_MS, DEAD_MIN_MS, MIN_FAILURE_STATUS, MAX_NORMAL_SLOWDOWN } from './settings.js';
 import { recordStatements } from './statements.js';
 import type { TargetRecord } from './TargetRecord.js';
@@ -35,6 +36,34 @@
   ];
 }
 
+/**
+ * Records that a target has answered a request or a probe, whatever it answered.
+ * @param state - State of this entry VM.
+ * @param record - The target.
+ * @param now - Monotonic milliseconds.
+ */
+export function recordTargetAnswer(
+  state: BalancerState,
+  record: TargetRecord,
+  now: number,
+): BalancerEffect[] {
+  return [...recordReached(state, record, now), ...recordHeard(state, record, now)];
+}
+
+/**
+ * Records that a target took no connection, or gave no answer to a probe.
+ * @param state - State of this entry VM.
+ * @param record - The target.
+ * @param now - Monotonic milliseconds.
+ */
+export function recordTargetFailure(
+  state: BalancerState,
+  record: TargetRecord,
+  now: number,
+): BalancerEffect[] {
+  return [...recordUnreached(state, record, now), ...recordGone(state, record, now)];
+}
+
 function roundToHundredths(value: number): number {
   return Number(value.toFixed(2));
 }
@@ -92,8 +121,11 @@
   end: AttemptResult,
   context: BalancerContext,
 ): BalancerEffect[] {
-  if (end.kind === 'broken') return recordBreak(state, target, fingerprint, context);
-  const effects = recordHeard(state, target, context.now);
+  if (end.kind === 'broken') {
+    const unreached = recordUnreached(state, target, context.now);
+    return [...unreached, ...recordBreak(state, target, fingerprint, context)];
+  }
+  const effects = recordTargetAnswer(state, target, context.now);
   if (end.kind !== 'answered') return effects;
   return [...effects, ...recordSurvived(state, fingerprint, target, context.now)];
 }
@@ -120,7 +152,8 @@
   const { target } = attempt;
   const { now } = context;
   if (end.kind === 'unsent' || end.kind === 'misdirected') {
-    return [...markDead(target, now), ...recordGone(state, target, now)];
+    const failure = end.kind === 'unsent' ? recordTargetFailure(state, target, now) : [];
+    return [...markDead(target, now), ...failure];
   }
   const effects = [
     ...learnAboutCrashes(state, pending, target, end, context),
@@ -130,7 +163,8 @@
   // The pause already keeps requests away; a raised score would do so after its end as well.
   if (!isPauseRequested(end)) recordOutcome(target, !isSuccess, now);
   const isAlreadyCounted = attempt.isOverdue || end.kind === 'rejected';
-  if (!isAlreadyCounted) recordVersionAnswer(state, pending, attempt, !isSuccess);
+  const isPathSound = hasHeardSince(state, pending.service, attempt.sentAt);
+  if (!isAlreadyCounted && isPathSound) recordVersionAnswer(state, pending, attempt, !isSuccess);
   if (!isSuccess) return effects;
   const tookMs = now - attempt.sentAt;
   recordSlowness(target, tookMs / Math.max(1, attempt.expectedMs), now);
--- a/src/balancing/placing.ts
+++ b/src/balancing/placing.ts
@@ -8,7 +8,9 @@
 import type { BalancerEffect } from './effects.js';
 import { refuseOrFail, endProbeRound } from './endings.js';
 import type { PendingRequest, ProbeRound, PendingAttempt } from './PendingRequest.js';
+import { forwardRequest, hasHelper, isForwardable } from './forwarding.js';
 import { usePermit } from './limits.js';
+import { getReachVerdict } from './reachability.js';
 import { startProbeRound, toDestination } from './probing.js';
 import {
   HEDGE_DELAY_FACTOR,
@@ -221,6 +223,7 @@
     (pending) =>
       pending.service === service &&
       pending.attempts.size === 0 &&
+      pending.forward === undefined &&
       pending.roundCount >= PREFERRED_ROUND_COUNT &&
       !isRefusedForCrashes(state, pending.fingerprint, now) &&
       // Probes in flight may find a better target shortly.
@@ -235,6 +238,27 @@
   });
 }
 
+/**
+ * Passes a request on to another VM if its service is out of reach.
+ * @returns Undefined if a target of this VM has to be found.
+ */
+function placeElsewhere(
+  state: BalancerState,
+  pending: PendingRequest,
+  context: BalancerContext,
+): BalancerEffect[] | undefined {
+  if (pending.forward !== undefined) return [];
+  const { now } = context;
+  const verdict = getReachVerdict(state, pending.service, now);
+  if (verdict === 'inReach') return undefined;
+  const canForward = isForwardable(pending);
+  if (verdict === 'inDoubt' && !(canForward && hasHelper(state, pending, now))) return undefined;
+  const permitReturns = endProbeRound(state, pending, now);
+  // The answer to an open attempt may still arrive.
+  if (pending.attempts.size > 0 && !canForward) return permitReturns;
+  return [...permitReturns, ...forwardRequest(state, pending, context)];
+}
+
 /**
  * Looks for a target for a request that has no open attempt, or for its hedge.
  * @param state - State of this entry VM.
@@ -250,6 +274,8 @@
   if (pending.attempts.size === 0 && isRefusedForCrashes(state, pending.fingerprint, now)) {
     return refuseOrFail(state, pending, 'crashesTargets', context);
   }
+  const elsewhere = placeElsewhere(state, pending, context);
+  if (elsewhere !== undefined) return elsewhere;
   const { round } = pending;
   const hasRound = round !== undefined;
   const hasRoundEnded = isRoundOver(round, now);
--- a/src/balancing/reduceBalancer.ts
+++ b/src/balancing/reduceBalancer.ts
@@ -9,6 +9,7 @@
   handleVms,
   handleZonesOut,
 } from './fleetHandlers.js';
+import { handleForwardEnded } from './forwarding.js';
 import {
   handleArrived,
   handleAttemptEnded,
@@ -39,6 +40,7 @@
   callerLeft: handleCallerLeft,
   probeEnded: handleProbeEnded,
   attemptEnded: handleAttemptEnded,
+  forwardEnded: handleForwardEnded,
   statementsRead: handleStatements,
   wakeDue: handleWake,
   tableRead: (state, event, context) => [
--- a/src/balancing/requestHandlers.ts
+++ b/src/balancing/requestHandlers.ts
@@ -1,12 +1,16 @@
+import type { ServiceName } from '../core/model/index.js';
 import { isServicePaused } from './availability.js';
 import type { BalancerContext, BalancerState } from './BalancerState.js';
 import { mayRetryAfterCrashes } from './crashes.js';
 import type { BalancerEffect } from './effects.js';
 import { answerLocally, refuseOrFail, removeRequest, removeAttempt } from './endings.js';
 import type { AttemptResult, AttemptEnded, CallerLeft, RequestArrived, WakeDue } from './events.js';
+import { isHelpingAtLimit } from './forwarding.js';
+import type { Route } from './model.js';
 import type { PendingRequest, PendingAttempt } from './PendingRequest.js';
 import { learnFromAttempt } from './learning.js';
 import { getNextWakeAt, placeRequest, placeWaitingRequests } from './placing.js';
+import { hasHeardSince } from './reachability.js';
 import { findRoute, pickService } from './routes.js';
 import { shouldHold, holdRequest } from './starting.js';
 import { MIN_FAILURE_STATUS, HEDGE_BUDGET_SHARE, SHUTDOWN_ACCEPT_MS } from './settings.js';
@@ -35,6 +39,11 @@
 /** After how long a caller should retry if no configuration is known yet, in milliseconds. */
 const STARTUP_RETRY_MS = 300;
 
+/** The service that the VM which passed a request on has chosen, if its route has it here too. */
+function getForwardedService({ forwarded }: RequestArrived, route: Route): ServiceName | undefined {
+  return route.services.find(({ service }) => service === forwarded?.service)?.service;
+}
+
 /** Refuses or holds a request that has arrived, or starts to place it. */
 export function handleArrived(
   state: BalancerState,
@@ -55,7 +64,8 @@
     event.allowedMs === undefined
       ? 0
       : state.callerTimes.recordTimeout(route.name, event.allowedMs);
-  const service = pickService(route.services, context.random());
+  const service =
+    getForwardedService(event, route) ?? pickService(route.services, context.random());
   const pending: PendingRequest = {
     id: event.request,
     callerRequestId: event.callerRequestId,
@@ -68,6 +78,10 @@
     dueAt: event.arrivedAt + route.objectiveMs - sinceFirstMs,
     deadlineAt: event.arrivedAt + allowedMs,
     callerTimeoutAt: event.arrivedAt + (event.allowedMs ?? route.timeoutMs),
+    maxTargets: Math.min(route.maxTargets, event.forwarded?.maxTargets ?? route.maxTargets),
+    isForwarded: event.forwarded !== undefined,
+    forward: undefined,
+    helpersTried: new Set(),
     round: undefined,
     roundCount: 0,
     nextRoundAt: 0,
@@ -79,6 +93,9 @@
   };
   state.pendingRequests.set(pending.id, pending);
   state.retryBudget.recordRequest(pending.service, now);
+  if (pending.isForwarded && isHelpingAtLimit(state)) {
+    return refuseOrFail(state, pending, 'overloaded', context);
+  }
   return placeRequest(state, pending, context);
 }
 
@@ -164,7 +181,7 @@
   now: number,
 ): boolean {
   if (!hasNotRun && !pending.route.isIdempotent) return false;
-  if (pending.triedTargets.size >= pending.route.maxTargets) return false;
+  if (pending.triedTargets.size >= pending.maxTargets) return false;
   return state.retryBudget.take(pending.service, state.liveVms.length, now);
 }
 
@@ -181,6 +198,10 @@
   return hasRoom ? 'rejectedWithRoom' : 'rejected';
 }
 
+function isAwaitingAnswer({ attempts, forward }: PendingRequest): boolean {
+  return attempts.size > 0 || forward !== undefined;
+}
+
 /** Delivers the answer of a completed attempt, sends the request again, or answers it locally. */
 function endAttempt(
   state: BalancerState,
@@ -215,7 +236,7 @@
     },
   });
   // Another open attempt may still bring the answer.
-  if (pending.attempts.size > 0) return effects;
+  if (isAwaitingAnswer(pending)) return effects;
   if (end.kind === 'unsent' || (mayRetry && tryTakeRetry(state, pending, hasNotRun, now))) {
     pending.nextRoundAt = now;
     return [...effects, ...placeRequest(state, pending, context)];
@@ -246,7 +267,7 @@
   pending: PendingRequest,
   context: BalancerContext,
 ): BalancerEffect[] {
-  const isSent = pending.attempts.size > 0;
+  const isSent = isAwaitingAnswer(pending);
   for (const { target } of pending.attempts) recordOutcome(target, true, context.now);
   if (isSent || pending.hasPossiblyRun) return answerLocally(state, pending, 'timedOut', context);
   return answerLocally(state, pending, 'overloaded', context);
@@ -263,10 +284,10 @@
   pending: PendingRequest,
   context: BalancerContext,
 ): BalancerEffect[] {
-  const { route, triedTargets, service } = pending;
+  const { route, triedTargets, service, maxTargets } = pending;
   const { now } = context;
   leaveTrial(state, pending, now);
-  if (!route.isIdempotent || triedTargets.size >= route.maxTargets) return [];
+  if (!route.isIdempotent || triedTargets.size >= maxTargets) return [];
   // A hedge of a request that crashes targets would crash a second one.
   if (!mayRetryAfterCrashes(state, pending, true, now)) return [];
   if (!pending.isHedged) {
@@ -291,13 +312,19 @@
   const pending = state.pendingRequests.get(event.request);
   if (pending === undefined) return [];
   if (now >= pending.deadlineAt) return handleDeadline(state, pending, context);
-  if (pending.attempts.size === 0) return placeRequest(state, pending, context);
+  if (pending.attempts.size === 0) {
+    if (pending.forward === undefined) return placeRequest(state, pending, context);
+    return [{ kind: 'wake', request: pending.id, at: pending.deadlineAt }];
+  }
   let hasNewOverdue = false;
   for (const attempt of pending.attempts) {
     if (attempt.isOverdue || now < attempt.overdueAt) continue;
     attempt.isOverdue = true;
     hasNewOverdue = true;
-    recordVersionAnswer(state, pending, attempt, true);
+    // While nothing is heard from any target, the path may be at fault and not the version.
+    if (hasHeardSince(state, pending.service, attempt.sentAt)) {
+      recordVersionAnswer(state, pending, attempt, true);
+    }
     recordSlowness(attempt.target, (now - attempt.sentAt) / Math.max(1, attempt.expectedMs), now);
   }
   const wake: BalancerEffect = { kind: 'wake', request: pending.id, at: getNextWakeAt(pending) };
--- a/src/gateway/ActiveRequests.ts
+++ b/src/gateway/ActiveRequests.ts
@@ -1,11 +1,15 @@
-import type { BalancerEffect, BalancerEvent } from '../balancing/index.js';
+import type { BalancerEffect, BalancerEvent, ForwardResult } from '../balancing/index.js';
 import type { AttemptId, RequestId } from '../core/model/index.js';
 import type { Clock } from '../timing/index.js';
+import { writeTargetHeaders } from '../platform/index.js';
 import type { CallerExchange } from './CallerExchange.js';
 import type { TargetAgents } from './TargetAgents.js';
-import { TargetRequest } from './TargetRequest.js';
+import { classifyForwardHead, toForwardResult } from './classifyForwardHead.js';
+import { FORWARD_HEADER, writeForwardTerms } from './forwardHeaders.js';
+import { classifyTargetHead, TargetRequest } from './TargetRequest.js';
 
 type SendAttemptEffect = Extract<BalancerEffect, { kind: 'sendAttempt' }>;
+type ForwardEffect = Extract<BalancerEffect, { kind: 'forwardRequest' }>;
 
 /** Callers' requests that have not been answered yet, and the attempts at targets made for them. */
 export class ActiveRequests {
@@ -20,11 +24,13 @@
 
   /**
    * @param agents - Connection pools of the targets.
+   * @param vmAgents - Connection pools of other entry VMs.
    * @param clock - Clock for the time of load readings.
    * @param dispatch - Receives an event when an attempt ends.
    */
   constructor(
     private readonly agents: TargetAgents,
+    private readonly vmAgents: TargetAgents,
     private readonly clock: Clock,
     private readonly dispatch: (event: BalancerEvent) => void,
   ) {}
@@ -66,13 +72,12 @@
     const targetRequest = new TargetRequest({
       agent: this.agents.getAgent(to),
       clock: this.clock,
-      to,
+      address: to.address,
       method: req.method ?? 'GET',
       path: req.url ?? '/',
-      headers,
+      headers: writeTargetHeaders(headers, to.target, allowedMs, body?.length),
       body,
-      callerRequestId,
-      allowedMs,
+      classifyHead: (head) => classifyTargetHead(callerRequestId, head),
       onEnd: (end) => {
         this.dispatch({ kind: 'attemptEnded', attempt, end });
         this.attempts.delete(attempt);
@@ -85,7 +90,47 @@
     this.attempts.set(attempt, targetRequest);
   }
 
-  /** Cancels an attempt. */
+  /**
+   * Passes a request on to another VM. Does nothing if the request is no longer open.
+   * @param effect - What is passed on.
+   * @param address - Address of the VM for callers; undefined if the VM is not known any more.
+   */
+  startForward(effect: ForwardEffect, address: string | undefined): void {
+    const { request, attempt, vm, allowedMs, terms } = effect;
+    const exchange = this.exchanges.get(request);
+    if (exchange === undefined) return;
+    const finish = (end: ForwardResult): void => {
+      this.dispatch({ kind: 'forwardEnded', attempt, end });
+      this.attempts.delete(attempt);
+    };
+    if (address === undefined) {
+      finish({ kind: 'unsent' });
+      return;
+    }
+    const { req, headers, body } = exchange;
+    let result: ForwardResult | undefined;
+    const vmRequest = new TargetRequest({
+      agent: this.vmAgents.getAgent({ target: vm, bornAt: 0, address }),
+      clock: this.clock,
+      address,
+      method: req.method ?? 'GET',
+      path: req.url ?? '/',
+      headers: [
+        ...writeTargetHeaders(headers, undefined, allowedMs, body?.length),
+        FORWARD_HEADER,
+        writeForwardTerms(terms),
+      ],
+      body,
+      classifyHead: (head) => {
+        result = classifyForwardHead(head);
+        return result && { kind: 'rejected' };
+      },
+      onEnd: (end) => finish(toForwardResult(end, result)),
+    });
+    this.attempts.set(attempt, vmRequest);
+  }
+
+  /** Cancels an attempt or a forward. */
   cancelAttempt(attempt: AttemptId): void {
     this.attempts.get(attempt)?.cancel();
     this.attempts.delete(attempt);
--- a/src/gateway/CallerExchange.ts
+++ b/src/gateway/CallerExchange.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import { linger } from '../entry/exchange/linger.js';
+import { REASON_HEADER } from './forwardHeaders.js';
 import type { TargetAnswer } from './TargetRequest.js';
 
 const MS_PER_SECOND = 1_000;
@@ -20,6 +21,7 @@
    * @param headers - Headers to forward, as alternating names and values.
    * @param body - The request's body; undefined if it has none.
    * @param callerRequestId - Request id set by the caller, if any.
+   * @param isForwarded - Whether another VM has passed the request on.
    */
   constructor(
     readonly req: IncomingMessage,
@@ -27,6 +29,7 @@
     readonly headers: readonly string[],
     readonly body: Buffer | undefined,
     readonly callerRequestId: string | undefined,
+    private readonly isForwarded = false,
   ) {}
 
   /**
@@ -64,6 +67,7 @@
       'Content-Type': 'application/json',
       'Content-Length': body.length,
     };
+    if (this.isForwarded) headers[REASON_HEADER] = reason;
     if (retryAfterMs !== undefined) headers['Retry-After'] = retryAfterMs / MS_PER_SECOND;
     this.res.writeHead(status, headers);
     this.res.end(this.req.method === 'HEAD' ? undefined : body);
--- a/src/gateway/CallerRequestHandler.ts
+++ b/src/gateway/CallerRequestHandler.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
-import type { BalancerEvent, CallerLimits } from '../balancing/index.js';
+import type { BalancerEvent, CallerLimits, ForwardTerms } from '../balancing/index.js';
 import { cleanHeaders } from '../entry/exchange/headers.js';
 import { RequestBody } from '../entry/exchange/RequestBody.js';
 import { readCallerHead } from '../platform/index.js';
@@ -8,6 +8,7 @@
 import type { ActiveRequests } from './ActiveRequests.js';
 import { CallerExchange } from './CallerExchange.js';
 import { createFingerprint } from './createFingerprint.js';
+import { FORWARD_HEADER, readForwardTerms } from './forwardHeaders.js';
 
 /** Dependencies of `CallerRequestHandler`. */
 export interface CallerRequestHandlerParts {
@@ -15,6 +16,8 @@
   readonly activeRequests: ActiveRequests;
   readonly dispatch: (event: BalancerEvent) => void;
   getCallerLimits(): CallerLimits | undefined;
+  /** Whether an IP address is that of an entry VM. */
+  isVmAddress(ip: string): boolean;
 }
 
 /** Largest request body accepted while no configuration is known yet, in bytes. */
@@ -28,6 +31,11 @@
   return req.headers['content-length'] !== undefined;
 }
 
+function removeHeader(headers: string[], name: string): string[] {
+  if (!headers.some((each, i) => i % 2 === 0 && each.toLowerCase() === name)) return headers;
+  return headers.filter((_, i) => headers[i - (i % 2)].toLowerCase() !== name);
+}
+
 /** Buffers callers' requests with their bodies, then dispatches them to the balancer. */
 export class CallerRequestHandler {
   /** @param parts - Clock, open requests, dispatch and limits. */
@@ -56,24 +64,34 @@
     });
     body.collect(true, (outcome) => {
       const wholeBody = hasBody(req) ? body.getWhole() : undefined;
-      const exchange = this.createExchange(req, res, wholeBody);
+      const terms = this.readTerms(req);
+      const exchange = this.createExchange(req, res, wholeBody, terms !== undefined);
       if (outcome === 'tooLarge') exchange.answer(PAYLOAD_TOO_LARGE, 'body too large');
       else if (!(req.url ?? '').startsWith('/')) exchange.answer(BAD_REQUEST, 'no path');
-      else this.dispatchArrival(req, res, exchange, arrivedAt);
+      else this.dispatchArrival(req, res, exchange, arrivedAt, terms);
     });
   }
 
+  /** Returns the terms of a request that another VM has passed on. @internal */
+  private readTerms(req: IncomingMessage): ForwardTerms | undefined {
+    const terms = readForwardTerms(req.headers);
+    if (terms === undefined) return undefined;
+    return this.parts.isVmAddress(req.socket.remoteAddress ?? '') ? terms : undefined;
+  }
+
   /** @internal */
   private createExchange(
     req: IncomingMessage,
     res: ServerResponse,
     body: Buffer | undefined,
+    isForwarded: boolean,
   ): CallerExchange {
-    const { headers, via, forwardedFor } = cleanHeaders(req.rawHeaders);
+    const { headers: allHeaders, via, forwardedFor } = cleanHeaders(req.rawHeaders);
+    const headers = removeHeader(allHeaders, FORWARD_HEADER);
     if (via !== undefined) headers.push('Via', via);
     if (forwardedFor !== undefined) headers.push('X-Forwarded-For', forwardedFor);
     const { callerRequestId } = readCallerHead(req.headers);
-    return new CallerExchange(req, res, headers, body, callerRequestId);
+    return new CallerExchange(req, res, headers, body, callerRequestId, isForwarded);
   }
 
   /** @internal */
@@ -82,6 +100,7 @@
     res: ServerResponse,
     exchange: CallerExchange,
     arrivedAt: number,
+    forwarded: ForwardTerms | undefined,
   ): void {
     const { activeRequests, dispatch } = this.parts;
     const request = activeRequests.add(exchange);
@@ -102,6 +121,7 @@
       path,
       allowedMs,
       arrivedAt,
+      forwarded,
     });
   }
 }
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -15,6 +15,7 @@
 import type { Clock } from '../timing/index.js';
 import { TimerService } from '../timing/index.js';
 import { ActiveRequests } from './ActiveRequests.js';
+import type { EffectRunner } from './BalancerLoop.js';
 import { BalancerLoop } from './BalancerLoop.js';
 import { CallerRequestHandler } from './CallerRequestHandler.js';
 import { createStateSources } from './createStateSources.js';
@@ -59,6 +60,10 @@
   random(): number;
 }
 
+type EffectHandlers = {
+  readonly [K in BalancerEffect['kind']]: (effect: Extract<BalancerEffect, { kind: K }>) => void;
+};
+
 /** The gateway: the process that runs on every entry VM of the platform. */
 export class GatewayProcess {
   /** The balancer's state; tests and reports may read it but must not change it. */
@@ -91,6 +96,9 @@
   /** @internal */
   private readonly agents = new TargetAgents();
 
+  /** Connection pools of other entry VMs, for requests that are passed on. @internal */
+  private readonly vmAgents = new TargetAgents();
+
   /** @internal */
   private readonly prober: TargetProber;
 
@@ -112,6 +120,34 @@
   /** @internal */
   private isStopping = false;
 
+  /** @internal */
+  private readonly effectHandlers: EffectHandlers = {
+    probe: ({ to, path }) => this.prober.probe(to, path),
+    sendAttempt: (effect) => this.activeRequests.startAttempt(effect),
+    forwardRequest: (effect) =>
+      this.activeRequests.startForward(effect, this.view.vms.get(effect.vm)?.callers),
+    cancelAttempt: ({ attempt }) => this.activeRequests.cancelAttempt(attempt),
+    dropIdleConnections: ({ targets }) => targets.forEach((to) => this.agents.destroyIdle(to)),
+    deliver: ({ request, attempt }) => {
+      this.wakeTimers.cancel(request);
+      this.activeRequests.deliver(request, attempt);
+    },
+    answer: ({ request, status, reason, retryAfterMs }) => {
+      this.wakeTimers.cancel(request);
+      this.activeRequests.answer(request, status, reason, retryAfterMs);
+    },
+    wake: ({ request, at }) => this.wakeTimers.set(request, at),
+    askPermit: (effect) => this.messages.runEffect(effect),
+    answerPermit: (effect) => this.messages.runEffect(effect),
+    returnPermit: (effect) => this.messages.runEffect(effect),
+    gossipLimits: (effect) => this.messages.runEffect(effect),
+    gossipCrashes: (effect) => this.messages.runEffect(effect),
+    log: (effect) => {
+      this.metrics.record(effect);
+      this.parts.log.write(effect.event, effect.fields);
+    },
+  };
+
   /** @param parts - Settings, clock, log and random numbers. */
   constructor(private readonly parts: GatewayParts) {
     const { settings, clock, log, random } = parts;
@@ -145,7 +181,7 @@
     this.prober = new TargetProber(this.agents, clock, ({ target, bornAt }, end) =>
       dispatch({ kind: 'probeEnded', target, bornAt, end }),
     );
-    this.activeRequests = new ActiveRequests(this.agents, clock, dispatch);
+    this.activeRequests = new ActiveRequests(this.agents, this.vmAgents, clock, dispatch);
     this.metrics = new GatewayMetrics({
       getStoreCallCounts: () => this.store.calls,
       getProbeCount: () => this.prober.sentProbes,
@@ -230,6 +266,7 @@
     this.endpoints.close();
     this.callerServer?.destroy();
     this.agents.destroy();
+    this.vmAgents.destroy();
     this.store.close();
   }
 
@@ -250,6 +287,7 @@
       activeRequests: this.activeRequests,
       dispatch: this.loop.dispatch,
       getCallerLimits: () => this.view.table?.limits,
+      isVmAddress: (ip) => this.isVmAddress(ip),
     });
     this.callerServer = await CallerServer.listen({
       listen: listen.callers,
@@ -260,6 +298,11 @@
     await this.endpoints.listen();
   }
 
+  /** @internal */
+  private isVmAddress(ip: string): boolean {
+    return [...this.view.vms.values()].some(({ peers }) => peers.startsWith(`${ip}:`));
+  }
+
   /** @internal */
   private handleSectionChange(section: Section): void {
     const { dispatch } = this.loop;
@@ -313,38 +356,7 @@
 
   /** @internal */
   private runEffect(effect: BalancerEffect): void {
-    const { activeRequests } = this;
-    switch (effect.kind) {
-      case 'probe':
-        this.prober.probe(effect.to, effect.path);
-        break;
-      case 'sendAttempt':
-        activeRequests.startAttempt(effect);
-        break;
-      case 'cancelAttempt':
-        activeRequests.cancelAttempt(effect.attempt);
-        break;
-      case 'deliver':
-        this.wakeTimers.cancel(effect.request);
-        activeRequests.deliver(effect.request, effect.attempt);
-        break;
-      case 'answer':
-        this.wakeTimers.cancel(effect.request);
-        activeRequests.answer(effect.request, effect.status, effect.reason, effect.retryAfterMs);
-        break;
-      case 'wake':
-        this.wakeTimers.set(effect.request, effect.at);
-        break;
-      case 'askPermit':
-      case 'answerPermit':
-      case 'returnPermit':
-      case 'gossipLimits':
-      case 'gossipCrashes':
-        this.messages.runEffect(effect);
-        break;
-      default:
-        this.metrics.record(effect);
-        this.parts.log.write(effect.event, effect.fields);
-    }
+    const handle = this.effectHandlers[effect.kind] as EffectRunner;
+    handle(effect);
   }
 }
--- a/src/gateway/TargetAgents.ts
+++ b/src/gateway/TargetAgents.ts
@@ -30,6 +30,14 @@
     return created;
   }
 
+  /**
+   * Destroys the idle connections to a target.
+   * @param to - The target.
+   */
+  destroyIdle(to: Destination): void {
+    this.getAgent(to).destroyIdle();
+  }
+
   /**
    * Drops the pools of all other targets and destroys their idle connections. Requests in progress
    * are completed.
--- a/src/gateway/TargetRequest.ts
+++ b/src/gateway/TargetRequest.ts
@@ -1,10 +1,10 @@
-import type { ClientRequest, IncomingMessage } from 'node:http';
+import type { ClientRequest, IncomingHttpHeaders, IncomingMessage } from 'node:http';
 import { request } from 'node:http';
 
-import type { AttemptResult, Destination, TargetStatements } from '../balancing/index.js';
+import type { AttemptResult, TargetStatements } from '../balancing/index.js';
 import { cleanHeaders } from '../entry/exchange/headers.js';
 import type { TargetHead } from '../platform/index.js';
-import { readStatements, readTargetHead, writeTargetHeaders } from '../platform/index.js';
+import { readStatements, readTargetHead } from '../platform/index.js';
 import type { Clock } from '../timing/index.js';
 import type { TargetAgent } from './TargetAgent.js';
 
@@ -32,19 +32,20 @@
 const NO_CONTENT = 204;
 const NOT_MODIFIED = 304;
 
-/** A request to a target and where to send it. */
+/** A request to a target, or to another entry VM, and where to send it. */
 export interface TargetRequestOptions {
   readonly agent: TargetAgent;
   readonly clock: Clock;
-  readonly to: Destination;
+  /** IP address and port. */
+  readonly address: string;
   readonly method: string;
   readonly path: string;
-  /** Alternating names and values, without hop-by-hop headers. */
+  /** Alternating names and values, as they are sent. */
   readonly headers: readonly string[];
   /** Undefined if the request has no body. */
   readonly body: Buffer | undefined;
-  readonly callerRequestId: string | undefined;
-  readonly allowedMs: number;
+  /** Returns the outcome if the head of the answer decides it, undefined if the body is needed. */
+  classifyHead(head: AnswerHead): AttemptResult | undefined;
   readonly onEnd: (end: AttemptResult) => void;
   /** Called at most once, with the statements of an answer that arrives just after a cancel. */
   readonly onLateStatements?: (statements: TargetStatements) => void;
@@ -61,10 +62,35 @@
   readonly remainder: IncomingMessage | undefined;
 }
 
-interface AnswerHead extends TargetHead {
+/** What the head of an answer says. */
+export interface AnswerHead extends TargetHead {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
   readonly statements: TargetStatements;
 }
 
+/**
+ * Classifies the head of a target's answer.
+ * @param callerRequestId - Id of the request, if its caller gave one.
+ * @param head - The head.
+ * @returns Undefined if the body has to be read.
+ */
+export function classifyTargetHead(
+  callerRequestId: string | undefined,
+  { status, reading, limit, statements, ...head }: AnswerHead,
+): AttemptResult | undefined {
+  // It also says that it has not run the request, but load and statements are of another target.
+  if (status === MISDIRECTED_REQUEST) return { kind: 'misdirected' };
+  if (head.hasNotRun) return { kind: 'rejected', reading, limit, ...statements };
+  // A late answer to an earlier request on this connection; the target may still run this one.
+  if (callerRequestId !== undefined && head.callerRequestId !== callerRequestId) {
+    return { kind: 'spoilt', ...statements };
+  }
+  const isSuccess = status >= FIRST_SUCCESS && status < FIRST_REDIRECT;
+  const isTrusted = (!isSuccess || head.isSigned) && !head.isEncoded;
+  return isTrusted ? undefined : { kind: 'spoilt', ...statements };
+}
+
 /** Whether the end of an answer's body is marked only by the close of the connection. */
 function isCloseDelimited({ headers, statusCode }: IncomingMessage): boolean {
   const isFramed =
@@ -88,10 +114,9 @@
 
   /** @param options - The request and its target. */
   constructor(private readonly options: TargetRequestOptions) {
-    const { to, method, path, body, headers, agent, allowedMs } = options;
-    const [host, port] = to.address.split(':');
-    const requestHeaders = writeTargetHeaders(headers, to.target, allowedMs, body?.length);
-    this.req = request({ host, port, method, path, agent, headers: requestHeaders });
+    const { address, method, path, body, headers, agent } = options;
+    const [host, port] = address.split(':');
+    this.req = request({ host, port, method, path, agent, headers });
     const connectTimer = setTimeout(() => this.abortConnecting(), CONNECT_TIMEOUT_MS);
     this.req.once('socket', (socket) => {
       const markConnected = (): void => {
@@ -136,13 +161,15 @@
   private readResponse(res: IncomingMessage): void {
     const status = res.statusCode ?? 0;
     const statements = readStatements(res.headers, status);
-    const head = { ...readTargetHead(res.headers, true, this.options.clock.now()), statements };
+    const { headers } = res;
+    const targetHead = readTargetHead(headers, true, this.options.clock.now());
+    const head = { ...targetHead, status, headers, statements };
     if (this.hasEnded) {
       if (status !== MISDIRECTED_REQUEST) this.options.onLateStatements?.(statements);
       this.req.destroy();
       return;
     }
-    const end = this.classifyHead(status, head);
+    const end = this.options.classifyHead(head);
     if (end !== undefined) {
       this.finish(end);
       // Unless the target merely rejected the request, the connection cannot be trusted any more.
@@ -193,22 +220,6 @@
     });
   }
 
-  /** Returns the outcome if the head decides it, undefined if the body has to be read. @internal */
-  private classifyHead(status: number, head: AnswerHead): AttemptResult | undefined {
-    const { callerRequestId } = this.options;
-    const { reading, limit, statements } = head;
-    // It also says that it has not run the request, but load and statements are of another target.
-    if (status === MISDIRECTED_REQUEST) return { kind: 'misdirected' };
-    if (head.hasNotRun) return { kind: 'rejected', reading, limit, ...statements };
-    // A late answer to an earlier request on this connection; the target may still run this one.
-    if (callerRequestId !== undefined && head.callerRequestId !== callerRequestId) {
-      return { kind: 'spoilt', ...statements };
-    }
-    const isSuccess = status >= FIRST_SUCCESS && status < FIRST_REDIRECT;
-    const isTrusted = (!isSuccess || head.isSigned) && !head.isEncoded;
-    return isTrusted ? undefined : { kind: 'spoilt', ...statements };
-  }
-
   /** @internal */
   private completeAnswer(
     status: number,
--- a/src/platform/requests.ts
+++ b/src/platform/requests.ts
@@ -47,15 +47,15 @@
 ]);
 
 /**
- * Builds the headers of a request to a target.
+ * Builds the headers of a request to a target, or to another entry VM.
  * @param headers - Names and values in turn, without headers that apply to a single connection.
- * @param target - Id of the only target that may run the request.
+ * @param target - Id of the only target that may run the request; undefined for an entry VM.
  * @param allowedMs - Time that the target has, in milliseconds.
  * @param bodyBytes - Length of the body; undefined if the request has none.
  */
 export function writeTargetHeaders(
   headers: readonly string[],
-  target: string,
+  target: string | undefined,
   allowedMs: number,
   bodyBytes: number | undefined,
 ): string[] {
@@ -66,7 +66,7 @@
     }
   }
   written.push('X-Masticlink-Deadline-Ms', String(allowedMs));
-  written.push('X-Masticlink-Target-Instance', target);
+  if (target !== undefined) written.push('X-Masticlink-Target-Instance', target);
   if (bodyBytes !== undefined) written.push('Content-Length', String(bodyBytes));
   return written;
 }
--- a/src/report/explainRequest.ts
+++ b/src/report/explainRequest.ts
@@ -108,9 +108,17 @@
     `${formatValue(f.target)} failed the attempt after ${formatValue(f.tookMs)} ms: ${formatValue(f.end)}${
       f.status === undefined ? '' : ` with ${formatValue(f.status)}`
     }`,
+  'request.forwarded': (f) =>
+    `passed on to ${formatValue(f.vm)}, since this VM reaches no target of ${formatValue(f.service)}`,
+  'forward.failed': (f) =>
+    `${formatValue(f.vm)} did not serve it, after ${formatValue(f.tookMs)} ms: ${formatValue(f.end)}${
+      f.reason === undefined ? '' : ` (${formatValue(f.reason)})`
+    }`,
   'request.answered': (f) =>
-    `answered ${formatValue(f.status)} by ${formatValue(f.target)} after ${formatValue(f.tookMs)} ms ` +
-    `(expected ${formatValue(f.expectedMs)} ms)`,
+    f.via === undefined
+      ? `answered ${formatValue(f.status)} by ${formatValue(f.target)} after ${formatValue(f.tookMs)} ms ` +
+        `(expected ${formatValue(f.expectedMs)} ms)`
+      : `answered ${formatValue(f.status)} through ${formatValue(f.via)} after ${formatValue(f.tookMs)} ms`,
   'request.refused': describeEnd,
   'request.failed': describeEnd,
   'store.sectionRestored': (f) =>
--- a/src/tests/gateway/GatewayHarness.ts
+++ b/src/tests/gateway/GatewayHarness.ts
@@ -1,4 +1,4 @@
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { IncomingHttpHeaders, IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { connect } from 'node:net';
@@ -30,6 +30,9 @@
   /** Ids of the requests that the target has started, in that order. */
   readonly startedIds: string[] = [];
 
+  /** Headers of the request that the target has started last. */
+  lastHeaders: IncomingHttpHeaders = {};
+
   /** Ids of the requests whose connection to the target was closed before they were answered. */
   readonly abortedIds: string[] = [];
 
@@ -176,6 +179,7 @@
     }
     req.resume();
     this.startedIds.push(id);
+    this.lastHeaders = req.headers;
     this.heldAnswers.set(id, res);
     res.once('close', () => {
       if (!res.writableFinished) this.abortedIds.push(id);
--- a/src/tests/gateway/TargetRequest.test.ts
+++ b/src/tests/gateway/TargetRequest.test.ts
@@ -6,7 +6,8 @@
 import type { AttemptResult } from '../../balancing/index.js';
 import { TargetAgent } from '../../gateway/TargetAgent.js';
 import type { TargetAnswer } from '../../gateway/TargetRequest.js';
-import { TargetRequest } from '../../gateway/TargetRequest.js';
+import { classifyTargetHead, TargetRequest } from '../../gateway/TargetRequest.js';
+import { writeTargetHeaders } from '../../platform/index.js';
 import { SystemClock } from '../../timing/index.js';
 
 interface Outcome {
@@ -45,13 +46,17 @@
     const targetRequest: TargetRequest = new TargetRequest({
       agent,
       clock: new SystemClock(),
-      to: { target: 't-1', bornAt: 0, address },
+      address,
       method: body === undefined ? 'GET' : 'POST',
       path: '/horaires/',
-      headers: ['Host', 'door.example', 'X-Masticlink-Request-Id', 'r-1'],
+      headers: writeTargetHeaders(
+        ['Host', 'door.example', 'X-Masticlink-Request-Id', 'r-1'],
+        't-1',
+        5_000,
+        body?.length,
+      ),
       body,
-      callerRequestId: 'r-1',
-      allowedMs: 5_000,
+      classifyHead: (head) => classifyTargetHead('r-1', head),
       onEnd: (end) => resolve({ end, answer: targetRequest.answer }),
     });
   });
@@ -217,13 +222,12 @@
     req = new TargetRequest({
       agent,
       clock: new SystemClock(),
-      to: { target: 't-1', bornAt: 0, address },
+      address,
       method: 'GET',
       path: '/',
       headers: [],
       body: undefined,
-      callerRequestId: undefined,
-      allowedMs: 1_000,
+      classifyHead: (head) => classifyTargetHead(undefined, head),
       onEnd: () => t.fail(),
       onLateStatements: resolve,
     });
@@ -253,13 +257,12 @@
     const targetRequest = new TargetRequest({
       agent,
       clock: new SystemClock(),
-      to: { target: 't-1', bornAt: 0, address: '127.0.0.1:1' },
+      address: '127.0.0.1:1',
       method: 'GET',
       path: '/',
       headers: [],
       body: undefined,
-      callerRequestId: undefined,
-      allowedMs: 1_000,
+      classifyHead: (head) => classifyTargetHead(undefined, head),
       onEnd: resolve,
     });
     t.truthy(targetRequest);
@@ -280,13 +283,12 @@
     new TargetRequest({
       agent,
       clock: new SystemClock(),
-      to: { target: 't-1', bornAt: 0, address },
+      address,
       method: 'GET',
       path: '/',
       headers: [],
       body: undefined,
-      callerRequestId: undefined,
-      allowedMs: 5_000,
+      classifyHead: (head) => classifyTargetHead(undefined, head),
       onEnd,
     });
   const first = send(() => {});
