Only entry VMs state reasons and terms of requests that are passed on

Headers of that name, and of the terms, are dropped from callers' requests and targets' answers, as Masticlink-Outcome is.

--- a/src/balancing/forwarding.ts
+++ b/src/balancing/forwarding.ts
@@ -22,6 +22,15 @@
   'stopping',
 ] satisfies LocalAnswerReason[]);
 
+/** Reasons of a helper that this VM gives the caller as well. */
+const REPEATED_REASONS: readonly LocalAnswerReason[] = [
+  'limited',
+  'paused',
+  'crashesTargets',
+  'rejected',
+  'rejectedWithRoom',
+];
+
 /** Whether this VM serves as many requests of other VMs as it can. */
 export function isHelpingAtLimit({ pendingRequests }: BalancerState): boolean {
   let helped = 0;
@@ -152,7 +161,7 @@
   if (end.kind === 'refused' && !EXCLUDING_REASONS.has(reason ?? '')) {
     state.helpers.recordHelp(vm, now);
     if (hasOpenAttempt) return [line];
-    const own = reason === 'crashesTargets' ? reason : 'overloaded';
+    const own = REPEATED_REASONS.find((each) => each === reason) ?? 'overloaded';
     return [line, ...refuseOrFail(state, pending, own, context)];
   }
   state.helpers.exclude(vm, now);
--- a/src/entry/exchange/headers.ts
+++ b/src/entry/exchange/headers.ts
@@ -73,6 +73,9 @@
   // the answer to another request would make a false statement about this one.
   ['masticlink-outcome', DROP_RULE],
   ['masticlink-replayed', DROP_RULE],
+  ['masticlink-reason', DROP_RULE],
+  // Concerns the connection between two entry VMs only.
+  ['masticlink-forward', DROP_RULE],
 ]);
 
 /**
--- a/src/gateway/CallerRequestHandler.ts
+++ b/src/gateway/CallerRequestHandler.ts
@@ -8,7 +8,7 @@
 import type { ActiveRequests } from './ActiveRequests.js';
 import { CallerExchange } from './CallerExchange.js';
 import { createFingerprint } from './createFingerprint.js';
-import { FORWARD_HEADER, readForwardTerms } from './forwardHeaders.js';
+import { readForwardTerms } from './forwardHeaders.js';
 
 /** Dependencies of `CallerRequestHandler`. */
 export interface CallerRequestHandlerParts {
@@ -31,11 +31,6 @@
   return req.headers['content-length'] !== undefined;
 }
 
-function removeHeader(headers: string[], name: string): string[] {
-  if (!headers.some((each, i) => i % 2 === 0 && each.toLowerCase() === name)) return headers;
-  return headers.filter((_, i) => headers[i - (i % 2)].toLowerCase() !== name);
-}
-
 /** Buffers callers' requests with their bodies, then dispatches them to the balancer. */
 export class CallerRequestHandler {
   /** @param parts - Clock, open requests, dispatch and limits. */
@@ -86,8 +81,7 @@
     body: Buffer | undefined,
     isForwarded: boolean,
   ): CallerExchange {
-    const { headers: allHeaders, via, forwardedFor } = cleanHeaders(req.rawHeaders);
-    const headers = removeHeader(allHeaders, FORWARD_HEADER);
+    const { headers, via, forwardedFor } = cleanHeaders(req.rawHeaders);
     if (via !== undefined) headers.push('Via', via);
     if (forwardedFor !== undefined) headers.push('X-Forwarded-For', forwardedFor);
     const { callerRequestId } = readCallerHead(req.headers);
--- a/src/tests/gateway/forwarding.test.ts
+++ b/src/tests/gateway/forwarding.test.ts
@@ -2,6 +2,7 @@
 
 import test from 'ava';
 
+import { cleanHeaders } from '../../entry/exchange/headers.js';
 import { classifyForwardHead, toForwardResult } from '../../gateway/classifyForwardHead.js';
 import {
   FORWARD_HEADER,
@@ -45,6 +46,12 @@
   });
 });
 
+// A target's header would make the VM that passed the request on state that it has not run.
+test('only a VM can state the reason of its refusal', (t) => {
+  const sent = ['Masticlink-Reason', 'noRoute', 'Masticlink-Forward', 'targets=1; service=a'];
+  t.deepEqual(cleanHeaders(sent).headers, []);
+});
+
 // Only entry VMs may set terms; a caller that does so would lower the number of its attempts.
 test('the header of a request that is passed on does not reach targets', async (t) => {
   const harness = await GatewayHarness.start();
