--- a/src/balancing/events.ts
+++ b/src/balancing/events.ts
@@ -33,8 +33,8 @@
 export interface ForwardTerms {
   /** Maximum number of targets that the request may still be sent to. */
   readonly maxTargets: number;
-  /** Service that the request is for, chosen among those of its route. */
-  readonly service: ServiceName;
+  /** Service that the request is for, chosen among those of its route; undefined if none was. */
+  readonly service: ServiceName | undefined;
 }
 
 /** The caller closed its connection before it received an answer. */
--- a/src/gateway/CallerRequestHandler.ts
+++ b/src/gateway/CallerRequestHandler.ts
@@ -67,11 +67,15 @@
     });
   }
 
-  /** Returns the terms of a request that another VM has passed on. @internal */
+  /**
+   * Returns the terms of a request that was passed on. Whoever sends them, it is not passed on again;
+   * but only a VM may choose among the services of a route.
+   * @internal
+   */
   private readTerms(req: IncomingMessage): ForwardTerms | undefined {
     const terms = readForwardTerms(req.headers);
-    if (terms === undefined) return undefined;
-    return this.parts.isVmAddress(req.socket.remoteAddress ?? '') ? terms : undefined;
+    const isFromVm = this.parts.isVmAddress(req.socket.remoteAddress ?? '');
+    return terms === undefined || isFromVm ? terms : { ...terms, service: undefined };
   }
 
   /** @internal */
--- a/src/gateway/forwardHeaders.ts
+++ b/src/gateway/forwardHeaders.ts
@@ -2,7 +2,7 @@
 
 import type { ForwardTerms } from '../balancing/index.js';
 
-/** Terms of a request that an entry VM passes on to another one; callers' values are ignored. */
+/** Terms of a request that an entry VM passes on to another one. */
 export const FORWARD_HEADER = 'masticlink-forward';
 
 /** Why a VM answered a request itself that was passed on to it. */
--- a/src/tests/gateway/forwarding.test.ts
+++ b/src/tests/gateway/forwarding.test.ts
@@ -1,14 +1,19 @@
-import type { IncomingHttpHeaders } from 'node:http';
+import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http';
 
 import test from 'ava';
 
+import type { BalancerEvent } from '../../balancing/index.js';
 import { cleanHeaders } from '../../entry/exchange/headers.js';
+import { ActiveRequests } from '../../gateway/ActiveRequests.js';
+import { CallerRequestHandler } from '../../gateway/CallerRequestHandler.js';
 import { classifyForwardHead, toForwardResult } from '../../gateway/classifyForwardHead.js';
 import {
   FORWARD_HEADER,
   readForwardTerms,
   writeForwardTerms,
 } from '../../gateway/forwardHeaders.js';
+import { TargetAgents } from '../../gateway/TargetAgents.js';
+import { SystemClock } from '../../timing/index.js';
 import { GatewayHarness } from './GatewayHarness.js';
 
 function classify(status: number, reason?: string, isSigned = false): string {
@@ -52,7 +57,7 @@
   t.deepEqual(cleanHeaders(sent).headers, []);
 });
 
-// Only entry VMs may set terms; a caller that does so would lower the number of its attempts.
+// Targets would have to know what is between entry VMs.
 test('the header of a request that is passed on does not reach targets', async (t) => {
   const harness = await GatewayHarness.start();
   const caller = await harness.connect();
@@ -65,3 +70,35 @@
   harness.release('r-1');
   await harness.stop();
 });
+
+// A VM behind a translated address would not be known, and its requests would travel in a circle.
+test('a request with terms is not passed on again, whatever address it comes from', (t) => {
+  const dispatched: BalancerEvent[] = [];
+  const requests = new ActiveRequests(
+    new TargetAgents(),
+    new TargetAgents(),
+    new SystemClock(),
+    () => {},
+  );
+  const handler = new CallerRequestHandler({
+    clock: new SystemClock(),
+    activeRequests: requests,
+    dispatch: (event) => dispatched.push(event),
+    getCallerLimits: () => undefined,
+    isVmAddress: (ip) => ip === '10.0.0.1',
+  });
+  const headers = { [FORWARD_HEADER]: 'targets=1; service=horaires', host: 'door.example' };
+  for (const remoteAddress of ['10.0.0.1', '10.9.9.9']) {
+    const socket = { remoteAddress };
+    const req = { headers, rawHeaders: [], url: '/horaires/x', method: 'GET', socket };
+    const res = { once: () => res };
+    handler.handle(req as unknown as IncomingMessage, res as unknown as ServerResponse, false, 0);
+  }
+  t.deepEqual(
+    dispatched.map((event) => event.kind === 'requestArrived' && event.forwarded),
+    [
+      { maxTargets: 1, service: 'horaires' },
+      { maxTargets: 1, service: undefined },
+    ],
+  );
+});
