--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -18,6 +18,8 @@
   const hasLimits = process.argv.includes('--limits');
   const hasStatements = process.argv.includes('--statements');
   const hasRestores = process.argv.includes('--restores');
+  const hasCrashes = process.argv.includes('--crashes');
+  const hasCuts = process.argv.includes('--cuts');
   let failed = 0;
   for (let seed = first; seed < first + seeds; seed++) {
     const { broken, requests, served, faults, dir } = await runSoak({
@@ -27,6 +29,8 @@
       hasLimits,
       hasStatements,
       hasRestores,
+      hasCrashes,
+      hasCuts,
       onFault: (name, atMs) => {
         if (isVerbose) process.stdout.write(`  ${(atMs / 1_000).toFixed(2)} s ${name}\n`);
       },
--- a/src/soak/runSoak.ts
+++ b/src/soak/runSoak.ts
@@ -4,6 +4,8 @@
 
 import { createRandom } from '../standIns/models/index.js';
 import { checkSoak } from './checkSoak.js';
+import { repeatFatalRequest } from './crashFault.js';
+import { cutPaths } from './cutFault.js';
 import type { Fault, FaultContext } from './faults.js';
 import { FAULTS } from './faults.js';
 import { nameLimit } from './limitFault.js';
@@ -26,6 +28,10 @@
   readonly hasStatements?: boolean;
   /** Whether the store is at times restored from a copy. */
   readonly hasRestores?: boolean;
+  /** Whether requests that crash their targets are among the faults. */
+  readonly hasCrashes?: boolean;
+  /** Whether gateways are at times cut off from all targets. */
+  readonly hasCuts?: boolean;
   /** Called when a fault starts. */
   readonly onFault?: (name: string, atMs: number) => void;
 }
@@ -61,12 +67,14 @@
 
 /** Returns the faults that the options add, by name. */
 function getOptionalFaults(options: SoakOptions): Readonly<Record<string, Fault>> {
-  const { hasRollouts, hasLimits, hasStatements, hasRestores } = options;
+  const { hasRollouts, hasLimits, hasStatements, hasRestores, hasCrashes, hasCuts } = options;
   return {
     ...(hasRollouts === true ? { orderRollout } : {}),
     ...(hasLimits === true ? { nameLimit } : {}),
     ...(hasStatements === true ? { askForPauses, announceDrain } : {}),
     ...(hasRestores === true ? { restoreStore } : {}),
+    ...(hasCrashes === true ? { repeatFatalRequest } : {}),
+    ...(hasCuts === true ? { cutPaths } : {}),
   };
 }
 
--- a/src/tests/soak/soak.test.ts
+++ b/src/tests/soak/soak.test.ts
@@ -129,3 +129,15 @@
   const { broken } = await runSoak({ seed: 7003, faultsMs: 6_000, hasRestores: true });
   t.deepEqual(broken, []);
 });
+
+// Requests crash targets, and gateways lose their paths to all targets, while others are killed or paused.
+test('requests that crash targets and paths that are lost are borne during other faults', async (t) => {
+  t.timeout(90_000);
+  const { broken } = await runSoak({
+    seed: 8001,
+    faultsMs: 8_000,
+    hasCrashes: true,
+    hasCuts: true,
+  });
+  t.deepEqual(broken, []);
+});
