Slow probes of targets that answer requests do not put a service in doubt

Under overload probes of five targets can wait for 150 ms while answers arrive; requests were then passed on to VMs that have no more room. Only probes sent after the latest answer count.

--- a/src/balancing/reachability.ts
+++ b/src/balancing/reachability.ts
@@ -85,10 +85,11 @@
   if (!Number.isFinite(reach.heardAt)) return 'inReach';
   const expected = getExpectedTargets(state, service, now);
   if (expected.length === 0) return 'inReach';
+  // Probes that were sent before the latest answer show that targets are slow, not out of reach.
   const silent = expected.filter(
-    ({ entry, probeSentAt }) =>
+    ({ entry, probeSentAt = Number.NEGATIVE_INFINITY }) =>
       reach.failed.has(entry.id) ||
-      (probeSentAt !== undefined && now - probeSentAt >= OVERDUE_PROBE_MS),
+      (probeSentAt > reach.heardAt && now - probeSentAt >= OVERDUE_PROBE_MS),
   );
   return silent.length >= countNeeded(expected) ? 'inDoubt' : 'inReach';
 }
