A request looks for a VM to pass it on for 600 ms at most

VMs that take no connection cost 250 ms each, so that a VM cut off from all others held callers for 1.5 s before it refused them.

--- a/src/balancing/PendingRequest.ts
+++ b/src/balancing/PendingRequest.ts
@@ -66,6 +66,8 @@
   readonly isForwarded: boolean;
   /** Set while it is passed on to another VM. */
   forward: Forward | undefined;
+  /** When it was first passed on; monotonic milliseconds. */
+  searchStartedAt: number | undefined;
   /** VMs that it was passed on to. */
   readonly helpersTried: Set<string>;
   round: ProbeRound | undefined;
--- a/src/balancing/forwarding.ts
+++ b/src/balancing/forwarding.ts
@@ -8,6 +8,12 @@
 /** Maximum number of VMs that one request is passed on to; all but the last refused it. */
 const MAX_HELPERS = 6;
 
+/**
+ * How long a request looks for a helper, in milliseconds. VMs that take no connection cost a timeout
+ * each; a VM that is cut off from all others must not hold its callers for many of these.
+ */
+const MAX_SEARCH_MS = 600;
+
 /** Requests of other VMs that this one serves at the same time; the memory of a VM is small. */
 const MAX_HELPED_REQUESTS = 64;
 
@@ -81,7 +87,8 @@
   const { now, random } = context;
   const { service, helpersTried } = pending;
   const probes = probeForRecovery(state, service, context);
-  const canAsk = isForwardable(pending) && helpersTried.size < MAX_HELPERS;
+  const isInTime = now - (pending.searchStartedAt ?? now) <= MAX_SEARCH_MS;
+  const canAsk = isForwardable(pending) && helpersTried.size < MAX_HELPERS && isInTime;
   const hasTime = pending.deadlineAt - now >= MIN_ALLOWED_MS;
   const vm =
     canAsk && hasTime
@@ -93,6 +100,7 @@
   }
   // The helper counts the request, as it decides on retries.
   if (helpersTried.size === 0) state.retryBudget.forgetRequest(service, now);
+  pending.searchStartedAt ??= now;
   helpersTried.add(vm);
   state.helpers.recordSent(vm);
   state.lastAttemptId += 1;
--- a/src/balancing/requestHandlers.ts
+++ b/src/balancing/requestHandlers.ts
@@ -81,6 +81,7 @@
     maxTargets: Math.min(route.maxTargets, event.forwarded?.maxTargets ?? route.maxTargets),
     isForwarded: event.forwarded !== undefined,
     forward: undefined,
+    searchStartedAt: undefined,
     helpersTried: new Set(),
     round: undefined,
     roundCount: 0,
--- a/src/tests/balancing/forwarding.test.ts
+++ b/src/tests/balancing/forwarding.test.ts
@@ -145,6 +145,32 @@
   t.is(getAnswers(scene).length, 2);
 });
 
+// Each VM that takes no connection costs a timeout.
+test('a request does not look for a helper for long', (t) => {
+  const scene = cutOff();
+  scene.now += 250;
+  endForward(scene, { kind: 'unsent' });
+  scene.now += 400;
+  endForward(scene, { kind: 'unsent' });
+  t.is(getForwards(scene).length, 2);
+  t.deepEqual(getAnswers(scene), [[503, 'noTarget']]);
+});
+
+// Passed on under overload, requests would cost other VMs what they have no room for either.
+test('a service whose targets answer requests is in reach, however long its probes wait', (t) => {
+  const scene = new Scene(TARGETS);
+  scene.dispatch({ kind: 'vmsChanged', vms: VMS });
+  scene.arrive();
+  scene.answerProbes();
+  const { attempt } = scene.lastSent;
+  scene.now += 100;
+  const request = scene.arrive();
+  for (let i = 0; i < 3; i++) scene.wait(20, request);
+  scene.dispatch({ kind: 'attemptEnded', attempt, end: { kind: 'answered', status: 200 } });
+  for (let i = 0; i < 6; i++) scene.wait(20, request);
+  t.is(getForwards(scene).length, 0);
+});
+
 test('a VM that could not help is asked again after a while', (t) => {
   const scene = cutOff();
   for (let i = 0; i < 3; i++) endForward(scene, { kind: 'unsent' });
