--- a/src/balancing/reachability.ts
+++ b/src/balancing/reachability.ts
@@ -83,6 +83,7 @@
   if (reach.lostAt !== undefined) return 'lost';
   // Just after its start, a VM opens all connections at once, and answers take longer.
   if (!Number.isFinite(reach.heardAt)) return 'inReach';
+  if (now - reach.heardAt < OVERDUE_PROBE_MS) return 'inReach';
   const expected = getExpectedTargets(state, service, now);
   if (expected.length === 0) return 'inReach';
   // Probes that were sent before the latest answer show that targets are slow, not out of reach.
