Both sets of decisions count crash requests by one ledger

src/core/protection kept its own count of crashes by fingerprint, with messages that add up the counts of peers.

--- a/src/balancing/BalancerState.ts
+++ b/src/balancing/BalancerState.ts
@@ -3,6 +3,7 @@
 import { ColdAllowance } from './ColdAllowance.js';
 import { CrashLedger } from '../crashes/index.js';
 import type { BrokenRun } from './crashes.js';
+import { CRASH_LEDGER_OPTIONS } from './settings.js';
 import type { RequestArrived } from './events.js';
 import { HelperPool } from './HelperPool.js';
 import type { ServiceReach } from './ServiceReach.js';
@@ -113,7 +114,7 @@
     limits: new LimitView(),
     permits: new PermitPool(),
     issuer: new PermitIssuer(),
-    crashes: new CrashLedger(),
+    crashes: new CrashLedger(CRASH_LEDGER_OPTIONS),
     brokenRuns: new Map(),
     reach: new Map(),
     helpers: new HelperPool(),
--- a/src/balancing/settings.ts
+++ b/src/balancing/settings.ts
@@ -1,4 +1,5 @@
 import type { ZoneName } from '../core/model/index.js';
+import type { CrashLedgerOptions } from '../crashes/index.js';
 import type { ColdRateLimit } from './ColdAllowance.js';
 import type { ExposureBound } from '../rollouts/index.js';
 import type { RetryBudgetOptions } from './RetryBudget.js';
@@ -135,5 +136,15 @@
 export const DEAD_MIN_MS = 400;
 export const DEAD_MAX_MS = 3_000;
 
+/**
+ * Thresholds for requests that crash targets. With two crashes a sound request that ran beside two
+ * in a row would be refused.
+ */
+export const CRASH_LEDGER_OPTIONS: CrashLedgerOptions = {
+  minCrashesToRefuse: 3,
+  suspicionTtlMs: 600_000,
+  firstRefusalMs: 300_000,
+};
+
 /** How long requests are still accepted after a graceful shutdown began, in milliseconds. */
 export const SHUTDOWN_ACCEPT_MS = 2_900;
--- a/src/core/protection/index.ts
+++ b/src/core/protection/index.ts
@@ -1,6 +1,6 @@
 export { protectionPart } from './protectionPart.js';
 export { createProtectionState } from './ProtectionState.js';
-export type { ProtectionState, RetryBudget, SuspectRecord } from './ProtectionState.js';
+export type { ProtectionState, RetryBudget } from './ProtectionState.js';
 export { addRetryTokens, canHedge, takeHedge, tryTakeRetry } from './retryBudget.js';
 export {
   getRefusalRemainingMs,
--- a/src/core/requests/attemptEnded.ts
+++ b/src/core/requests/attemptEnded.ts
@@ -137,7 +137,9 @@
     const ended = recordAttemptEnded(state, to.target, event.attempt, event.end, context);
     effects.push(...ended.effects);
     if (ended.lostFingerprints.length > 0) {
-      effects.push(...recordTargetCrash(state, service, ended.lostFingerprints, context));
+      effects.push(
+        ...recordTargetCrash(state, service, to.target, ended.lostFingerprints, context),
+      );
     }
   } else {
     recordForwardEnded(state, service, to.peer);
--- a/src/crashes/CrashLedger.ts
+++ b/src/crashes/CrashLedger.ts
@@ -7,23 +7,25 @@
 } from './model.js';
 import { getRunKey } from './model.js';
 
-/** Number of crashes from which a request is refused. */
-export const MIN_CRASHES_TO_REFUSE = 3;
-
 /**
  * Time after an answer within which crashes do not count, in milliseconds. A popular request runs
  * on most targets, and so also on those that crash for another reason.
  */
 const ANSWER_VALIDITY_MS = 10_000;
 
-/** How long fewer crashes than `MIN_CRASHES_TO_REFUSE` are remembered, in milliseconds. */
-const SUSPICION_TTL_MS = 600_000;
+/** Thresholds of a `CrashLedger`. */
+export interface CrashLedgerOptions {
+  /** Number of crashes from which a request is refused. */
+  readonly minCrashesToRefuse: number;
+  /** How long fewer crashes are remembered, in milliseconds. */
+  readonly suspicionTtlMs: number;
+  /**
+   * How long a request is refused after its latest crash until it may be tried again, in
+   * milliseconds; each trial that crashes a target multiplies the time.
+   */
+  readonly firstRefusalMs: number;
+}
 
-/**
- * How long a request is refused after its latest crash until it may be tried again, in
- * milliseconds; each trial that crashes a target multiplies the time.
- */
-const FIRST_REFUSAL_MS = 300_000;
 const REFUSAL_GROWTH = 4;
 const MAX_REFUSAL_MS = 86_400_000;
 
@@ -70,6 +72,9 @@
   /** Runs that answered after a reported crash, by `getRunKey`. @internal */
   private readonly alive = new Map<string, Observed>();
 
+  /** @param options - Thresholds. */
+  constructor(private readonly options: CrashLedgerOptions) {}
+
   /** Whether no request is suspected. */
   get isEmpty(): boolean {
     return this.suspects.size === 0;
@@ -82,7 +87,7 @@
    */
   getCrashes(fingerprint: string, now: number): readonly TargetRun[] {
     const suspect = this.suspects.get(fingerprint);
-    if (suspect === undefined || CrashLedger.isExpired(suspect, now)) return [];
+    if (suspect === undefined || this.isExpired(suspect, now)) return [];
     return CrashLedger.getEvidence(suspect).map(({ run }) => run);
   }
 
@@ -94,7 +99,7 @@
   getVerdict(fingerprint: string, now: number): SuspectVerdict {
     const count = this.getCrashes(fingerprint, now).length;
     if (count === 0) return 'clear';
-    if (count < MIN_CRASHES_TO_REFUSE) return 'suspected';
+    if (count < this.options.minCrashesToRefuse) return 'suspected';
     return this.getRefusalMs(fingerprint, now) > 0 ? 'refused' : 'trial';
   }
 
@@ -106,8 +111,8 @@
   getRefusalMs(fingerprint: string, now: number): number {
     const suspect = this.suspects.get(fingerprint);
     const crashes = suspect === undefined ? [] : CrashLedger.getEvidence(suspect);
-    if (crashes.length < MIN_CRASHES_TO_REFUSE) return 0;
-    const refusalMs = CrashLedger.getRefusalTotalMs(crashes.length);
+    if (crashes.length < this.options.minCrashesToRefuse) return 0;
+    const refusalMs = this.getRefusalTotalMs(crashes.length);
     return Math.max(0, crashes[crashes.length - 1].at + refusalMs - now);
   }
 
@@ -209,9 +214,10 @@
   }
 
   /** @internal */
-  private static getRefusalTotalMs(crashes: number): number {
-    const trials = crashes - MIN_CRASHES_TO_REFUSE;
-    return Math.min(MAX_REFUSAL_MS, FIRST_REFUSAL_MS * REFUSAL_GROWTH ** trials);
+  private getRefusalTotalMs(crashes: number): number {
+    const { minCrashesToRefuse, firstRefusalMs } = this.options;
+    const trials = crashes - minCrashesToRefuse;
+    return Math.min(MAX_REFUSAL_MS, firstRefusalMs * REFUSAL_GROWTH ** trials);
   }
 
   /** @internal */
@@ -276,20 +282,22 @@
   }
 
   /** @internal */
-  private static isExpired(suspect: Suspect, now: number): boolean {
+  private isExpired(suspect: Suspect, now: number): boolean {
     const crashes = [...suspect.crashes.values()];
     const latestAt = Math.max(...crashes.map(({ at }) => at));
     const count = CrashLedger.getEvidence(suspect).length;
     // Twice the time of a refusal, so that there is a time for a trial after it.
     const ttlMs =
-      count < MIN_CRASHES_TO_REFUSE ? SUSPICION_TTL_MS : 2 * CrashLedger.getRefusalTotalMs(count);
+      count < this.options.minCrashesToRefuse
+        ? this.options.suspicionTtlMs
+        : 2 * this.getRefusalTotalMs(count);
     return now - latestAt > ttlMs;
   }
 
   /** @internal */
   private removeExpired(now: number): void {
     for (const [fingerprint, suspect] of this.suspects) {
-      if (CrashLedger.isExpired(suspect, now)) this.suspects.delete(fingerprint);
+      if (this.isExpired(suspect, now)) this.suspects.delete(fingerprint);
     }
     for (const [key, { at }] of this.alive) if (now - at > ALIVE_TTL_MS) this.alive.delete(key);
   }
--- a/src/crashes/index.ts
+++ b/src/crashes/index.ts
@@ -1,2 +1,3 @@
-export { CrashLedger, MIN_CRASHES_TO_REFUSE } from './CrashLedger.js';
+export type { CrashLedgerOptions } from './CrashLedger.js';
+export { CrashLedger } from './CrashLedger.js';
 export * from './model.js';
--- a/src/crashes/model.ts
+++ b/src/crashes/model.ts
@@ -1,8 +1,7 @@
-import type { TargetId } from '../core/model/index.js';
-
 /** One run of a target. A target that restarts under the same id is another run. */
 export interface TargetRun {
-  readonly target: TargetId;
+  /** Id of the target. */
+  readonly target: string;
   /** Start of the run in Unix milliseconds; 0 if unknown. */
   readonly bornAt: number;
 }
--- a/src/peers/checks.ts
+++ b/src/peers/checks.ts
@@ -109,11 +109,9 @@
   suspectsTold: hasFields({
     suspects: isArrayOf(
       hasFields({
-        service: isString,
         fingerprint: isString,
-        crashes: isNumber,
-        remainingMs: isNumber,
-        reporter: isString,
+        crashes: isArrayOf(hasFields({ target: isString, bornAt: isNumber, ageMs: isNumber })),
+        answeredAgeMs: optional(isNumber),
       }),
     ),
   }),
