Log lines about permits name the issuer in a field of its own

permit.issuerSilent and permit.issuerUnknown had a field vm, which replaced the name of the VM that wrote the line; explain took them for lines of the other VM.

--- a/src/balancing/limits.ts
+++ b/src/balancing/limits.ts
@@ -164,7 +164,7 @@
   const effects: BalancerEffect[] = [];
   const silentVm = permits.expireRequest(target, now);
   if (silentVm !== undefined) {
-    const fields = { vm: silentVm, target: target.target };
+    const fields = { issuer: silentVm, target: target.target };
     effects.push({ kind: 'log', event: 'permit.issuerSilent', fields });
   }
   if (permits.isPending(target, now)) return effects;
--- a/src/fleet/LimitSync.ts
+++ b/src/fleet/LimitSync.ts
@@ -121,7 +121,7 @@
     // Without an address nothing is sent; the VM counts as silent once its answer is overdue.
     const address = this.parts.view.vms.get(vm)?.peers;
     if (address !== undefined) this.send(message, address);
-    else this.parts.log.write('permit.issuerUnknown', { vm });
+    else this.parts.log.write('permit.issuerUnknown', { issuer: vm });
   }
 
   /** @internal */
