--- a/src/balancing/effects.ts
+++ b/src/balancing/effects.ts
@@ -97,7 +97,7 @@
       readonly request: RequestId;
       readonly attempt: AttemptId;
       readonly vm: string;
-      /** Time until the request's deadline, in milliseconds. */
+      /** Time until the caller's timeout, in milliseconds. */
       readonly allowedMs: number;
       readonly terms: ForwardTerms;
     }
--- a/src/balancing/events.ts
+++ b/src/balancing/events.ts
@@ -33,6 +33,11 @@
 export interface ForwardTerms {
   /** Maximum number of targets that the request may still be sent to. */
   readonly maxTargets: number;
+  /**
+   * Time since the caller's first try, in milliseconds; undefined if it has to be estimated. What a
+   * forwarded request allows says nothing about it.
+   */
+  readonly sinceFirstMs: number | undefined;
   /** Service that the request is for, chosen among those of its route; undefined if none was. */
   readonly service: ServiceName | undefined;
 }
--- a/src/balancing/forwarding.ts
+++ b/src/balancing/forwarding.ts
@@ -107,16 +107,21 @@
   const attempt = state.lastAttemptId;
   pending.forward = { id: attempt, vm, sentAt: now };
   state.forwards.set(attempt, pending);
-  const allowedMs = Math.max(1, Math.floor(pending.deadlineAt - now));
-  const maxTargets = Math.max(1, pending.maxTargets - pending.triedTargets.size);
+  // The helper applies the route's timeout itself; this VM keeps its own deadline.
+  const allowedMs = Math.max(1, Math.floor(pending.callerTimeoutAt - now));
+  const terms = {
+    maxTargets: Math.max(1, pending.maxTargets - pending.triedTargets.size),
+    sinceFirstMs: Math.round(pending.sinceFirstMs + now - pending.arrivedAt),
+    service,
+  };
   const { id: request, callerRequestId: id } = pending;
   return [
     ...probes,
-    { kind: 'forwardRequest', request, attempt, vm, allowedMs, terms: { maxTargets, service } },
+    { kind: 'forwardRequest', request, attempt, vm, allowedMs, terms },
     {
       kind: 'log',
       event: 'request.forwarded',
-      fields: { id, attempt, vm, service, allowedMs, maxTargets, helpers: helpersTried.size },
+      fields: { id, attempt, via: vm, allowedMs, ...terms, helpers: helpersTried.size },
     },
     { kind: 'wake', request, at: pending.deadlineAt },
   ];
@@ -156,7 +161,7 @@
     ];
   }
   const reason = 'reason' in end ? end.reason : undefined;
-  const fields = { id, attempt, vm, end: end.kind, reason, tookMs: Math.round(now - sentAt) };
+  const fields = { id, attempt, via: vm, end: end.kind, reason, tookMs: Math.round(now - sentAt) };
   const line: BalancerEffect = { kind: 'log', event: 'forward.failed', fields };
   const hasOpenAttempt = pending.attempts.size > 0;
   if (end.kind === 'broken' || end.kind === 'failed') {
--- a/src/balancing/requestHandlers.ts
+++ b/src/balancing/requestHandlers.ts
@@ -1,21 +1,20 @@
-import type { ServiceName } from '../core/model/index.js';
 import { isServicePaused } from './availability.js';
 import type { BalancerContext, BalancerState } from './BalancerState.js';
 import { mayRetryAfterCrashes } from './crashes.js';
+import { createPendingRequest } from './createPendingRequest.js';
 import type { BalancerEffect } from './effects.js';
 import { answerLocally, refuseOrFail, removeRequest, removeAttempt } from './endings.js';
 import type { AttemptResult, AttemptEnded, CallerLeft, RequestArrived, WakeDue } from './events.js';
 import { isHelpingAtLimit } from './forwarding.js';
-import type { Route } from './model.js';
 import type { PendingRequest, PendingAttempt } from './PendingRequest.js';
 import { learnFromAttempt } from './learning.js';
 import { getNextWakeAt, placeRequest, placeWaitingRequests } from './placing.js';
 import { hasHeardSince } from './reachability.js';
-import { findRoute, pickService } from './routes.js';
+import { findRoute } from './routes.js';
 import { shouldHold, holdRequest } from './starting.js';
 import { MIN_FAILURE_STATUS, HEDGE_BUDGET_SHARE, SHUTDOWN_ACCEPT_MS } from './settings.js';
 import { recordOutcome, recordSlowness } from './TargetRecord.js';
-import { drawTrack, leaveTrial, recordVersionAnswer } from './versions.js';
+import { leaveTrial, recordVersionAnswer } from './versions.js';
 
 function refuseAtOnce(
   event: RequestArrived,
@@ -39,11 +38,6 @@
 /** After how long a caller should retry if no configuration is known yet, in milliseconds. */
 const STARTUP_RETRY_MS = 300;
 
-/** The service that the VM which passed a request on has chosen, if its route has it here too. */
-function getForwardedService({ forwarded }: RequestArrived, route: Route): ServiceName | undefined {
-  return route.services.find(({ service }) => service === forwarded?.service)?.service;
-}
-
 /** Refuses or holds a request that has arrived, or starts to place it. */
 export function handleArrived(
   state: BalancerState,
@@ -59,39 +53,7 @@
   if (table === undefined) return refuseAtOnce(event, 503, 'notConfigured', STARTUP_RETRY_MS);
   const route = findRoute(table, event.host, event.path);
   if (route === undefined) return refuseAtOnce(event, 404, 'noRoute');
-  const allowedMs = Math.min(event.allowedMs ?? Number.POSITIVE_INFINITY, route.timeoutMs);
-  const sinceFirstMs =
-    event.allowedMs === undefined
-      ? 0
-      : state.callerTimes.recordTimeout(route.name, event.allowedMs);
-  const service =
-    getForwardedService(event, route) ?? pickService(route.services, context.random());
-  const pending: PendingRequest = {
-    id: event.request,
-    callerRequestId: event.callerRequestId,
-    fingerprint: event.fingerprint,
-    route,
-    service,
-    track: drawTrack(state, service, route.name, context),
-    arrivedAt: event.arrivedAt,
-    sinceFirstMs,
-    dueAt: event.arrivedAt + route.objectiveMs - sinceFirstMs,
-    deadlineAt: event.arrivedAt + allowedMs,
-    callerTimeoutAt: event.arrivedAt + (event.allowedMs ?? route.timeoutMs),
-    maxTargets: Math.min(route.maxTargets, event.forwarded?.maxTargets ?? route.maxTargets),
-    isForwarded: event.forwarded !== undefined,
-    forward: undefined,
-    searchStartedAt: undefined,
-    helpersTried: new Set(),
-    round: undefined,
-    roundCount: 0,
-    nextRoundAt: 0,
-    attempts: new Set(),
-    triedTargets: new Set(),
-    hasPossiblyRun: false,
-    isRetryBudgeted: false,
-    isHedged: false,
-  };
+  const pending = createPendingRequest(state, event, route, context);
   state.pendingRequests.set(pending.id, pending);
   state.retryBudget.recordRequest(pending.service, now);
   if (pending.isForwarded && isHelpingAtLimit(state)) {
--- a/src/gateway/CallerRequestHandler.ts
+++ b/src/gateway/CallerRequestHandler.ts
@@ -69,13 +69,15 @@
 
   /**
    * Returns the terms of a request that was passed on. Whoever sends them, it is not passed on again;
-   * but only a VM may choose among the services of a route.
+   * but only a VM may choose among the services of a route and say when the caller tried first.
    * @internal
    */
   private readTerms(req: IncomingMessage): ForwardTerms | undefined {
     const terms = readForwardTerms(req.headers);
     const isFromVm = this.parts.isVmAddress(req.socket.remoteAddress ?? '');
-    return terms === undefined || isFromVm ? terms : { ...terms, service: undefined };
+    return terms === undefined || isFromVm
+      ? terms
+      : { ...terms, sinceFirstMs: undefined, service: undefined };
   }
 
   /** @internal */
--- a/src/gateway/forwardHeaders.ts
+++ b/src/gateway/forwardHeaders.ts
@@ -8,14 +8,14 @@
 /** Why a VM answered a request itself that was passed on to it. */
 export const REASON_HEADER = 'masticlink-reason';
 
-const TERMS_PATTERN = /^targets=(\d{1,4}); service=(\S+)$/;
+const TERMS_PATTERN = /^targets=(\d{1,4}); since=(\d{1,7}); service=(\S+)$/;
 
 /**
  * Encodes the terms of a request that is passed on.
  * @param terms - The terms.
  */
-export function writeForwardTerms({ maxTargets, service }: ForwardTerms): string {
-  return `targets=${maxTargets}; service=${service}`;
+export function writeForwardTerms({ maxTargets, sinceFirstMs, service }: ForwardTerms): string {
+  return `targets=${maxTargets}; since=${sinceFirstMs}; service=${service}`;
 }
 
 /**
@@ -23,12 +23,16 @@
  * @param headers - Headers of the request.
  * @returns Undefined if the request was not passed on, or its terms are unreadable.
  * @example
- * readForwardTerms({ 'masticlink-forward': 'targets=2; service=horaires' })?.maxTargets; // 2
+ * readForwardTerms({ 'masticlink-forward': 'targets=2; since=0; service=horaires' })?.maxTargets; // 2
  */
 export function readForwardTerms(headers: IncomingHttpHeaders): ForwardTerms | undefined {
   const value = headers[FORWARD_HEADER];
   const match = typeof value === 'string' ? TERMS_PATTERN.exec(value) : null;
   if (match === null) return undefined;
-  const [, maxTargets, service] = match;
-  return { maxTargets: Math.max(1, Number(maxTargets)), service };
+  const [, maxTargets, sinceFirstMs, service] = match;
+  return {
+    maxTargets: Math.max(1, Number(maxTargets)),
+    sinceFirstMs: Number(sinceFirstMs),
+    service,
+  };
 }
--- a/src/report/explainRequest.ts
+++ b/src/report/explainRequest.ts
@@ -109,9 +109,9 @@
       f.status === undefined ? '' : ` with ${formatValue(f.status)}`
     }`,
   'request.forwarded': (f) =>
-    `passed on to ${formatValue(f.vm)}, since this VM reaches no target of ${formatValue(f.service)}`,
+    `passed on to ${formatValue(f.via)}, since this VM reaches no target of ${formatValue(f.service)}`,
   'forward.failed': (f) =>
-    `${formatValue(f.vm)} did not serve it, after ${formatValue(f.tookMs)} ms: ${formatValue(f.end)}${
+    `${formatValue(f.via)} did not serve it, after ${formatValue(f.tookMs)} ms: ${formatValue(f.end)}${
       f.reason === undefined ? '' : ` (${formatValue(f.reason)})`
     }`,
   'request.answered': (f) =>
--- a/src/tests/balancing/forwarding.test.ts
+++ b/src/tests/balancing/forwarding.test.ts
@@ -55,7 +55,7 @@
   const scene = cutOff();
   const [forward] = getForwards(scene);
   t.true(VMS.slice(1).includes(forward.vm));
-  t.deepEqual(forward.terms, { maxTargets: 2, service: 'horaires' });
+  t.like(forward.terms, { maxTargets: 2, service: 'horaires' });
   t.deepEqual(getAnswers(scene), []);
   endForward(scene, { kind: 'answered', status: 200 });
   t.deepEqual(
@@ -128,7 +128,7 @@
     path: '/horaires/today',
     allowedMs: 4_000,
     arrivedAt: scene.now,
-    forwarded: { maxTargets: 2, service: 'horaires' },
+    forwarded: { maxTargets: 2, sinceFirstMs: 0, service: 'horaires' },
   });
   t.is(getForwards(scene).length, 1);
   t.deepEqual(getAnswers(scene).slice(before), [[503, 'noTarget']]);
@@ -219,7 +219,7 @@
   t.deepEqual(getAnswers(scene), [[504, 'timedOut']]);
 });
 
-test('the time left and the number of targets left are passed on', (t) => {
+test('the caller’s time left and the number of targets left are passed on', (t) => {
   const scene = new Scene(TARGETS);
   scene.dispatch({ kind: 'vmsChanged', vms: VMS });
   const request = scene.arrive();
@@ -232,7 +232,30 @@
   }
   const [{ terms, allowedMs }] = getForwards(scene);
   t.is(terms.maxTargets, 1);
-  t.true(allowedMs <= 1_800 && allowedMs > 1_700);
+  t.true(allowedMs <= 3_800 && allowedMs > 3_700);
+});
+
+// Taken for retries that are late, by the little time that the route's timeout leaves them, requests
+// that were passed on were refused while others were served.
+test('a request that is passed on is as old at the helper as it is', (t) => {
+  const scene = cutOff();
+  const [{ terms, allowedMs }] = getForwards(scene);
+  t.true((terms.sinceFirstMs ?? 1_000) <= 20);
+  const helper = new Scene(TARGETS);
+  for (let i = 0; i < 5; i++) helper.arrive();
+  helper.dispatch({
+    kind: 'requestArrived',
+    request: 99,
+    callerRequestId: 'r-99',
+    fingerprint: 'f',
+    host: 'door.example',
+    path: '/horaires/today',
+    allowedMs: allowedMs - 2_500,
+    arrivedAt: helper.now,
+    forwarded: terms,
+  });
+  const pending = helper.state.pendingRequests.get(99);
+  t.is(pending?.sinceFirstMs, terms.sinceFirstMs);
 });
 
 test('a caller that leaves cancels what was passed on', (t) => {
--- a/src/tests/gateway/forwarding.test.ts
+++ b/src/tests/gateway/forwarding.test.ts
@@ -22,9 +22,15 @@
 }
 
 test('terms of a request that is passed on are read as they were written', (t) => {
-  const terms = { maxTargets: 2, service: 'horaires' };
+  const terms = { maxTargets: 2, sinceFirstMs: 40, service: 'horaires' };
   t.deepEqual(readForwardTerms({ [FORWARD_HEADER]: writeForwardTerms(terms) }), terms);
-  for (const value of ['', 'targets=2', 'targets=x; service=a', 'targets=2; service=']) {
+  const unreadable = [
+    '',
+    'targets=2',
+    'targets=x; since=0; service=a',
+    'targets=2; since=0; service=',
+  ];
+  for (const value of unreadable) {
     t.is(readForwardTerms({ [FORWARD_HEADER]: value }), undefined, value);
   }
   t.is(readForwardTerms({}), undefined);
@@ -53,7 +59,12 @@
 
 // A target's header would make the VM that passed the request on state that it has not run.
 test('only a VM can state the reason of its refusal', (t) => {
-  const sent = ['Masticlink-Reason', 'noRoute', 'Masticlink-Forward', 'targets=1; service=a'];
+  const sent = [
+    'Masticlink-Reason',
+    'noRoute',
+    'Masticlink-Forward',
+    'targets=1; since=0; service=a',
+  ];
   t.deepEqual(cleanHeaders(sent).headers, []);
 });
 
@@ -63,7 +74,7 @@
   const caller = await harness.connect();
   caller.socket.write(
     'GET /horaires/x HTTP/1.1\r\nHost: door.example\r\nX-Masticlink-Request-Id: r-1\r\n' +
-      `${FORWARD_HEADER}: targets=1; service=horaires\r\n\r\n`,
+      `${FORWARD_HEADER}: targets=1; since=0; service=horaires\r\n\r\n`,
   );
   await harness.waitForStarted(1);
   t.is(harness.lastHeaders[FORWARD_HEADER], undefined);
@@ -87,7 +98,10 @@
     getCallerLimits: () => undefined,
     isVmAddress: (ip) => ip === '10.0.0.1',
   });
-  const headers = { [FORWARD_HEADER]: 'targets=1; service=horaires', host: 'door.example' };
+  const headers = {
+    [FORWARD_HEADER]: 'targets=1; since=0; service=horaires',
+    host: 'door.example',
+  };
   for (const remoteAddress of ['10.0.0.1', '10.9.9.9']) {
     const socket = { remoteAddress };
     const req = { headers, rawHeaders: [], url: '/horaires/x', method: 'GET', socket };
@@ -97,8 +111,8 @@
   t.deepEqual(
     dispatched.map((event) => event.kind === 'requestArrived' && event.forwarded),
     [
-      { maxTargets: 1, service: 'horaires' },
-      { maxTargets: 1, service: undefined },
+      { maxTargets: 1, sinceFirstMs: 0, service: 'horaires' },
+      { maxTargets: 1, sinceFirstMs: undefined, service: undefined },
     ],
   );
 });
