Crashes of a service's only target count, and refused requests are told again first

A target that is the only one of its service was never proved to have crashed, as no other of the service could answer: a request could end it each time it came back. An answer of any other service is proof enough then. What is told again each second was what had changed last, so that a VM that has just started might not be told of a refused request among many suspects: refused ones come first now, in turn.

--- a/src/balancing/crashes.ts
+++ b/src/balancing/crashes.ts
@@ -34,6 +34,8 @@
   readonly at: number;
   /** Fingerprints of the requests that it was running. */
   readonly fingerprints: Set<string>;
+  /** Whether the service had another live target then, which can show that the path is sound. */
+  readonly hasControl: boolean;
   /** Whether it has accepted no connection since. */
   isGone: boolean;
   /** Whether its crash has been recorded. */
@@ -79,6 +81,15 @@
   return reportSuspect(state, fingerprint, 'request.suspected', fields, now);
 }
 
+/**
+ * Whether this VM has heard from another target of the service since a run broke; of any service, if
+ * there was no other.
+ */
+function isPathSound(state: BalancerState, { service, at, hasControl }: BrokenRun): boolean {
+  const services = hasControl ? [service] : [...state.reach.keys()];
+  return services.some((each) => hasHeardSince(state, each, at));
+}
+
 /**
  * Records the crashes that are proved: the target accepts no connection, and another one has answered
  * since, so that the path of this VM is sound.
@@ -87,11 +98,7 @@
   const effects: BalancerEffect[] = [];
   for (const [key, broken] of state.brokenRuns) {
     if (now - broken.at > PROOF_TIMEOUT_MS) state.brokenRuns.delete(key);
-    else if (
-      !broken.isRecorded &&
-      broken.isGone &&
-      hasHeardSince(state, broken.service, broken.at)
-    ) {
+    else if (!broken.isRecorded && broken.isGone && isPathSound(state, broken)) {
       broken.isRecorded = true;
       for (const fingerprint of broken.fingerprints) {
         effects.push(...recordCrash(state, broken, fingerprint, now));
@@ -131,19 +138,19 @@
     known.fingerprints.add(fingerprint);
     return known.isRecorded ? recordCrash(state, known, fingerprint, now) : [];
   }
-  const fingerprints = new Set([fingerprint]);
+  const others = (state.targetsByService.get(entry.service) ?? []).filter(
+    (other) => other !== record && other.deadUntil <= now && !isDraining(other),
+  );
+  const control = others[Math.floor(random() * others.length)];
   state.brokenRuns.set(key, {
     run,
     service: entry.service,
     at: now,
-    fingerprints,
+    fingerprints: new Set([fingerprint]),
+    hasControl: control !== undefined,
     isGone: false,
     isRecorded: false,
   });
-  const others = (state.targetsByService.get(entry.service) ?? []).filter(
-    (other) => other !== record && other.deadUntil <= now && !isDraining(other),
-  );
-  const control = others[Math.floor(random() * others.length)];
   return [
     ...probeNow(state, record, now),
     ...(control === undefined ? [] : probeNow(state, control, now)),
--- a/src/core/protection/suspects.ts
+++ b/src/core/protection/suspects.ts
@@ -14,7 +14,7 @@
   firstRefusalMs: 300_000,
 };
 
-/** Time between two broadcasts of the latest suspects, in milliseconds. */
+/** Time between two broadcasts of suspects, in milliseconds. */
 const BROADCAST_INTERVAL_MS = 10_000;
 
 /** Most suspects in such a broadcast. */
@@ -159,7 +159,7 @@
 }
 
 /**
- * Removes expired suspects, and periodically broadcasts the latest ones for processes that have
+ * Removes expired suspects, and periodically broadcasts some of the others for processes that have
  * started since.
  * @param state - The process's state.
  * @param now - Monotonic milliseconds.
@@ -170,6 +170,6 @@
   protection.nextBroadcastAt = now + BROADCAST_INTERVAL_MS;
   return broadcastSuspects(
     state,
-    protection.crashes.getLatestNews(MAX_BROADCAST_SUSPECTS, now).suspects,
+    protection.crashes.getNewsToRepeat(MAX_BROADCAST_SUSPECTS, now).suspects,
   );
 }
--- a/src/crashes/CrashLedger.ts
+++ b/src/crashes/CrashLedger.ts
@@ -69,12 +69,20 @@
   /** Time of the latest answer by fingerprint, in order of that time. @internal */
   private readonly answered = new Map<string, number>();
 
+  /** Position from which suspects are repeated next. @internal */
+  private repeated = 0;
+
   /** Runs that answered after a reported crash, by `getRunKey`. @internal */
   private readonly alive = new Map<string, Observed>();
 
   /** @param options - Thresholds. */
   constructor(private readonly options: CrashLedgerOptions) {}
 
+  /** Number of requests that are suspected, or were lately. */
+  get size(): number {
+    return this.suspects.size;
+  }
+
   /** Whether no request is suspected. */
   get isEmpty(): boolean {
     return this.suspects.size === 0;
@@ -192,16 +200,24 @@
   }
 
   /**
-   * Returns the suspects with the most recent changes, for VMs that have missed them.
+   * Returns some of what is known, for VMs that have missed it: refused requests first, each time
+   * others if there are many.
    * @param count - Maximum number of suspects.
    * @param now - Monotonic milliseconds.
    */
-  getLatestNews(count: number, now: number): CrashNews {
+  getNewsToRepeat(count: number, now: number): CrashNews {
     this.removeExpired(now);
-    const latest = [...this.suspects.keys()].slice(-count);
+    const refused = [...this.suspects.keys()].filter((each) => this.getRefusalMs(each, now) > 0);
+    const suspects = refused.length === 0 ? [...this.suspects.keys()] : refused;
+    const start = suspects.length > count ? this.repeated % suspects.length : 0;
+    this.repeated = start + count;
+    const chosen = [...suspects, ...suspects].slice(
+      start,
+      start + Math.min(count, suspects.length),
+    );
     const alive = [...this.alive.values()].slice(-count);
     return {
-      suspects: latest.map((fingerprint) => this.getReport(fingerprint, now)),
+      suspects: chosen.map((fingerprint) => this.getReport(fingerprint, now)),
       alive: alive.map((each) => toObservation(each, now)),
     };
   }
--- a/src/fleet/CrashSync.ts
+++ b/src/fleet/CrashSync.ts
@@ -15,7 +15,7 @@
 /** Time between two datagrams of a long batch, in milliseconds, so that they do not fill a link. */
 const DATAGRAM_INTERVAL_MS = 20;
 
-/** Interval at which the latest news are sent again, in milliseconds. */
+/** Interval at which news are sent again, in milliseconds. */
 const REPEAT_INTERVAL_MS = 1_000;
 
 /** Suspects in a repetition: for VMs that have just started, or missed a datagram. */
@@ -30,8 +30,8 @@
   readonly clock: Clock;
   readonly log: EventLog;
   readonly neighbours: Pick<NeighbourMonitor, 'sendToLinked'>;
-  /** Returns the suspects with the latest changes. */
-  getLatestNews(count: number): CrashNews;
+  /** Returns what is sent again next. */
+  getNewsToRepeat(count: number): CrashNews;
   dispatch(event: BalancerEvent): void;
 }
 
@@ -52,10 +52,10 @@
   /** @param parts - Dependencies. */
   constructor(private readonly parts: CrashSyncParts) {}
 
-  /** Starts to send the latest news periodically. */
+  /** Starts to send news again periodically. */
   start(timers: TimerService): void {
     timers.subscribe(REPEAT_INTERVAL_MS, () => {
-      this.queue(this.parts.getLatestNews(REPEATED_SUSPECTS));
+      this.queue(this.parts.getNewsToRepeat(REPEATED_SUSPECTS));
     });
   }
 
--- a/src/gateway/VmMessages.ts
+++ b/src/gateway/VmMessages.ts
@@ -49,7 +49,7 @@
     });
     this.crashSync = new CrashSync({
       ...parts,
-      getLatestNews: (count) => state.crashes.getLatestNews(count, clock.now()),
+      getNewsToRepeat: (count) => state.crashes.getNewsToRepeat(count, clock.now()),
     });
     const { rollouts: exposureBound } = settings.balancing;
     this.rolloutSync = exposureBound && this.createRolloutSync(exposureBound);
--- a/src/tests/balancing/crashes.test.ts
+++ b/src/tests/balancing/crashes.test.ts
@@ -97,6 +97,20 @@
   t.deepEqual(getSuspects(scene), []);
 });
 
+// No other target of the service can show that the path is sound.
+test('the crash of a service’s only target is proved by an answer of another service', (t) => {
+  const other = makeTarget('t-9', { service: 'billets' });
+  const scene = new Scene([makeTarget('t-1'), other]);
+  place(scene);
+  scene.now += 30;
+  scene.end({ kind: 'broken' });
+  endProbe(scene, 't-1', 'refused');
+  t.deepEqual(getSuspects(scene), []);
+  scene.now += 20;
+  endProbe(scene, 't-9', 'answered');
+  t.deepEqual(getSuspects(scene), ['t-1']);
+});
+
 test('the end of a target that announced its shutdown is no crash', (t) => {
   const scene = new Scene(TARGETS);
   const target = place(scene);
--- a/src/tests/crashes/CrashLedger.test.ts
+++ b/src/tests/crashes/CrashLedger.test.ts
@@ -53,7 +53,7 @@
 test('what one VM knows of answers overrules what others report of crashes', (t) => {
   const ledger = new CrashLedger(CRASH_LEDGER_OPTIONS);
   ledger.recordAnswer('f', 1_000);
-  const suspects = makeLedger([900, 950, 990]).getLatestNews(4, 1_000);
+  const suspects = makeLedger([900, 950, 990]).getNewsToRepeat(4, 1_000);
   const told = ledger.merge(suspects, 1_000);
   t.is(ledger.getVerdict('f', 1_000), 'clear');
   t.deepEqual(
@@ -64,7 +64,7 @@
 
 test('a run that answers later has not crashed, whoever says so later', (t) => {
   const ledger = makeLedger([1, 2, 3]);
-  const before = ledger.getLatestNews(4, 10);
+  const before = ledger.getNewsToRepeat(4, 10);
   t.true(ledger.recordAlive(run(1), 10));
   t.is(ledger.getVerdict('f', 10), 'suspected');
   ledger.merge(before, 10);
@@ -98,13 +98,13 @@
   const ledger = makeLedger([0, 0]);
   t.is(ledger.getVerdict('f', 9 * MINUTE_MS), 'suspected');
   t.is(ledger.getVerdict('f', 11 * MINUTE_MS), 'clear');
-  t.deepEqual(ledger.getLatestNews(4, 11 * MINUTE_MS).suspects, []);
+  t.deepEqual(ledger.getNewsToRepeat(4, 11 * MINUTE_MS).suspects, []);
 });
 
 test('memory is bounded, and the requests with most evidence are kept', (t) => {
   const ledger = makeLedger([0, 0, 0]);
   for (let i = 0; i < 2_000; i++) ledger.recordCrash(`g-${i}`, run(i), i);
-  t.is(ledger.getLatestNews(5_000, 2_000).suspects.length, 500);
+  t.is(ledger.size, 500);
   t.is(ledger.getVerdict('f', 2_000), 'refused');
 });
 
@@ -136,7 +136,7 @@
       for (const step of inTime) applyStep(ledgers[step[1]], step);
       for (let round = 0; round < 4; round++) {
         for (const from of ledgers) {
-          const news: CrashNews = from.getLatestNews(10, now);
+          const news: CrashNews = from.getNewsToRepeat(10, now);
           for (const to of ledgers) if (to !== from) to.merge(news, now);
         }
       }
@@ -147,3 +147,17 @@
   );
   t.pass();
 });
+
+// A VM that has just started would run a refused request until it happens to be told of it.
+test('refused requests are told again in turn, whatever else is suspected', (t) => {
+  const ledger = new CrashLedger(CRASH_LEDGER_OPTIONS);
+  for (let f = 0; f < 6; f++) {
+    for (let i = 0; i < 3; i++) ledger.recordCrash(`refused-${f}`, run(i), 0);
+  }
+  for (let f = 0; f < 30; f++) ledger.recordCrash(`suspected-${f}`, run(9), 1);
+  const told = [1, 2, 3].map((now) =>
+    ledger.getNewsToRepeat(4, now).suspects.map(({ fingerprint }) => fingerprint),
+  );
+  t.deepEqual(new Set(told.flat()), new Set([0, 1, 2, 3, 4, 5].map((f) => `refused-${f}`)));
+  t.true(told.every((each) => each.length === 4));
+});
--- a/src/tests/fleet/crashMessages.test.ts
+++ b/src/tests/fleet/crashMessages.test.ts
@@ -37,7 +37,7 @@
     clock,
     log,
     neighbours: { sendToLinked: (text) => sent.push(text) },
-    getLatestNews: () => latest,
+    getNewsToRepeat: () => latest,
     dispatch: (event) => events.push(event),
   });
   sync.start(new TimerService(clock));
