--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -120,6 +120,9 @@
   /** @internal */
   private isStopping = false;
 
+  /** The planned stop in progress. @internal */
+  private stopped: Promise<void> | undefined;
+
   /** @internal */
   private readonly effectHandlers: EffectHandlers = {
     probe: ({ to, path }) => this.prober.probe(to, path),
@@ -235,10 +238,15 @@
 
   /**
    * Performs a planned stop: callers are directed to other VMs while open requests are completed.
-   * Resolves when these are done or the grace period is almost over.
+   * Resolves when these are done or the grace period is almost over, also if it is asked for again.
    */
-  async stop(): Promise<void> {
-    if (this.isStopping) return;
+  stop(): Promise<void> {
+    this.stopped ??= this.completeAndStop();
+    return this.stopped;
+  }
+
+  /** @internal */
+  private async completeAndStop(): Promise<void> {
     const { clock, log, settings } = this.parts;
     const startedAt = clock.now();
     this.isStopping = true;
