--- a/src/balancing/crashes.ts
+++ b/src/balancing/crashes.ts
@@ -123,7 +123,7 @@
  * @param fingerprint - Fingerprint of the request.
  * @param context - Clock and random source.
  */
-export function recordBreak(
+export function recordBrokenConnection(
   state: BalancerState,
   record: TargetRecord,
   fingerprint: string,
@@ -163,7 +163,7 @@
  * @param record - The target.
  * @param now - Monotonic milliseconds.
  */
-export function recordGone(
+export function recordRunGone(
   state: BalancerState,
   record: TargetRecord,
   now: number,
@@ -180,7 +180,7 @@
  * @param record - The target.
  * @param now - Monotonic milliseconds.
  */
-export function recordHeard(
+export function recordRunAlive(
   state: BalancerState,
   record: TargetRecord,
   now: number,
@@ -205,7 +205,7 @@
  * @param target - The target that answered.
  * @param now - Monotonic milliseconds.
  */
-export function recordSurvived(
+export function recordRequestAnswered(
   state: BalancerState,
   fingerprint: string,
   target: TargetRecord,
--- a/src/balancing/fleetHandlers.ts
+++ b/src/balancing/fleetHandlers.ts
@@ -9,7 +9,7 @@
   VmsChanged,
   ZonesOutRead,
 } from './events.js';
-import { recordGone } from './crashes.js';
+import { recordRunGone } from './crashes.js';
 import { markDead, recordTargetAnswer, recordTargetFailure } from './learning.js';
 import { removeExpiredLimits, recordLimit } from './limits.js';
 import type { TargetRegistration } from './model.js';
@@ -205,7 +205,7 @@
     return applyAnsweredProbe(state, record, end, now);
   }
   if (end.kind === 'stranger') {
-    return [...markDead(record, now), ...recordGone(state, record, now)];
+    return [...markDead(record, now), ...recordRunGone(state, record, now)];
   }
   const failure = recordTargetFailure(state, record, now);
   if (end.kind !== 'unanswered') return [...markDead(record, now), ...failure];
--- a/src/balancing/learning.ts
+++ b/src/balancing/learning.ts
@@ -1,5 +1,10 @@
 import type { BalancerContext, BalancerState } from './BalancerState.js';
-import { recordBreak, recordGone, recordHeard, recordSurvived } from './crashes.js';
+import {
+  recordBrokenConnection,
+  recordRunGone,
+  recordRunAlive,
+  recordRequestAnswered,
+} from './crashes.js';
 import { getServiceCurve } from './BalancerState.js';
 import type { BalancerEffect } from './effects.js';
 import type { AttemptResult } from './events.js';
@@ -47,7 +52,7 @@
   record: TargetRecord,
   now: number,
 ): BalancerEffect[] {
-  return [...recordReached(state, record, now), ...recordHeard(state, record, now)];
+  return [...recordReached(state, record, now), ...recordRunAlive(state, record, now)];
 }
 
 /**
@@ -61,7 +66,7 @@
   record: TargetRecord,
   now: number,
 ): BalancerEffect[] {
-  return [...recordUnreached(state, record, now), ...recordGone(state, record, now)];
+  return [...recordUnreached(state, record, now), ...recordRunGone(state, record, now)];
 }
 
 function roundToHundredths(value: number): number {
@@ -123,11 +128,11 @@
 ): BalancerEffect[] {
   if (end.kind === 'broken') {
     const unreached = recordUnreached(state, target, context.now);
-    return [...unreached, ...recordBreak(state, target, fingerprint, context)];
+    return [...unreached, ...recordBrokenConnection(state, target, fingerprint, context)];
   }
   const effects = recordTargetAnswer(state, target, context.now);
   if (end.kind !== 'answered') return effects;
-  return [...effects, ...recordSurvived(state, fingerprint, target, context.now)];
+  return [...effects, ...recordRequestAnswered(state, fingerprint, target, context.now)];
 }
 
 function isPauseRequested(end: AttemptResult): boolean {
--- a/src/balancing/placing.ts
+++ b/src/balancing/placing.ts
@@ -242,7 +242,7 @@
  * Passes a request on to another VM if its service is out of reach.
  * @returns Undefined if a target of this VM has to be found.
  */
-function placeElsewhere(
+function placeOutOfReach(
   state: BalancerState,
   pending: PendingRequest,
   context: BalancerContext,
@@ -274,7 +274,7 @@
   if (pending.attempts.size === 0 && isRefusedForCrashes(state, pending.fingerprint, now)) {
     return refuseOrFail(state, pending, 'crashesTargets', context);
   }
-  const elsewhere = placeElsewhere(state, pending, context);
+  const elsewhere = placeOutOfReach(state, pending, context);
   if (elsewhere !== undefined) return elsewhere;
   const { round } = pending;
   const hasRound = round !== undefined;
