--- a/src/soak/crashMain.ts
+++ b/src/soak/crashMain.ts
@@ -1,5 +1,6 @@
 import type { CrashTrialOptions } from './runCrashTrial.js';
 import { runCrashTrial } from './runCrashTrial.js';
+import { runNamedTrials } from './runNamedTrials.js';
 
 const BASE: CrashTrialOptions = {
   gateways: 6,
@@ -21,21 +22,7 @@
   none: { ...BASE, fatalRequests: 0, ownCrashes: 6 },
 };
 
-/** Runs the trials that are named, or all of them, and prints a line for each. */
-async function main(): Promise<void> {
-  const named = process.argv.slice(2);
-  const unknown = named.find((name) => TRIALS[name] === undefined);
-  if (unknown !== undefined) {
-    throw new RangeError(`no trial ${unknown}; there are ${Object.keys(TRIALS).join(', ')}`);
-  }
-  for (const name of named.length > 0 ? named : Object.keys(TRIALS)) {
-    const result = await runCrashTrial(TRIALS[name]);
-    process.stdout.write(`${name} ${JSON.stringify(result)}\n`);
-  }
-  process.exit(0);
-}
-
-main().catch((err: Error) => {
+runNamedTrials(TRIALS, runCrashTrial).catch((err: Error) => {
   process.stderr.write(`${err.message}\n`);
   process.exit(2);
 });
--- a/src/soak/cutMain.ts
+++ b/src/soak/cutMain.ts
@@ -1,5 +1,6 @@
 import type { CutTrialOptions } from './runCutTrial.js';
 import { runCutTrial } from './runCutTrial.js';
+import { runNamedTrials } from './runNamedTrials.js';
 
 const BASE: CutTrialOptions = { gateways: 6, cut: [0, 1, 2, 3], mode: 'silent', forMs: 8_000 };
 
@@ -20,21 +21,7 @@
   cutKilled: { ...BASE, kill: 0 },
 };
 
-/** Runs the trials that are named, or all of them, and prints a line for each. */
-async function main(): Promise<void> {
-  const named = process.argv.slice(2);
-  const unknown = named.find((name) => TRIALS[name] === undefined);
-  if (unknown !== undefined) {
-    throw new RangeError(`no trial ${unknown}; there are ${Object.keys(TRIALS).join(', ')}`);
-  }
-  for (const name of named.length > 0 ? named : Object.keys(TRIALS)) {
-    const result = await runCutTrial(TRIALS[name]);
-    process.stdout.write(`${name} ${JSON.stringify(result)}\n`);
-  }
-  process.exit(0);
-}
-
-main().catch((err: Error) => {
+runNamedTrials(TRIALS, runCutTrial).catch((err: Error) => {
   process.stderr.write(`${err.message}\n`);
   process.exit(2);
 });
