Soak: arrivals at targets count for the gateway that sent them

The check took the gateway that the caller had asked for the one that sent; requests that are passed on are sent by another one, which the pause binds. Proxies now connect to targets from the gateway's own address, targets record it, and the checks of pauses, drains and limits go by it. That is stricter for requests that are passed on, and the same for all others.

--- a/src/platform/standIn/PlatformTarget.ts
+++ b/src/platform/standIn/PlatformTarget.ts
@@ -25,10 +25,10 @@
   readonly slots: number;
   /** Time that a request takes, in milliseconds. */
   readonly workMs: number;
-  /** Called when a request begins to run. */
-  readonly onRun: (requestId: string) => void;
+  /** Called when a request begins to run, with the IP address that sent it. */
+  readonly onRun: (requestId: string, source: string) => void;
   /** Called when a request is rejected because the target has paused. */
-  readonly onPause?: (requestId: string) => void;
+  readonly onPause?: (requestId: string, source: string) => void;
   /** Whether the target crashes when it runs a request with this body. */
   readonly isFatal?: (body: string) => boolean;
   /** Called when a request has crashed the target. */
@@ -118,23 +118,24 @@
     if (this.limit !== undefined) res.setHeader(LIMIT_HEADER, this.limit);
     if (this.isLeaving) res.setHeader(LEAVING_HEADER, '1');
     const requestId = String(req.headers[REQUEST_ID_HEADER]);
+    const { remoteAddress: source = '' } = req.socket;
     const expected = req.headers[EXPECTED_TARGET_HEADER];
     if (expected !== undefined && expected !== id) res.writeHead(421).end();
-    else if (this.pause !== undefined) this.reject(requestId, res, this.pause);
+    else if (this.pause !== undefined) this.reject(requestId, res, this.pause, source);
     else if (this.behaviour === 'sheds' || this.queue.length >= QUEUE_SIZE) {
       res.writeHead(503, { [NOT_EXECUTED_HEADER]: '1' }).end();
-    } else if (this.running < slots) this.run(requestId, res, body);
-    else this.queue.push(() => this.run(requestId, res, body));
+    } else if (this.running < slots) this.run(requestId, res, body, source);
+    else this.queue.push(() => this.run(requestId, res, body, source));
   }
 
   /** @internal */
-  private reject(requestId: string, res: ServerResponse, pause: string): void {
-    this.options.onPause?.(requestId);
+  private reject(requestId: string, res: ServerResponse, pause: string, source: string): void {
+    this.options.onPause?.(requestId, source);
     res.writeHead(503, { [NOT_EXECUTED_HEADER]: '1', [RETRY_AFTER_HEADER]: pause }).end();
   }
 
   /** @internal */
-  private run(requestId: string, res: ServerResponse, body: string): void {
+  private run(requestId: string, res: ServerResponse, body: string, source: string): void {
     if (res.destroyed) {
       this.queue.shift()?.();
       return;
@@ -142,7 +143,7 @@
     const { workMs, onRun, isFatal, onCrash } = this.options;
     this.running += 1;
     this.runCount += 1;
-    onRun(requestId);
+    onRun(requestId, source);
     const { behaviour, isSlow } = this;
     const timer = setTimeout(
       () => {
--- a/src/soak/FaultProxy.ts
+++ b/src/soak/FaultProxy.ts
@@ -87,7 +87,8 @@
       return;
     }
     const [host, port] = this.target.split(':');
-    const far = connect({ host, port: Number(port) });
+    // The far side sees whose connection it is.
+    const far = connect({ host, port: Number(port), localAddress: near.remoteAddress });
     this.forward(near, far, source, 'out');
     this.forward(far, near, source, 'back');
   }
--- a/src/soak/SoakWorld.ts
+++ b/src/soak/SoakWorld.ts
@@ -193,11 +193,13 @@
       id,
       slots: SLOTS_PER_TARGET,
       workMs: WORK_MS,
-      onRun: (requestId) => this.runs.push({ id: requestId, target: id, version, at: Date.now() }),
-      onPause: (requestId) =>
+      onRun: (requestId, source) =>
+        this.runs.push({ id: requestId, target: id, version, source, at: Date.now() }),
+      onPause: (requestId, source) =>
         this.pauses.push({
           id: requestId,
           target: id,
+          source,
           at: Date.now(),
           pauseMs: PAUSES_MS[model.pause ?? ''],
         }),
--- a/src/soak/checkSoak.ts
+++ b/src/soak/checkSoak.ts
@@ -8,6 +8,8 @@
   readonly target: string;
   /** Version of the target. */
   readonly version?: string;
+  /** IP address of the gateway that sent it; that of the caller's request may be another one. */
+  readonly source?: string;
   readonly at: number;
 }
 
@@ -15,6 +17,8 @@
 export interface PauseRecord {
   readonly id: string;
   readonly target: string;
+  /** IP address of the gateway that sent it. */
+  readonly source?: string;
   readonly at: number;
   /** Pause in milliseconds; undefined if the target named no valid time. */
   readonly pauseMs: number | undefined;
@@ -55,6 +59,8 @@
   /** Periods in which the gateway on a port need not enforce limits. */
   readonly excused?: readonly {
     readonly port: number;
+    /** IP address that the gateway's connections come from. */
+    readonly source?: string;
     readonly from: number;
     readonly until: number;
   }[];
@@ -94,16 +100,20 @@
 /** Returns a message for each target that received more requests than its advertised limit allows. */
 function checkLimits({ callers, runs, namings = [], excused = [] }: SoakObservations): string[] {
   const byId = new Map(callers.map((record) => [record.id, record]));
-  const arrivals = runs.flatMap(({ id, target, at }) => {
+  const arrivals = runs.flatMap(({ id, target, at, source }) => {
     const record = byId.get(id);
-    return record === undefined ? [] : [{ target, at, vm: String(record.port), record }];
+    return record === undefined ? [] : [{ target, at, vm: source ?? String(record.port), record }];
   });
   const told = arrivals.flatMap(({ target, at, vm, record: { endedAt, status } }) => {
     const named = namings.filter((each) => each.target === target && each.at <= at).at(-1);
     const isTold = named?.perSecond !== undefined && endedAt !== undefined && status === 200;
     return isTold ? [{ target, vm, at: endedAt }] : [];
   });
-  const excuses = excused.map(({ port, from, until }) => ({ vm: String(port), from, until }));
+  const excuses = excused.map(({ port, source, from, until }) => ({
+    vm: source ?? String(port),
+    from,
+    until,
+  }));
   return findWorstWindows({
     arrivals,
     limitChanges: namings,
@@ -130,11 +140,11 @@
   excused = [],
 }: SoakObservations): string[] {
   const byId = new Map(callers.map((record) => [record.id, record]));
-  const arrivals = [...runs, ...pauses].flatMap(({ id, target, at }) => {
+  const arrivals = [...runs, ...pauses].flatMap(({ id, target, at, source }) => {
     const record = byId.get(id);
-    return record === undefined ? [] : [{ target, at, vm: String(record.port), record }];
+    return record === undefined ? [] : [{ target, at, vm: source ?? String(record.port), record }];
   });
-  const received = pauses.flatMap(({ id, target, at, pauseMs }) => {
+  const received = pauses.flatMap(({ id, target, at, pauseMs, source }) => {
     const record = byId.get(id);
     const isLost = linkFaults.some(
       (each) =>
@@ -143,14 +153,18 @@
         each.until >= at - MAX_TRANSIT_MS,
     );
     if (record === undefined || pauseMs === undefined || isLost) return [];
-    return [{ target, vm: String(record.port), at, pauseMs }];
+    return [{ target, vm: source ?? String(record.port), at, pauseMs }];
   });
   const drainsReceived = arrivals.flatMap(({ target, at, vm, record: { endedAt, status } }) => {
     const isAnnounced = drains.some((each) => each.target === target && each.at <= at);
     const isReceived = isAnnounced && endedAt !== undefined && status === 200;
     return isReceived ? [{ target, vm, at: endedAt }] : [];
   });
-  const excuses = excused.map(({ port, from, until }) => ({ vm: String(port), from, until }));
+  const excuses = excused.map(({ port, source, from, until }) => ({
+    vm: source ?? String(port),
+    from,
+    until,
+  }));
   const stated = { arrivals, pauses: received, drainsReceived, excused: excuses };
   return [...findBrokenPauses(stated), ...findLateArrivals(stated)];
 }
--- a/src/soak/runSoak.ts
+++ b/src/soak/runSoak.ts
@@ -136,7 +136,11 @@
     await wait(DRAIN_MS);
     const { runs, bans, namings, pauses, drains, linkFaults } = world;
     const excused = world.gateways.flatMap((gateway) =>
-      gateway.excused.map((each) => ({ port: gateway.options.ports.callers, ...each })),
+      gateway.excused.map((each) => ({
+        port: gateway.options.ports.callers,
+        source: gateway.options.source,
+        ...each,
+      })),
     );
     const broken = checkSoak({
       callers: callers.records,
