--- a/src/tests/balancing/forwarding.test.ts
+++ b/src/tests/balancing/forwarding.test.ts
@@ -314,3 +314,13 @@
   t.is(counts[VMS.indexOf(excluded)], 0);
   t.is(counts.filter((count) => count >= 5).length, 2);
 });
+
+// The name of the VM that writes a line must not be replaced by that of the helper.
+test('lines about requests that are passed on keep the name of the VM that writes them', (t) => {
+  const scene = cutOff();
+  endForward(scene, { kind: 'refused', reason: 'noTarget' });
+  endForward(scene, { kind: 'answered', status: 200 });
+  const lines = scene.all('log').filter(({ fields }) => 'via' in fields);
+  t.is(lines.length, 4);
+  t.false(lines.some(({ fields }) => 'vm' in fields));
+});
--- a/src/tests/balancing/limits.test.ts
+++ b/src/tests/balancing/limits.test.ts
@@ -121,6 +121,8 @@
   const asked = scene.all('askPermit').map(({ vm }) => vm);
   t.true(new Set(asked).size > 1);
   t.true(scene.all('log').some(({ event }) => event === 'permit.issuerSilent'));
+  // The name of the VM that writes a line must not be replaced by another one.
+  t.false(scene.all('log').some(({ fields }) => 'vm' in fields));
 });
 
 // Each additional issuer lets through another third of the limit.
