Retry trials of 15 and 19 gateways with three services, and of other builds

npm run retries had one service, six gateways and faults of gateways only. The incident was seen on deployments of 15 and 19 gateways with three services; their slots, work times, limits, and callers with connections of their own are those of the sites' sheets. New: gateways that are suspended or stall, reloads, a store that is away or lacks the list of VMs for longer than a window, a route that moves, several faults at once, targets that are suspended or reached late. MASTICLINK_SOAK_GATEWAYS runs the gateways of another build, so that two versions can be compared or mixed. Observations are written beside the logs.

--- a/src/soak/FaultProxy.ts
+++ b/src/soak/FaultProxy.ts
@@ -15,11 +15,26 @@
   /** Open connections live on, and new ones are reset. */
   | 'newReset'
   /** Data and closes from the far side are dropped. */
-  | 'oneWay';
+  | 'oneWay'
+  /**
+   * Nothing is read, as if the far side's process were suspended: its kernel takes connections and
+   * data, which are forwarded when the mode changes.
+   */
+  | 'suspended'
+  /** Data to the far side is forwarded after `LATE_MS`, as after a retransmission. */
+  | 'late';
 
 /** Delay of each chunk on a delayed link, in milliseconds. */
 const DELAY_MS = 150;
 
+/** Delay of each chunk to the far side of a late link, in milliseconds. */
+const LATE_MS = 400;
+
+const DELAYS_MS = {
+  out: { delayed: DELAY_MS, late: LATE_MS },
+  back: { delayed: DELAY_MS },
+} as const satisfies Readonly<Record<string, Partial<Readonly<Record<LinkMode, number>>>>>;
+
 /** Time until the other side of a connection is closed if it must not see the close, in ms. */
 const CLOSE_DELAY_MS = 3_000;
 
@@ -34,12 +49,15 @@
   /** @internal */
   private readonly sockets = new Map<Socket, string>();
 
+  /** Connections that were opened while the link was suspended. @internal */
+  private readonly queue: Socket[] = [];
+
   /** @internal */
   private readonly server: Server;
 
   /** @param target - Address that connections are forwarded to: IP address and port. */
   constructor(private readonly target: string) {
-    this.server = createServer((near) => this.accept(near));
+    this.server = createServer({ pauseOnConnect: true }, (near) => this.accept(near));
   }
 
   /** Listens on a free loopback port and returns its address: IP address and port. */
@@ -54,6 +72,11 @@
   setMode(mode: LinkMode): void {
     this.mode = mode;
     if (mode === 'reset') for (const socket of this.sockets.keys()) resetSocket(socket);
+    for (const socket of this.sockets.keys()) {
+      if (mode === 'suspended') socket.pause();
+      else socket.resume();
+    }
+    if (mode !== 'suspended') for (const near of this.queue.splice(0)) this.accept(near);
   }
 
   /**
@@ -78,6 +101,11 @@
   private accept(near: Socket): void {
     const source = near.remoteAddress ?? '';
     const mode = this.getMode(source);
+    if (mode === 'suspended') {
+      this.queue.push(near);
+      return;
+    }
+    near.resume();
     if (mode === 'reset' || mode === 'newReset') {
       resetSocket(near);
       return;
@@ -110,12 +138,14 @@
   private forward(from: Socket, to: Socket, source: string, way: 'out' | 'back'): void {
     this.sockets.set(from, source);
     from.on('data', (data) => this.deliver(data, to, source, way));
-    from.on('end', () => this.canForward(source, way) && to.end());
+    from.on('end', () => {
+      if (this.canForward(source, way)) this.runDelayed(source, way, () => to.end());
+    });
     // Resets and closes are passed on to the other side, as they would be without a proxy.
     from.on('error', () => resetSocket(to));
     from.once('close', () => {
       this.sockets.delete(from);
-      if (this.canForward(source, way)) to.destroySoon();
+      if (this.canForward(source, way)) this.runDelayed(source, way, () => to.destroySoon());
       // The far side does not see the close, but the socket must not be kept for ever.
       else setTimeout(() => to.destroy(), CLOSE_DELAY_MS).unref();
     });
@@ -124,8 +154,15 @@
   /** @internal */
   private deliver(data: Buffer, to: Socket, source: string, way: 'out' | 'back'): void {
     if (!this.canForward(source, way)) return;
-    if (this.getMode(source) === 'delayed') setTimeout(() => to.write(data), DELAY_MS);
-    else to.write(data);
+    this.runDelayed(source, way, () => to.writable && to.write(data));
+  }
+
+  /** Runs an action after the delay of the link, in the order of the calls. @internal */
+  private runDelayed(source: string, way: 'out' | 'back', action: () => void): void {
+    const delaysMs: Partial<Record<LinkMode, number>> = DELAYS_MS[way];
+    const delayMs = delaysMs[this.getMode(source)];
+    if (delayMs === undefined) action();
+    else setTimeout(action, delayMs);
   }
 
   /** @internal */
--- a/src/soak/SoakCallers.ts
+++ b/src/soak/SoakCallers.ts
@@ -17,6 +17,8 @@
   readonly sentAt: number;
   /** Port of the gateway that received the request. */
   readonly port: number;
+  /** Name of its route, if the sender names it. */
+  readonly route?: string;
   endedAt?: number;
   /** HTTP status; 0 if the connection closed without an answer. */
   status?: number;
@@ -48,6 +50,16 @@
   return body === undefined ? 'GET' : 'PUT';
 }
 
+/** How a request is sent. */
+export interface SendOptions {
+  /** Whether it has a connection of its own, which is not kept. */
+  readonly hasOwnConnection?: boolean;
+  /** How long its caller waits for the answer, in milliseconds. */
+  readonly timeoutMs?: number;
+  /** Name of its route, for the record. */
+  readonly route?: string;
+}
+
 /** Load generator whose callers cache gateway addresses and reuse their connections. */
 export class SoakCallers {
   readonly records: CallerRecord[] = [];
@@ -93,8 +105,14 @@
   }
 
   /** Sends one request to a gateway and returns its record once it has ended. */
-  send(port: number, path: string, isIdempotent: boolean, body?: string): Promise<CallerRecord> {
-    const record = this.createRecord(port, isIdempotent);
+  send(
+    port: number,
+    path: string,
+    isIdempotent: boolean,
+    body?: string,
+    { hasOwnConnection = false, timeoutMs = REQUEST_TIMEOUT_MS, route }: SendOptions = {},
+  ): Promise<CallerRecord> {
+    const record = this.createRecord(port, isIdempotent, route);
     const { id } = record;
     return new Promise((resolve) => {
       const finish = (status: number, isSound: boolean): void => {
@@ -107,10 +125,10 @@
         port,
         path,
         method: getMethod(isIdempotent, body),
-        agent: this.agent,
-        headers: { Host: HOST, ...writeCallerHeaders(id, REQUEST_TIMEOUT_MS) },
+        agent: hasOwnConnection ? false : this.agent,
+        headers: { Host: HOST, ...writeCallerHeaders(id, timeoutMs) },
       });
-      req.setTimeout(REQUEST_TIMEOUT_MS, () => req.destroy());
+      req.setTimeout(timeoutMs, () => req.destroy());
       req.on('error', () => finish(0, false));
       req.on('response', (res) => {
         const chunks: Buffer[] = [];
@@ -140,10 +158,10 @@
   }
 
   /** @internal */
-  private createRecord(port: number, isIdempotent: boolean): CallerRecord {
+  private createRecord(port: number, isIdempotent: boolean, route?: string): CallerRecord {
     // The random part alone has 32 bits, and repeats among some thousand requests now and then.
     const id = `${Math.floor(this.random() * 2 ** 48).toString(16)}.${this.records.length}`;
-    const record: CallerRecord = { id, isIdempotent, sentAt: Date.now(), port };
+    const record: CallerRecord = { id, isIdempotent, sentAt: Date.now(), port, route };
     this.records.push(record);
     return record;
   }
--- a/src/soak/SoakGateway.ts
+++ b/src/soak/SoakGateway.ts
@@ -24,6 +24,10 @@
   readonly source: string;
   /** Directory for its settings and log. */
   readonly dir: string;
+  /** Limit on retries in its settings; `RETRY_LIMIT` by default. */
+  readonly retryLimit?: RetryLimit;
+  /** Program that it runs; that of this build by default. */
+  readonly main?: string;
 }
 
 /** Time from SIGTERM to SIGKILL, in milliseconds. */
@@ -88,14 +92,14 @@
   start(): void {
     if (this.isRunning) return;
     this.startCount += 1;
-    const { dir, source } = this.options;
+    const { dir, source, main = GATEWAY_MAIN } = this.options;
     const log = createWriteStream(join(dir, `gateway.log`), { flags: 'a' });
     const env = {
       PATH: process.env.PATH,
       MASTICLINK_CONFIG: join(dir, 'gateway.ini'),
       MASTICLINK_SOAK_SOURCE: source,
     };
-    this.child = spawn(process.execPath, ['--import', BIND_SOURCE, GATEWAY_MAIN], {
+    this.child = spawn(process.execPath, ['--import', BIND_SOURCE, main], {
       env,
       stdio: ['ignore', 'pipe', 'pipe'],
     });
@@ -132,7 +136,7 @@
 
   /** Writes its settings file with the given store address. */
   writeSettings(storeAddress: string): void {
-    const { name, zone, ports, dir } = this.options;
+    const { name, zone, ports, dir, retryLimit = RETRY_LIMIT } = this.options;
     const lines = [
       '[process]',
       `vm = ${name}`,
@@ -144,9 +148,9 @@
       '[store]',
       `address = ${storeAddress}`,
       '[bounds]',
-      `retry-ratio = ${RETRY_LIMIT.ratio}`,
-      `retry-window = ${RETRY_LIMIT.windowMs}ms`,
-      `retry-slack = ${RETRY_LIMIT.slack}`,
+      `retry-ratio = ${retryLimit.ratio}`,
+      `retry-window = ${retryLimit.windowMs}ms`,
+      `retry-slack = ${retryLimit.slack}`,
       `grace = ${GRACE_MS}ms`,
       `trial-share = ${TRIAL_SHARE}`,
       `trial-slack = ${TRIAL_SLACK}`,
--- a/src/soak/SoakWorld.ts
+++ b/src/soak/SoakWorld.ts
@@ -2,6 +2,7 @@
 
 import type { RoutingTable, TargetRegistration } from '../balancing/index.js';
 import type { LimitChange } from '../lab/index.js';
+import type { StoreCopy } from '../platform/standIn/index.js';
 import {
   PlatformStore,
   PlatformTarget,
@@ -13,7 +14,7 @@
 import type { LinkMode } from './FaultProxy.js';
 import { FaultProxy } from './FaultProxy.js';
 import { findPorts } from './findPorts.js';
-import type { ArrivalRecord } from './retryWindows.js';
+import type { ArrivalRecord, RetryLimit } from './retryWindows.js';
 import type { GatewayPorts } from './SoakGateway.js';
 import { SoakGateway } from './SoakGateway.js';
 
@@ -23,10 +24,8 @@
 export const SERVICE = 'soak';
 
 const DEFAULT_GATEWAY_COUNT = 4;
-const DEFAULT_TARGET_COUNT = 6;
 const DEFAULT_MAX_TARGETS = 2;
-const SLOTS_PER_TARGET = 4;
-const WORK_MS = 25;
+const DEFAULT_SERVICE: SoakService = { name: SERVICE, targets: 6, slots: 4, workMs: 25 };
 
 /** Last part of the loopback address that the connections of the first gateway come from. */
 const FIRST_SOURCE = 11;
@@ -45,6 +44,38 @@
   '-3': undefined,
 };
 
+/** A service of a soak. */
+export interface SoakService {
+  readonly name: string;
+  readonly targets: number;
+  /** Requests that a target runs at the same time. */
+  readonly slots: number;
+  /** Time that a request takes, in milliseconds. */
+  readonly workMs: number;
+}
+
+/** A route of a soak; its path is its name. */
+export interface SoakRoute {
+  readonly name: string;
+  readonly isIdempotent: boolean;
+  readonly services: RoutingTable['routes'][number]['services'];
+  readonly objectiveMs: number;
+  readonly timeoutMs: number;
+}
+
+/** Size and settings of a soak's platform. */
+export interface SoakWorldOptions {
+  readonly gateways?: number;
+  readonly services?: readonly SoakService[];
+  readonly routes?: readonly SoakRoute[];
+  /** Maximum number of targets that a request is sent to. */
+  readonly maxTargets?: number;
+  /** Limit on retries in the gateways' settings; `RETRY_LIMIT` by default. */
+  readonly retryLimit?: RetryLimit;
+  /** Programs that the gateways run, in turn; that of this build by default. */
+  readonly gatewayMains?: readonly string[];
+}
+
 /** A target and the proxy in front of it. */
 export interface SoakTarget {
   entry: TargetRegistration;
@@ -52,28 +83,41 @@
   readonly link: FaultProxy;
 }
 
-function makeRoute(
-  name: string,
-  isIdempotent: boolean,
-  maxTargets: number,
-): RoutingTable['routes'][number] {
-  return {
-    name,
-    host: 'soak.example',
-    pathPrefix: `/${name}/`,
-    isIdempotent,
-    objectiveMs: 300,
-    priority: 1,
-    services: [{ service: 'soak', weight: 1 }],
-    timeoutMs: 1_500,
-    maxTargets,
-  };
+function createRoute(name: string, isIdempotent: boolean): SoakRoute {
+  const services = [{ service: SERVICE, weight: 1 }];
+  return { name, isIdempotent, services, objectiveMs: 300, timeoutMs: 1_500 };
+}
+
+const DEFAULT_ROUTES: readonly SoakRoute[] = [
+  createRoute('read', true),
+  createRoute('book', false),
+];
+
+function toPublishedRoute(route: SoakRoute, maxTargets: number): RoutingTable['routes'][number] {
+  const { name } = route;
+  return { ...route, host: 'soak.example', pathPrefix: `/${name}/`, priority: 1, maxTargets };
+}
+
+/**
+ * Returns a service of a soak with another number of targets.
+ * @param targets - Number of targets.
+ */
+export function createSoakService(targets: number): SoakService {
+  return { ...DEFAULT_SERVICE, targets };
 }
 
 /** Store, targets and gateways of a soak, and the fault proxies between them. */
 export class SoakWorld {
   readonly store = new PlatformStore();
 
+  readonly services: readonly SoakService[];
+
+  /** Routes that a trial may replace; `publishConfiguration` puts them in force. */
+  routes: readonly SoakRoute[];
+
+  /** Content of the store before the gateways have started. */
+  contentBeforeStart: StoreCopy | undefined;
+
   readonly gateways: SoakGateway[] = [];
 
   /** Proxies between gateways and store, in the order of `gateways`. */
@@ -139,24 +183,29 @@
 
   /**
    * @param dir - Directory for settings and logs.
-   * @param gatewayCount - Number of gateways to run.
-   * @param targetCount - Number of targets at the start.
-   * @param maxTargets - Maximum number of targets that a request is sent to.
+   * @param options - Size and settings.
    */
   constructor(
     private readonly dir: string,
-    private readonly gatewayCount = DEFAULT_GATEWAY_COUNT,
-    private readonly targetCount = DEFAULT_TARGET_COUNT,
-    private readonly maxTargets = DEFAULT_MAX_TARGETS,
-  ) {}
+    private readonly options: SoakWorldOptions = {},
+  ) {
+    this.services = options.services ?? [DEFAULT_SERVICE];
+    this.routes = options.routes ?? DEFAULT_ROUTES;
+  }
 
   /** Starts the store, the targets and the gateways. */
   async start(): Promise<void> {
     await this.store.start();
     this.publishConfiguration();
-    for (let i = 0; i < this.targetCount; i++) await this.addTarget(ZONES[i % ZONES.length]);
-    const ports = await findPorts(this.gatewayCount * 5);
-    for (let i = 0; i < this.gatewayCount; i++) {
+    for (const service of this.services) {
+      for (let i = 0; i < service.targets; i++) {
+        await this.addTarget(ZONES[i % ZONES.length], this.version, service);
+      }
+    }
+    this.contentBeforeStart = this.store.copy();
+    const { gateways: gatewayCount = DEFAULT_GATEWAY_COUNT } = this.options;
+    const ports = await findPorts(gatewayCount * 5);
+    for (let i = 0; i < gatewayCount; i++) {
       const [callers, readiness, addresses, peers, metrics] = ports.slice(i * 5, i * 5 + 5);
       await this.addGateway(i, { callers, readiness, addresses, peers, metrics });
     }
@@ -197,16 +246,20 @@
   }
 
   /** Starts a target under a new id and registers it. */
-  async addTarget(zone: string, version = this.version): Promise<SoakTarget> {
+  async addTarget(
+    zone: string,
+    version = this.version,
+    { name: service, slots, workMs } = this.services[0],
+  ): Promise<SoakTarget> {
     this.startedTargets += 1;
     const id = `t-${this.startedTargets}`;
     const model: PlatformTarget = new PlatformTarget({
       id,
-      slots: SLOTS_PER_TARGET,
-      workMs: WORK_MS,
+      slots,
+      workMs,
       onRun: (requestId, source) =>
         this.runs.push({ id: requestId, target: id, version, source, at: Date.now() }),
-      onArrival: (requestId) => this.arrivals.push({ id: requestId, at: Date.now() }),
+      onArrival: (requestId) => this.arrivals.push({ id: requestId, service, at: Date.now() }),
       onPause: (requestId, source) =>
         this.pauses.push({
           id: requestId,
@@ -223,12 +276,12 @@
     const address = await link.start();
     const entry: TargetRegistration = {
       id,
-      service: 'soak',
+      service,
       address,
       zone,
       version,
       bornAt: this.startedTargets,
-      slots: SLOTS_PER_TARGET,
+      slots,
       isDraining: false,
       coldMs: 0,
     };
@@ -284,19 +337,20 @@
     }, CRASH_RECOVERY_MS);
   }
 
-  /** @internal */
-  private publishConfiguration(): void {
+  /** Publishes a configuration with the routes as they are now. */
+  publishConfiguration(): void {
     this.configurationVersion += 1;
+    const { maxTargets = DEFAULT_MAX_TARGETS } = this.options;
+    const extraRoutes = this.extraRoutes.map((name) => createRoute(name, true));
     putConfiguration(this.store, {
       version: this.configurationVersion,
-      routes: [
-        makeRoute('read', true, this.maxTargets),
-        makeRoute('book', false, this.maxTargets),
-        ...this.extraRoutes.map((name) => makeRoute(name, true, this.maxTargets)),
-      ],
-      services: [
-        { name: 'soak', healthPath: '/health', maxConnections: 200, coldRequestsPerSecond: 5 },
-      ],
+      routes: [...this.routes, ...extraRoutes].map((route) => toPublishedRoute(route, maxTargets)),
+      services: this.services.map(({ name }) => ({
+        name,
+        healthPath: '/health',
+        maxConnections: 200,
+        coldRequestsPerSecond: 5,
+      })),
       limits: { bodyBytes: 1_000_000, headerTimeoutMs: 3_000, idleTimeoutMs: 10_000 },
     });
   }
@@ -310,6 +364,10 @@
     const dir = join(this.dir, name);
     const zone = ZONES[index % ZONES.length];
     const source = `127.0.0.${FIRST_SOURCE + index}`;
-    this.gateways.push(new SoakGateway({ name, zone, ports, storeAddress, source, dir }));
+    const { retryLimit, gatewayMains = [] } = this.options;
+    const main = gatewayMains[index % gatewayMains.length];
+    this.gateways.push(
+      new SoakGateway({ name, zone, ports, storeAddress, source, dir, retryLimit, main }),
+    );
   }
 }
--- a/src/soak/retryWindows.ts
+++ b/src/soak/retryWindows.ts
@@ -7,6 +7,8 @@
 /** A request that has reached a target, whether it ran there or was rejected. */
 export interface ArrivalRecord {
   readonly id: string;
+  /** Service of the target; undefined if there is only one. */
+  readonly service?: string;
   readonly at: number;
 }
 
--- a/src/soak/runCrashTrial.ts
+++ b/src/soak/runCrashTrial.ts
@@ -6,7 +6,7 @@
 import type { CallerRecord } from './SoakCallers.js';
 import { SoakCallers } from './SoakCallers.js';
 import { SETTLE_MS } from './faults.js';
-import { SoakWorld } from './SoakWorld.js';
+import { createSoakService, SoakWorld } from './SoakWorld.js';
 
 /** Time that gateways need to discover each other and their targets, in milliseconds. */
 const STARTUP_MS = 2_500;
@@ -120,7 +120,7 @@
 export async function runCrashTrial(options: CrashTrialOptions): Promise<CrashTrialResult> {
   const { gateways, targets = DEFAULT_TARGET_COUNT, fatalRequests, ownCrashes = 0 } = options;
   const dir = mkdtempSync(join(tmpdir(), 'masticlink-crashes-'));
-  const world = new SoakWorld(dir, gateways, targets);
+  const world = new SoakWorld(dir, { gateways, services: [createSoakService(targets)] });
   await world.start();
   const ports = world.gateways.map((gateway) => gateway.options.ports);
   const callers = new SoakCallers(ports, createRandom(1));
--- a/src/soak/runCutTrial.ts
+++ b/src/soak/runCutTrial.ts
@@ -8,7 +8,7 @@
 import type { CallerRecord } from './SoakCallers.js';
 import { SoakCallers } from './SoakCallers.js';
 import type { SoakGateway } from './SoakGateway.js';
-import { SoakWorld } from './SoakWorld.js';
+import { createSoakService, SoakWorld } from './SoakWorld.js';
 
 /** Time that gateways need to discover each other and their targets, in milliseconds. */
 const STARTUP_MS = 2_500;
@@ -150,7 +150,10 @@
  */
 export async function runCutTrial(options: CutTrialOptions): Promise<CutTrialResult> {
   const dir = mkdtempSync(join(tmpdir(), 'masticlink-cut-'));
-  const world = new SoakWorld(dir, options.gateways, TARGET_COUNT);
+  const world = new SoakWorld(dir, {
+    gateways: options.gateways,
+    services: [createSoakService(TARGET_COUNT)],
+  });
   await world.start();
   const ports = world.gateways.map((gateway) => gateway.options.ports);
   const callers = new SoakCallers(ports, createRandom(1));
--- a/src/soak/runLimitTrial.ts
+++ b/src/soak/runLimitTrial.ts
@@ -106,7 +106,7 @@
  */
 export async function runLimitTrial(options: LimitTrialOptions): Promise<LimitTrialResult> {
   const dir = mkdtempSync(join(tmpdir(), 'masticlink-limits-'));
-  const world = new SoakWorld(dir, options.gateways);
+  const world = new SoakWorld(dir, { gateways: options.gateways });
   await world.start();
   const ports = world.gateways.map((gateway) => gateway.options.ports);
   const callers = new SoakCallers(ports, createRandom(1));
--- a/src/soak/runRolloutTrial.ts
+++ b/src/soak/runRolloutTrial.ts
@@ -115,7 +115,7 @@
  */
 export async function runRolloutTrial(options: RolloutTrialOptions): Promise<RolloutTrialResult> {
   const dir = mkdtempSync(join(tmpdir(), 'masticlink-rollout-'));
-  const world = new SoakWorld(dir, options.gateways);
+  const world = new SoakWorld(dir, { gateways: options.gateways });
   await world.start();
   const ports = world.gateways.map((gateway) => gateway.options.ports);
   const callers = new SoakCallers(ports, createRandom(1));
--- a/src/tests/soak/retryTrial.test.ts
+++ b/src/tests/soak/retryTrial.test.ts
@@ -1,14 +1,15 @@
 import test from 'ava';
 
+import { SMALL_FLEET } from '../../soak/retryFleets.js';
 import { runRetryTrial } from '../../soak/runRetryTrial.js';
 
 // A VM that stops leaves its share to the others although it has used it, and starts with a new one.
 test.serial('retries stay within their limit while all VMs are replaced in turn', async (t) => {
   t.timeout(90_000);
   const { worst } = await runRetryTrial({
-    gateways: 6,
+    fleet: SMALL_FLEET,
     behaviour: 'sheds',
-    fault: 'replaced',
+    faults: ['replaced'],
     requestsPerSecond: 20,
     forMs: 22_000,
   });
