Failing tests: one retry is granted for two attempts when a request is passed on

A VM takes a retry for a hedge and passes the hedge on, because it reaches no target. The other VM sends it and refuses, fails or gives no answer. When the first attempt ends as well, this VM uses the same retry once more. And a VM that has sent a request of another VM may answer that it has no target; the other VM then asks the next one, whose first attempt is taken from no budget.

The trial cutRepeatedly lets a third of the gateways lose their paths for short times, which end with a reset; the faults of retry trials have a file of their own.

--- a/src/soak/retryMain.ts
+++ b/src/soak/retryMain.ts
@@ -60,6 +60,8 @@
     BreakingReplaced: { ...breaking, faults: ['replaced'] },
     RejectingAdded: { ...rejecting, faults: ['added'] },
     RejectingCutOff: { ...rejecting, faults: ['cutOff'] },
+    RejectingCutRepeatedly: { ...rejecting, faults: ['cutRepeatedly'] },
+    FailingCutRepeatedly: { ...base, faults: ['cutRepeatedly'] },
     BreakingCutOff: { ...breaking, faults: ['cutOff', 'halfKilledRepeatedly'] },
     FailingCutOff: { ...base, faults: ['cutOff'] },
     FailingHalfKilled: { ...base, faults: ['halfKilledRepeatedly'] },
--- a/src/soak/runRetryTrial.ts
+++ b/src/soak/runRetryTrial.ts
@@ -4,14 +4,13 @@
 
 import type { TargetBehaviour } from '../platform/standIn/index.js';
 import { createRandom } from '../standIns/models/index.js';
-import type { LinkMode } from './FaultProxy.js';
+import type { GatewayFault, TargetLinkFault } from './retryFaults.js';
+import { GATEWAY_FAULTS, getThird, TARGET_LINK_FAULTS } from './retryFaults.js';
 import type { RetryFleet } from './retryFleets.js';
 import type { RetryWindow } from './retryWindows.js';
 import { findWorstRetryWindow } from './retryWindows.js';
 import type { CallerRecord } from './SoakCallers.js';
 import { SoakCallers } from './SoakCallers.js';
-import type { SoakGateway } from './SoakGateway.js';
-import type { SoakTarget } from './SoakWorld.js';
 import { SoakWorld } from './SoakWorld.js';
 
 /** Time with sound targets until the gateways have run for longer than a window, in milliseconds. */
@@ -23,30 +22,6 @@
 /** How long the targets fail before the gateways are disturbed, in milliseconds. */
 const FAILING_MS = 2_000;
 
-/** Time until a killed gateway is started again, in milliseconds. */
-const DOWN_MS = 300;
-
-/** Time between two kills of the same gateways, in milliseconds. */
-const KILL_INTERVAL_MS = 2_000;
-
-/** How long gateways are suspended, in milliseconds. */
-const SUSPENDED_MS = 5_000;
-
-/** Times of one stall of a gateway's process and of the next one after its end, in milliseconds. */
-const STALLED_MS = 400;
-const STALL_INTERVAL_MS = 600;
-const STALLS = 16;
-
-/** Time between two changes of a route or two reloads of the settings, in milliseconds. */
-const CHANGE_INTERVAL_MS = 1_500;
-
-/** Time for which the store cannot be reached, or has lost the list of VMs, in milliseconds. */
-const LONG_STORE_FAULT_MS = 16_000;
-const STORE_RESTORE_INTERVAL_MS = 400;
-
-/** How long the links to targets are disturbed at once, in milliseconds. */
-const LINK_FAULT_MS = 4_000;
-
 /** How long intermittent targets fail, and then serve, in milliseconds. */
 const INTERMITTENT_MS = 3_000;
 
@@ -55,50 +30,6 @@
 
 const SERVED = 200;
 
-/** What happens to the gateways while the targets fail. */
-export type GatewayFault =
-  /** Each is stopped (SIGTERM) and started again, one after the other. */
-  | 'replaced'
-  /** Each is stopped and started again, all but one at the same time. */
-  | 'replacedTogether'
-  /** All are killed once. */
-  | 'allKilled'
-  /** Half of them are killed five times. */
-  | 'halfKilledRepeatedly'
-  /** Half of them are suspended for a while (SIGSTOP), and the others are killed meanwhile. */
-  | 'halfSuspended'
-  /** The processes stall again and again, so that timers are due before answers are read. */
-  | 'stalled'
-  /** All are told to read their settings again, several times. */
-  | 'reloaded'
-  /** All are killed once while the store is away, which comes back two seconds later. */
-  | 'killedWhileStoreAway'
-  /** The same, and the store is away for longer than a window. */
-  | 'killedWhileStoreAwayLong'
-  /** The store has no list of VMs for longer than a window. */
-  | 'vmsForgotten'
-  /** The same, and all gateways are killed once meanwhile. */
-  | 'killedWhileVmsForgotten'
-  /** The last route is distributed over all services, and back, several times. */
-  | 'routeMoves'
-  /** A third of them are started only now. */
-  | 'added'
-  /** A third of them leave for good. */
-  | 'left'
-  /** A third of them do not reach the targets for some seconds, and pass their requests on. */
-  | 'cutOff';
-
-/** What happens to the links between gateways and targets while the targets fail. */
-export type TargetLinkFault =
-  /** All targets are suspended for some seconds, so that what was sent arrives later. */
-  | 'suspended'
-  /** Half of the targets are suspended for some seconds. */
-  | 'halfSuspended'
-  /** All data arrive late for some seconds, as after retransmissions. */
-  | 'late'
-  /** The same for half of the targets. */
-  | 'halfLate';
-
 /** Settings of a retry trial. */
 export interface RetryTrialOptions {
   readonly fleet: RetryFleet;
@@ -134,139 +65,6 @@
   });
 }
 
-async function killAndStart(gateways: readonly SoakGateway[]): Promise<void> {
-  for (const gateway of gateways) gateway.kill();
-  await wait(DOWN_MS);
-  for (const gateway of gateways) gateway.start();
-}
-
-async function stopAndStart(gateway: SoakGateway): Promise<void> {
-  await gateway.stop();
-  gateway.start();
-}
-
-/** Returns half of the gateways. */
-function getHalf({ gateways }: SoakWorld): readonly SoakGateway[] {
-  return gateways.slice(0, Math.ceil(gateways.length / 2));
-}
-
-/** Returns a third of the gateways. */
-function getThird({ gateways }: SoakWorld): readonly SoakGateway[] {
-  return gateways.slice(0, Math.ceil(gateways.length / 3));
-}
-
-/** Restores the store again and again to its content from before the gateways started. */
-async function forgetVms({ store, contentBeforeStart }: SoakWorld): Promise<void> {
-  const endsAt = Date.now() + LONG_STORE_FAULT_MS;
-  while (Date.now() < endsAt && contentBeforeStart !== undefined) {
-    store.restore(contentBeforeStart);
-    await wait(STORE_RESTORE_INTERVAL_MS);
-  }
-}
-
-async function killWhileStoreAway(
-  { gateways, storeLinks }: SoakWorld,
-  awayMs: number,
-): Promise<void> {
-  for (const link of storeLinks) link.setMode('reset');
-  await killAndStart(gateways);
-  await wait(awayMs);
-  for (const link of storeLinks) link.setMode('sound');
-}
-
-const FAULTS: Readonly<Record<GatewayFault, (world: SoakWorld) => Promise<void>>> = {
-  async replaced({ gateways }) {
-    for (const gateway of gateways) await stopAndStart(gateway);
-  },
-  async replacedTogether({ gateways }) {
-    await Promise.all(gateways.slice(1).map(stopAndStart));
-  },
-  async allKilled({ gateways }) {
-    await killAndStart(gateways);
-  },
-  async halfKilledRepeatedly(world) {
-    const half = getHalf(world);
-    for (let i = 0; i < 5; i++) {
-      await killAndStart(half);
-      await wait(KILL_INTERVAL_MS - DOWN_MS);
-    }
-  },
-  async halfSuspended(world) {
-    const half = getHalf(world);
-    const others = world.gateways.filter((gateway) => !half.includes(gateway));
-    for (const gateway of half) gateway.sendSignal('SIGSTOP');
-    await killAndStart(others);
-    await wait(SUSPENDED_MS - DOWN_MS);
-    for (const gateway of half) gateway.sendSignal('SIGCONT');
-    await wait(KILL_INTERVAL_MS);
-    await killAndStart(half);
-  },
-  async stalled({ gateways }) {
-    for (let i = 0; i < STALLS; i++) {
-      for (const gateway of gateways) gateway.sendSignal('SIGSTOP');
-      await wait(STALLED_MS);
-      for (const gateway of gateways) gateway.sendSignal('SIGCONT');
-      await wait(STALL_INTERVAL_MS);
-    }
-  },
-  async reloaded({ gateways }) {
-    for (let i = 0; i < 8; i++) {
-      for (const gateway of gateways) gateway.sendSignal('SIGHUP');
-      await wait(CHANGE_INTERVAL_MS);
-    }
-  },
-  killedWhileStoreAway: (world) => killWhileStoreAway(world, 2_000),
-  killedWhileStoreAwayLong: (world) => killWhileStoreAway(world, LONG_STORE_FAULT_MS),
-  vmsForgotten: forgetVms,
-  async killedWhileVmsForgotten(world) {
-    const forgotten = forgetVms(world);
-    await wait(STORE_RESTORE_INTERVAL_MS);
-    await killAndStart(world.gateways);
-    await forgotten;
-  },
-  async routeMoves(world) {
-    const { routes, services } = world;
-    const all = services.map(({ name }) => ({ service: name, weight: 1 }));
-    for (let i = 0; i < 8; i++) {
-      const last = routes[routes.length - 1];
-      world.routes = i % 2 === 0 ? [...routes.slice(0, -1), { ...last, services: all }] : routes;
-      world.publishConfiguration();
-      await wait(CHANGE_INTERVAL_MS);
-    }
-  },
-  added(world) {
-    for (const gateway of getThird(world)) gateway.start();
-    return Promise.resolve();
-  },
-  async left(world) {
-    await Promise.all(getThird(world).map((gateway) => gateway.stop()));
-  },
-  async cutOff(world) {
-    const cut = getThird(world);
-    for (const gateway of cut) world.setPathMode(gateway, 'oneWay');
-    await wait(4_000);
-    for (const gateway of cut) world.setPathMode(gateway, undefined);
-  },
-};
-
-async function disturbLinks(targets: readonly SoakTarget[], mode: LinkMode): Promise<void> {
-  for (const { link } of targets) link.setMode(mode);
-  await wait(LINK_FAULT_MS);
-  for (const { link } of targets) link.setMode('sound');
-}
-
-/** Returns every other target. */
-function getEveryOther({ targets }: SoakWorld): readonly SoakTarget[] {
-  return targets.filter((_target, i) => i % 2 === 0);
-}
-
-const LINK_FAULTS: Readonly<Record<TargetLinkFault, (world: SoakWorld) => Promise<void>>> = {
-  suspended: ({ targets }) => disturbLinks(targets, 'suspended'),
-  halfSuspended: (world) => disturbLinks(getEveryOther(world), 'suspended'),
-  late: ({ targets }) => disturbLinks(targets, 'late'),
-  halfLate: (world) => disturbLinks(getEveryOther(world), 'late'),
-};
-
 function setBehaviour({ targets }: SoakWorld, behaviour: TargetBehaviour): void {
   for (const { model } of targets) model.behaviour = behaviour;
 }
@@ -327,12 +125,12 @@
 async function injectFailures(world: SoakWorld, options: RetryTrialOptions): Promise<void> {
   const { behaviour, isIntermittent = false, faults = [], forMs } = options;
   const { linkFault, failsAfterLinks = false } = options;
-  const linksDisturbed = linkFault === undefined ? undefined : LINK_FAULTS[linkFault](world);
+  const linksDisturbed = linkFault === undefined ? undefined : TARGET_LINK_FAULTS[linkFault](world);
   if (failsAfterLinks) await linksDisturbed;
   setBehaviour(world, behaviour);
   const endsAt = Date.now() + forMs;
   await wait(FAILING_MS);
-  const disturbed = faults.map((fault) => FAULTS[fault](world));
+  const disturbed = faults.map((fault) => GATEWAY_FAULTS[fault](world));
   while (Date.now() < endsAt) {
     await wait(Math.min(INTERMITTENT_MS, endsAt - Date.now()));
     const isFailing = world.targets[0].model.behaviour === behaviour;
