A retry that another VM may have sent is not used once more

What callers saw: nothing; targets got one more attempt than the budget had granted. Cause: a retry that was taken and not sent yet is kept for the next attempt of its request, and passing the request on did not count as sending it. When the other VM refused or failed after it had sent the request, the next attempt of this VM was made on the same take. Now the take is used as soon as the other VM may have sent the request; it is kept if the other VM was not reached, or answers that it has sent nothing.

--- a/src/balancing/forwarding.ts
+++ b/src/balancing/forwarding.ts
@@ -1,7 +1,7 @@
 import type { BalancerContext, BalancerState } from './BalancerState.js';
 import type { BalancerEffect, LocalAnswerReason } from './effects.js';
 import { answerLocally, refuseOrFail, removeForward, removeRequest } from './endings.js';
-import type { ForwardEnded } from './events.js';
+import type { ForwardEnded, ForwardResult } from './events.js';
 import type { PendingRequest } from './PendingRequest.js';
 import { probeForRecovery } from './reachability.js';
 
@@ -20,7 +20,7 @@
 /** Minimum time that a helper is given, in milliseconds. */
 const MIN_ALLOWED_MS = 20;
 
-/** Reasons of a helper that hold for other requests as well. */
+/** Reasons of a helper that has not sent the request, and that hold for other requests as well. */
 const EXCLUDING_REASONS: ReadonlySet<string> = new Set([
   'noTarget',
   'notConfigured',
@@ -125,6 +125,12 @@
   ];
 }
 
+/** Whether a helper has certainly not sent a request to a target. */
+function isCertainlyUnsent(end: ForwardResult): boolean {
+  if (end.kind === 'refused') return EXCLUDING_REASONS.has(end.reason ?? '');
+  return end.kind === 'unsent';
+}
+
 /** Delivers a helper's answer, asks another one, or answers the request locally. */
 export function handleForwardEnded(
   state: BalancerState,
@@ -159,6 +165,9 @@
     ];
   }
   const reason = 'reason' in end ? end.reason : undefined;
+  const hasSentNothing = isCertainlyUnsent(end);
+  // The helper has used the retry that was taken for this attempt.
+  if (!hasSentNothing) pending.hasUnsentRetry = false;
   const fields = { id, attempt, via: vm, end: end.kind, reason, tookMs: Math.round(now - sentAt) };
   const line: BalancerEffect = { kind: 'log', event: 'forward.failed', fields };
   const hasOpenAttempt = pending.attempts.size > 0;
@@ -169,7 +178,7 @@
     const own = reason === 'timedOut' ? 'timedOut' : 'targetFailed';
     return [line, ...answerLocally(state, pending, own, context)];
   }
-  if (end.kind === 'refused' && !EXCLUDING_REASONS.has(reason ?? '')) {
+  if (!hasSentNothing) {
     state.helpers.recordHelp(vm, now);
     if (hasOpenAttempt) return [line];
     const own = REPEATED_REASONS.find((each) => each === reason) ?? 'overloaded';
