A VM that has sent a request of another VM does not answer that it has no target

What callers saw: nothing; targets got attempts that no budget had granted. Cause: after noTarget, the VM that passed a request on asks the next VM, up to six, as if nothing had been sent. A VM whose targets reject a request one after the other, or are lost meanwhile, gave the same answer after it had sent the request. Now it answers rejected, which the other VM repeats to its caller.

--- a/src/balancing/endings.ts
+++ b/src/balancing/endings.ts
@@ -208,7 +208,10 @@
   reason: LocalAnswerReason,
   context: BalancerContext,
 ): BalancerEffect[] {
-  return answerLocally(state, pending, pending.hasPossiblyRun ? 'targetFailed' : reason, context);
+  // With `noTarget`, the VM that passed the request on would have it sent once more by another VM.
+  const isSentForOther = pending.isForwarded && pending.triedTargets.size > 0;
+  const own = reason === 'noTarget' && isSentForOther ? 'rejected' : reason;
+  return answerLocally(state, pending, pending.hasPossiblyRun ? 'targetFailed' : own, context);
 }
 
 /**
