A request that another VM may have run is not sent to further targets

What callers saw: nothing; a request could run on more targets than its route allows. Cause: the VM that passes a hedge on gives the other VM all targets that are left, and does not count them when the other VM fails or gives no answer; when its own first attempt ended as well, it sent the request to further targets. Evidence: the two tests failed before (two requests passed on, where the first may have used all targets that are left). They replace the two cases of the table that asked for a second take: no attempt at all is stricter than one that is taken. Only requests with an open attempt of this VM are concerned; without one the request was answered at once before, too.

--- a/src/balancing/PendingRequest.ts
+++ b/src/balancing/PendingRequest.ts
@@ -60,8 +60,8 @@
   readonly deadlineAt: number;
   /** When the caller gives up on its own; monotonic milliseconds. */
   readonly callerTimeoutAt: number;
-  /** Maximum number of targets that it is sent to. */
-  readonly maxTargets: number;
+  /** Maximum number of targets that it is sent to by this VM. */
+  maxTargets: number;
   /** Whether another VM has passed it on. */
   readonly isForwarded: boolean;
   /** Set while it is passed on to another VM. */
--- a/src/balancing/forwarding.ts
+++ b/src/balancing/forwarding.ts
@@ -174,6 +174,8 @@
   if (end.kind === 'broken' || end.kind === 'failed') {
     // It may have run: its answer may have been lost between the VMs as well.
     pending.hasPossiblyRun = true;
+    // It may also have used all targets that the request may be sent to.
+    pending.maxTargets = pending.triedTargets.size;
     if (hasOpenAttempt) return [line];
     const own = reason === 'timedOut' ? 'timedOut' : 'targetFailed';
     return [line, ...answerLocally(state, pending, own, context)];
