Stand-in store: what was removed after a restore is not written again

The stand-in makes the changes that a restore has lost again where an object is as in the copy, and took a target that was removed meanwhile for one that the copy lacks. A target that has ended registers no more.

--- a/src/platform/standIn/PlatformStore.ts
+++ b/src/platform/standIn/PlatformStore.ts
@@ -75,6 +75,9 @@
   /** Whether all connections are reset. @internal */
   private isAway = false;
 
+  /** Objects that have been removed since the last restore: kind and name. @internal */
+  private readonly removed = new Set<string>();
+
   /** Callbacks of the watches that wait for a change. @internal */
   private readonly watchers = new Set<() => void>();
 
@@ -119,11 +122,13 @@
       status,
     };
     objects.set(name, object);
+    this.removed.delete(`${kind}/${name}`);
     this.recordEvent({ kind, revision: this.revision, object, deleted: false });
   }
 
   /** Removes an object; does nothing if it does not exist. */
   remove(kind: string, name: string): void {
+    this.removed.add(`${kind}/${name}`);
     const object = this.getObjects(kind).get(name);
     if (object === undefined) return;
     this.getObjects(kind).delete(name);
@@ -150,6 +155,7 @@
   restore({ revision, events, objectsByKind }: StoreCopy): void {
     this.epoch += 1;
     this.revision = revision;
+    this.removed.clear();
     this.events = [...events];
     this.objectsByKind.clear();
     for (const [kind, byName] of objectsByKind) this.objectsByKind.set(kind, new Map(byName));
@@ -164,7 +170,7 @@
 
   /**
    * Lists the objects of operators and targets that differ from a copy. After a restore they are
-   * written again, except where an object has changed meanwhile. The history is no help, since it
+   * written again, except where an object has changed or was removed meanwhile. The history is no help, since it
    * may have been cleared.
    * @param copy - The copy.
    * @returns A function for each object that writes it again.
@@ -188,7 +194,7 @@
     lost: StoredObject | undefined,
   ): void {
     const object = this.getObjects(kind).get(name);
-    if (object !== copied) return;
+    if (object !== copied || this.removed.has(`${kind}/${name}`)) return;
     if (lost === undefined) this.remove(kind, name);
     else this.put(kind, name, lost.spec, kind === 'servers' ? lost.status : object?.status);
   }
--- a/src/tests/platform/PlatformStore.test.ts
+++ b/src/tests/platform/PlatformStore.test.ts
@@ -18,3 +18,18 @@
   t.not(store.getSpec('servers', 't-2'), undefined);
   t.is(store.getSpec('servers', 't-1'), undefined);
 });
+
+// A target that has ended registers no more; gateways would be asked to forget one that the store has.
+test('a target that is removed after a restore is not registered again with the lost changes', (t) => {
+  for (const isWrittenMeanwhile of [false, true]) {
+    const store = new PlatformStore();
+    const copy = store.copy();
+    putTarget(store, makeTarget('t-1'));
+    const lostChanges = store.getChangesSince(copy);
+    store.restore(copy);
+    if (isWrittenMeanwhile) putTarget(store, makeTarget('t-1', { isDraining: true }));
+    removeTarget(store, 't-1');
+    for (const writeAgain of lostChanges) writeAgain();
+    t.is(store.getSpec('servers', 't-1'), undefined);
+  }
+});
