A gateway whose sources refuse its connections waits before it connects again

Cause: when all other VMs are avoided, all count as usable, so that the VM which has just refused is chosen again at once. Now the next check (each 0.05 of the bound, 100 ms at 2 s) connects to it.

--- a/src/fleet/FleetSync.ts
+++ b/src/fleet/FleetSync.ts
@@ -193,16 +193,25 @@
 
   /** This VM and all others that are not avoided at present, in tree order. @internal */
   private getUsableVms(now: number): readonly TreeVm[] {
-    const { self } = this.parts;
     const all = this.getSortedVms();
-    const usable = all.filter(
-      ({ name, peers }) => name === self.name || (this.avoidedUntil.get(peers) ?? 0) <= now,
-    );
+    const usable = all.filter((vm) => !this.isAvoided(vm, now));
     // If all others are avoided, the store is probably down. All are then kept, so that the first
     // ones in the order, which notice its recovery first, are followed.
     return usable.length > 1 ? usable : all;
   }
 
+  /** @internal */
+  private isAvoided({ name, peers }: TreeVm, now: number): boolean {
+    return name !== this.parts.self.name && (this.avoidedUntil.get(peers) ?? 0) > now;
+  }
+
+  /** Whether any other VM is not avoided at present. @internal */
+  private hasOtherSource(): boolean {
+    const { clock, self } = this.parts;
+    const now = clock.now();
+    return this.getSortedVms().some((vm) => vm.name !== self.name && !this.isAvoided(vm, now));
+  }
+
   /** @internal */
   private getSortedVms(): readonly TreeVm[] {
     if (this.sortedVms !== undefined) return this.sortedVms;
@@ -271,7 +280,8 @@
     const client: FeedClient = new FeedClient(peers, view, clock, (reason) => {
       if (this.client !== client) return;
       this.dropSource(client, reason);
-      this.updateRole();
+      // A VM that is avoided would refuse at once again; the next check connects to it.
+      if (this.hasOtherSource()) this.updateRole();
     });
     this.client = client;
     log.write('fleet.following', { source: peers, ageMs: this.getRoundedAgeMs() });
