--- a/src/tests/fleet/watchGaps.test.ts
+++ b/src/tests/fleet/watchGaps.test.ts
@@ -69,3 +69,41 @@
   for (const change of passedOn.slice(1)) follower.apply({ ...change, isFromPeer: true });
   t.deepEqual([...follower.targets.keys()], ['t-1', 't-3']);
 });
+
+/** Records what a view tells its followers. */
+function recordChanges(source: FleetView): SectionChange<'targets'>[] {
+  const changes: SectionChange<'targets'>[] = [];
+  source.onChange((change) => changes.push(change as SectionChange<'targets'>));
+  return changes;
+}
+
+// Told as additions, a first reading leaves the follower with targets that were removed before, at the latest position.
+test('a follower that is ahead of its source’s first reading forgets the targets that it lacks', (t) => {
+  const clock = new VirtualClock();
+  const source = new FleetView(clock);
+  const follower = new FleetView(clock);
+  const changes = recordChanges(source);
+  follower.apply({ section: 'targets', items: NAMES.map(put), position: at(5), isWhole: true });
+  const items = [put('t-1'), put('t-3')];
+  source.apply({ section: 'targets', items, position: at(8), isWhole: true });
+  for (const change of changes) follower.apply({ ...change, isFromPeer: true });
+  t.deepEqual([...follower.targets.keys()], ['t-1', 't-3']);
+});
+
+// The changes before it are never sent, so the follower would lack them for good at the latest position.
+test('a follower does not apply a change that begins after its position', (t) => {
+  const clock = new VirtualClock();
+  const source = new FleetView(clock);
+  const follower = new FleetView(clock);
+  const changes = recordChanges(source);
+  for (const view of [source, follower]) {
+    view.apply({ section: 'targets', items: NAMES.map(put), position: at(5), isWhole: true });
+  }
+  source.apply({ section: 'targets', items: [remove('t-2')], position: at(6), isWhole: false });
+  source.apply({ section: 'targets', items: [put('t-4')], position: at(7), isWhole: false });
+  const [, , latest] = changes;
+  t.is(follower.apply({ ...latest, isFromPeer: true }), 'incomplete');
+  t.deepEqual(follower.getPosition('targets'), at(5));
+  follower.apply({ ...source.getSnapshot('targets'), isFromPeer: true });
+  t.deepEqual([...follower.targets.keys()], ['t-1', 't-3', 't-4']);
+});
