--- a/src/tests/fleet/restoredView.test.ts
+++ b/src/tests/fleet/restoredView.test.ts
@@ -198,3 +198,17 @@
     ),
   });
 });
+
+// A VM that has started after the restore has read what the store has; without its word, this VM
+// would remove targets that all others know, and be told of them by nobody.
+test('a missing target is kept if a peer that has just started has read it', (t) => {
+  const clock = new VirtualClock();
+  const view = new FleetView(clock);
+  view.apply(makeTargets(['t-1', 't-2'], at(5)));
+  view.apply(makeTargets(['t-1'], at(3, 2)));
+  const peer = new FleetView(clock);
+  peer.apply(makeTargets(['t-1', 't-2'], at(8, 2)));
+  view.apply({ ...peer.getSnapshot('targets'), isFromPeer: true });
+  clock.runUntil(clock.now() + 10_000);
+  t.deepEqual([...view.targets.keys()], ['t-1', 't-2']);
+});
