Targets that a peer has listed are not removed as missing

What callers saw: a gateway kept one of seven targets for good after a restore of the store; the others served its callers' requests. Cause: a VM that read a restored store keeps what the store lacks for 2.7 s, until it is written again. If it then loses the store and follows a VM that has started after the restore, it gets the targets as a whole section, which is no evidence that they are in the store, since a peer may keep them only because of its own deferred removals. When the time is over it removes them, and its source, for which nothing changes, does not tell it of them again. Now a VM states of a whole section whether it has listed it itself since the latest outage and keeps nothing else; then it is evidence. What a VM lacks that does not know what was lost still ends nothing. Ruled out: the position (it was that of the store), the follow tree (the source was fresh).

--- a/src/fleet/FleetView.ts
+++ b/src/fleet/FleetView.ts
@@ -61,6 +61,9 @@
   /** Position that each section is at. @internal */
   private readonly positions = new Map<Section, StorePosition>();
 
+  /** When each section was last read whole from the store, by this VM or its source. @internal */
+  private readonly listedAt = new Map<Section, number>();
+
   /** Objects that the store lacks and that may be written again. @internal */
   private readonly deferred: ReadonlyMap<Section, DeferredRemovals>;
 
@@ -189,6 +192,7 @@
     if (isRestored) this.beginRewrite(change);
     const items = this.deferRemovals(change, changed, isRestored);
     this.recordMissing(change);
+    this.recordListed(change);
     for (const { name, value } of items) this.setEntry(section, name, value);
     if (isRestored) this.reportRestore(before, { section, items, position, isWhole: false });
     // The first reading of a section is reported even if it is empty, since listeners wait for it.
@@ -232,7 +236,8 @@
     const { names, dueInMs } = this.getDeferred(section);
     const isTold = this.knownBeforeRestore.has(section);
     const missing = isTold ? { names, dueInMs: Math.round(dueInMs) } : undefined;
-    return { section, items, position, isWhole: true, missing } as SectionChange<S>;
+    const isListed = this.isListed(section);
+    return { section, items, position, isWhole: true, missing, isListed } as SectionChange<S>;
   }
 
   /**
@@ -296,14 +301,15 @@
   /**
    * Cancels the deferred removal of objects that have been written again, even if the change itself
    * is older than the section's position. A whole section from a peer is no evidence of that unless
-   * it tells what is missing: the peer may only keep the objects because of its own deferred
-   * removals.
+   * it tells what is missing, or has been listed: the peer may only keep the objects because of its own
+   * deferred removals.
    * @returns Names of the objects that were missing until now.
    * @internal
    */
   private resolveWritten(change: SectionChange<Section>): ReadonlySet<string> {
-    const { section, items, position, isWhole, isFromPeer, missing } = change;
-    if (isWhole && isFromPeer === true && missing === undefined) return new Set();
+    const { section, items, position, isWhole, isFromPeer, missing, isListed } = change;
+    const isEvidence = isFromPeer !== true || missing !== undefined || isListed === true;
+    if (isWhole && !isEvidence) return new Set();
     const deferred = this.getDeferred(section);
     const stillMissing = new Set(missing?.names);
     const written = items.filter(
@@ -355,6 +361,21 @@
     this.getDeferred(section).keepUntil(now + REWRITE_MS[section]);
   }
 
+  /** @internal */
+  private recordListed(change: SectionChange<Section>): void {
+    const { section, isWhole, isFromPeer, isListed } = change;
+    if (!isWhole) return;
+    if (isFromPeer !== true || isListed === true) this.listedAt.set(section, this.clock.now());
+    else this.listedAt.delete(section);
+  }
+
+  /** Whether the store has all known objects of a section. @internal */
+  private isListed(section: Section): boolean {
+    const at = this.listedAt.get(section);
+    const isSinceOutage = at !== undefined && at >= this.confirmations.storeRecoveredAt;
+    return isSinceOutage && this.getDeferred(section).size === 0;
+  }
+
   /** Takes over what the sender of a whole section keeps although the store lacks it. @internal */
   private recordMissing({ section, position, missing }: SectionChange<Section>): void {
     if (missing === undefined) return;
--- a/src/fleet/sectionChanges.ts
+++ b/src/fleet/sectionChanges.ts
@@ -23,6 +23,11 @@
    * VM cannot tell, because it did not know the section before the store lost objects.
    */
   readonly missing?: MissingObjects;
+  /**
+   * Of a whole section from another VM: whether the store has all of its items, as the VM has listed
+   * them after the latest outage and keeps nothing else.
+   */
+  readonly isListed?: boolean;
 }
 
 /**
