A follower takes over a position only with all changes up to it

What callers saw: a gateway went on to send requests to a target that was gone (8 of 7 known), until the next restart. Cause: a VM tells its followers its first reading of a section as additions, at the position of the store. A follower that stands at an earlier position applies them, takes the position over, and never hears of what was removed between the two; its source reports removals only of what it has known itself. Class: changes are applied to another state than the one that they were made from. Now a first reading is sent as the whole section, and each change states the position that it begins at: that of the sender's previous change. A follower at an earlier position asks for the whole section, once until it arrives. Other way: a digest of the content beside each heartbeat, and the whole asked for when it differs. It would cost some 20 bytes four times a second for each follower, repairs only after the target was lost or kept for some time, and has to leave out what either side keeps for later; not built.

--- a/src/fleet/FeedClient.ts
+++ b/src/fleet/FeedClient.ts
@@ -5,8 +5,10 @@
 import type { Clock } from '../timing/index.js';
 import type { FeedMessage } from './feedMessages.js';
 import { decodeFeedMessage, FeedReader, writeFeedMessage } from './feedMessages.js';
+import type { Section } from './FleetStore.js';
 import { SECTIONS } from './FleetStore.js';
 import type { FleetView } from './FleetView.js';
+import type { SectionChange } from './sectionChanges.js';
 
 /** A connection without data for this long is silent, in milliseconds: three ages were missed. */
 const SILENCE_TIMEOUT_MS = 850;
@@ -28,6 +30,9 @@
   /** @internal */
   private lastReceivedAt: number;
 
+  /** Sections that were asked for as a whole and have not arrived yet. @internal */
+  private readonly requested = new Set<Section>();
+
   /** Age of the sender's data in its latest `age` message. @internal */
   private lastAgeMs = Number.POSITIVE_INFINITY;
 
@@ -110,11 +115,20 @@
     for (const message of messages) this.handleMessage(message);
   }
 
+  /** @internal */
+  private applyChange(change: SectionChange<Section>): void {
+    const { section, isWhole } = change;
+    if (isWhole) this.requested.delete(section);
+    const result = this.view.apply({ ...change, isFromPeer: true });
+    if (result !== 'incomplete' || this.requested.has(section)) return;
+    this.requested.add(section);
+    this.requestSections();
+  }
+
   /** @internal */
   private handleMessage(message: FeedMessage): void {
     if (message.kind === 'change') {
-      const result = this.view.apply({ ...message, isFromPeer: true });
-      if (result === 'incomplete') this.requestSections();
+      this.applyChange(message);
       return;
     }
     const { ageMs, epoch, origin, count } = message;
--- a/src/fleet/FleetView.ts
+++ b/src/fleet/FleetView.ts
@@ -35,6 +35,19 @@
   vms: 5_000,
 };
 
+function isPartialPosition(position: StorePosition): boolean {
+  return comparePositions(position, PARTIAL_POSITION) === 0;
+}
+
+/** Whether changes lack some between the position of a section and the one that they begin at. */
+function isGap(
+  before: StorePosition | undefined,
+  { from }: Pick<SectionChange<Section>, 'from'>,
+): boolean {
+  if (from === undefined) return false;
+  return before === undefined || comparePositions(before, from) < 0;
+}
+
 /** Local copy of the store, whether it was read from the store or received from another VM. */
 export class FleetView {
   /** Latest configuration; undefined if none is known. */
@@ -64,6 +77,9 @@
   /** When each section was last read whole from the store, by this VM or its source. @internal */
   private readonly listedAt = new Map<Section, number>();
 
+  /** Position of the latest reported change of each section, which the next one follows. @internal */
+  private readonly reportedAt = new Map<Section, StorePosition>();
+
   /** Objects that the store lacks and that may be written again. @internal */
   private readonly deferred: ReadonlyMap<Section, DeferredRemovals>;
 
@@ -165,7 +181,7 @@
   /** Whether only a part of a section has been read so far. */
   isPartial(section: Section): boolean {
     const position = this.getPosition(section);
-    return position !== undefined && comparePositions(position, PARTIAL_POSITION) === 0;
+    return position !== undefined && isPartialPosition(position);
   }
 
   /**
@@ -186,7 +202,8 @@
     }
     const isRestored = before !== undefined && isRestoredBetween(before, position);
     // The configuration is a single object, so any change of it is the whole.
-    if (isRestored && !isWhole && section !== 'configuration') return 'incomplete';
+    const needsWhole = !isWhole && section !== 'configuration';
+    if (needsWhole && (isRestored || isGap(before, change))) return 'incomplete';
     if (!isEarlier) this.positions.set(section, position);
     const changed = this.findChanges(change, before, written);
     if (isRestored) this.beginRewrite(change);
@@ -195,13 +212,23 @@
     this.recordListed(change);
     for (const { name, value } of items) this.setEntry(section, name, value);
     if (isRestored) this.reportRestore(before, { section, items, position, isWhole: false });
-    // The first reading of a section is reported even if it is empty, since listeners wait for it.
-    else if (items.length > 0 || before === undefined) {
-      this.reportChange({ section, items, position, isWhole: false });
-    }
+    else this.reportApplied({ section, items, position, isWhole }, before);
     return 'applied';
   }
 
+  /** @internal */
+  private reportApplied(change: SectionChange<Section>, before: StorePosition | undefined): void {
+    const { section, items, isWhole } = change;
+    // Followers may know objects that a first reading lacks.
+    if (isWhole && (before === undefined || isPartialPosition(before))) {
+      this.reportChange(this.getSnapshot(section));
+      return;
+    }
+    // The first reading of a section is reported even if it is empty, since listeners wait for it.
+    if (items.length === 0 && before !== undefined) return;
+    this.reportChange({ ...change, isWhole: false, from: this.reportedAt.get(section) });
+  }
+
   /**
    * Returns the objects that differ from what is known, or that listeners have to be told of
    * nevertheless.
@@ -261,6 +288,7 @@
 
   /** @internal */
   private reportChange(change: SectionChange<Section>): void {
+    this.reportedAt.set(change.section, change.position);
     for (const listener of this.changeListeners) listener(change);
   }
 
--- a/src/fleet/sectionChanges.ts
+++ b/src/fleet/sectionChanges.ts
@@ -16,6 +16,11 @@
   readonly position: StorePosition;
   /** Whether the items are the whole section, so that objects which are not among them are gone. */
   readonly isWhole: boolean;
+  /**
+   * Position that the changes begin at: who is at an earlier one lacks some that are not among them.
+   * Undefined if the sender does not state it.
+   */
+  readonly from?: StorePosition;
   /** Whether it came from another VM, which may keep objects that are missing in the store. */
   readonly isFromPeer?: boolean;
   /**
@@ -50,7 +55,8 @@
 
 /**
  * Result of applying changes: `ignored` if the section is at a later position, and `incomplete` if
- * the changes follow a restore of the store after which the whole section has not been read yet.
+ * the whole section has to be read first, since the changes follow a restore of the store or begin at
+ * a later position.
  */
 export type ApplyResult = 'applied' | 'ignored' | 'incomplete';
 
--- a/src/tests/fleet/watchGaps.test.ts
+++ b/src/tests/fleet/watchGaps.test.ts
@@ -107,3 +107,17 @@
   follower.apply({ ...source.getSnapshot('targets'), isFromPeer: true });
   t.deepEqual([...follower.targets.keys()], ['t-1', 't-3', 't-4']);
 });
+
+// Revisions grow with other sections as well: each change would cost the whole section.
+test('a follower applies a change that follows answers of the store without changes', (t) => {
+  const clock = new VirtualClock();
+  const source = new FleetView(clock);
+  const follower = new FleetView(clock);
+  const changes = recordChanges(source);
+  source.apply({ section: 'targets', items: NAMES.map(put), position: at(5), isWhole: true });
+  source.apply({ section: 'targets', items: [], position: at(6), isWhole: false });
+  source.apply({ section: 'targets', items: [put('t-4')], position: at(7), isWhole: false });
+  const results = changes.map((change) => follower.apply({ ...change, isFromPeer: true }));
+  t.deepEqual(results, ['applied', 'applied']);
+  t.deepEqual([...follower.targets.keys()], [...NAMES, 't-4']);
+});
