Failing tests: retries exceed their limit while the store knows only a few of the VMs

The store comes back from a copy that knows two of the VMs, and takes no writes for 24 s, so that the others cannot announce themselves again. The stand-in store can refuse writes, and make a copy of when only some VMs were announced.

--- a/src/platform/standIn/PlatformStore.ts
+++ b/src/platform/standIn/PlatformStore.ts
@@ -72,6 +72,9 @@
    */
   formatEpoch: (epoch: number) => string | undefined = String;
 
+  /** Whether calls that would change something are refused with 503. */
+  isReadOnly = false;
+
   /** Whether all connections are reset. @internal */
   private isAway = false;
 
@@ -91,6 +94,11 @@
         res.destroy();
         return;
       }
+      if (this.isReadOnly && req.method !== 'GET') {
+        req.resume();
+        this.sendJson(res, 503, {});
+        return;
+      }
       this.handle(req, res).catch(() => res.destroy());
     });
   }
--- a/src/platform/standIn/index.ts
+++ b/src/platform/standIn/index.ts
@@ -3,6 +3,7 @@
 export type { TargetBehaviour } from './PlatformTarget.js';
 export { makeBody, PlatformTarget } from './PlatformTarget.js';
 export {
+  dropAnnouncements,
   getRolloutState,
   putConfiguration,
   putRollout,
--- a/src/platform/standIn/storedObjects.ts
+++ b/src/platform/standIn/storedObjects.ts
@@ -1,7 +1,10 @@
 import type { RoutingTable, TargetRegistration } from '../../balancing/index.js';
 import { DEADLINE_HEADER, REQUEST_ID_HEADER, RESPONSE_SIGNATURE_HEADER } from '../headers.js';
 import { ADDRESSES_PATH } from '../pages.js';
-import type { PlatformStore } from './PlatformStore.js';
+import type { PlatformStore, StoreCopy } from './PlatformStore.js';
+
+/** Kind of the objects by which entry VMs announce themselves. */
+const VM_KIND = 'entry-vms';
 
 function formatMs(ms: number): string {
   return `${ms}ms`;
@@ -63,6 +66,20 @@
   store.remove('servers', id);
 }
 
+/**
+ * Returns a copy of a stand-in store as it was when only some entry VMs had announced themselves.
+ * @param copy - A later copy.
+ * @param announcers - Number of announcements that it keeps.
+ */
+export function dropAnnouncements(copy: StoreCopy, announcers: number): StoreCopy {
+  const announcements = [...(copy.objectsByKind.get(VM_KIND) ?? [])].slice(0, announcers);
+  return {
+    ...copy,
+    events: [],
+    objectsByKind: new Map([...copy.objectsByKind, [VM_KIND, new Map(announcements)]]),
+  };
+}
+
 /** Evacuates an availability zone or ends its evacuation, as operators do. */
 export function setZoneOut(store: PlatformStore, zone: string, isOut: boolean): void {
   if (isOut) store.put('evacuations', zone, {});
--- a/src/soak/retryFaults.ts
+++ b/src/soak/retryFaults.ts
@@ -1,3 +1,4 @@
+import { dropAnnouncements } from '../platform/standIn/index.js';
 import type { LinkMode } from './FaultProxy.js';
 import type { SoakGateway } from './SoakGateway.js';
 import type { SoakTarget, SoakWorld } from './SoakWorld.js';
@@ -29,6 +30,12 @@
 const LONG_STORE_FAULT_MS = 16_000;
 const STORE_RESTORE_INTERVAL_MS = 400;
 
+/** Number of VMs that an older copy of the store knows. */
+const KNOWN_VMS = 2;
+
+/** Time for which a store that has lost the list of VMs takes no writes, in milliseconds. */
+const READ_ONLY_MS = 24_000;
+
 /** How long the links to targets are disturbed at once, in milliseconds. */
 const LINK_FAULT_MS = 4_000;
 
@@ -56,6 +63,10 @@
   | 'vmsForgotten'
   /** The same, and all gateways are killed once meanwhile. */
   | 'killedWhileVmsForgotten'
+  /** The store comes back with two of the VMs only, and takes no writes for longer than a window. */
+  | 'vmsLost'
+  /** The same, and half of the gateways are killed once meanwhile. */
+  | 'killedWhileVmsLost'
   /** The last route is distributed over all services, and back, several times. */
   | 'routeMoves'
   /** A third of them are started only now. */
@@ -114,6 +125,14 @@
   }
 }
 
+/** Restores the store from a copy that knows two of the gateways only, and lets it take no writes. */
+async function loseVms({ store }: SoakWorld): Promise<void> {
+  store.isReadOnly = true;
+  store.restore(dropAnnouncements(store.copy(), KNOWN_VMS));
+  await wait(READ_ONLY_MS);
+  store.isReadOnly = false;
+}
+
 async function killWhileStoreAway(
   { gateways, storeLinks }: SoakWorld,
   awayMs: number,
@@ -169,6 +188,13 @@
   killedWhileStoreAway: (world) => killWhileStoreAway(world, 2_000),
   killedWhileStoreAwayLong: (world) => killWhileStoreAway(world, LONG_STORE_FAULT_MS),
   vmsForgotten: forgetVms,
+  vmsLost: loseVms,
+  async killedWhileVmsLost(world) {
+    const lost = loseVms(world);
+    await wait(KILL_INTERVAL_MS);
+    await killAndStart(getHalf(world));
+    await lost;
+  },
   async killedWhileVmsForgotten(world) {
     const forgotten = forgetVms(world);
     await wait(STORE_RESTORE_INTERVAL_MS);
--- a/src/soak/retryMain.ts
+++ b/src/soak/retryMain.ts
@@ -48,6 +48,8 @@
     RejectingStoreAway: { ...rejecting, faults: ['killedWhileStoreAwayLong'] },
     RejectingVmsForgotten: { ...rejecting, faults: ['vmsForgotten'] },
     RejectingKilledVmsForgotten: { ...rejecting, faults: ['killedWhileVmsForgotten'] },
+    RejectingVmsLost: { ...rejecting, faults: ['vmsLost'], forMs: 28_000 },
+    RejectingKilledVmsLost: { ...rejecting, faults: ['killedWhileVmsLost'], forMs: 28_000 },
     RejectingRouteMoves: { ...rejecting, faults: ['routeMoves', 'replaced'] },
     RejectingTargetsSuspended: { ...rejecting, linkFault: 'suspended' },
     RejectingTargetsLate: { ...rejecting, linkFault: 'late' },
--- a/src/tests/balancing/retryShares.test.ts
+++ b/src/tests/balancing/retryShares.test.ts
@@ -196,3 +196,38 @@
   fleet.run(15_000);
   assertWithinLimit(t, fleet);
 });
+
+/** VMs that an older copy of the store knows. */
+const KNOWN_VMS = ['vm-1', 'vm-2'];
+
+// A store that comes back from an older copy lacks most VMs, which would divide the slack by the few that it knows.
+test('retries stay within their limit while the store knows only a few of the VMs', (t) => {
+  const fleet = new RetryFleet(makeNames(15));
+  fleet.run(6_000);
+  fleet.announce(fleet.names, fleet.names, KNOWN_VMS);
+  fleet.run(25_000);
+  assertWithinLimit(t, fleet);
+});
+
+// A restarted VM has never known the others, and one that is listed takes a larger share than before.
+test('retries stay within their limit while VMs restart and the store knows only a few of them', (t) => {
+  const fleet = new RetryFleet(makeNames(15));
+  fleet.run(6_000);
+  for (const name of fleet.names.slice(0, 8)) fleet.start(name);
+  fleet.announce(fleet.names, fleet.names, KNOWN_VMS);
+  fleet.run(20_000);
+  assertWithinLimit(t, fleet);
+});
+
+// VMs that announce themselves again would take their shares while the others still hold larger ones.
+test('retries stay within their limit while VMs that the store has lost announce themselves again', (t) => {
+  const fleet = new RetryFleet(makeNames(15));
+  fleet.run(6_000);
+  fleet.announce(fleet.names, fleet.names, KNOWN_VMS);
+  fleet.run(18_000);
+  fleet.announce(fleet.names, fleet.names.slice(2));
+  fleet.run(1_000);
+  fleet.announce(fleet.names);
+  fleet.run(25_000);
+  assertWithinLimit(t, fleet);
+});
