Only VMs that the store lists have a share of the retry budget's slack

What callers saw: nothing; targets that failed got up to three times the retries that they have been promised at most. Cause: each VM divides the slack by the VMs that it knows at this moment and itself. A store that comes back from an older copy lists fewer VMs than there are until the others have announced themselves again; while it takes no writes, they cannot. Five seconds after the restore what it lacks is removed, a window later each of 15 VMs took a third of the slack. Class: a limit for all is divided by what one process knows at this moment; here by a list that it is not on itself. Now a VM that the store does not list has no share, and gets one a window after it is listed again; a list of n VMs gives away n shares of a nth. A VM that stops loses its share with its announcement, before its open requests end. Other way: the largest number of VMs that the process has ever known. Price: while a VM is not listed it retries only what its requests have earned.

--- a/src/balancing/RetryBudget.ts
+++ b/src/balancing/RetryBudget.ts
@@ -83,11 +83,12 @@
 
   /**
    * Records how many entry VMs share the slack.
-   * @param vms - Number of VMs that have announced themselves, including this one.
+   * @param vms - Number of VMs that the store lists.
    * @param now - Monotonic milliseconds.
+   * @param isListed - Whether this VM is one of them.
    */
-  recordVms(vms: number, now: number): void {
-    this.slackShare.recordVms(vms, now);
+  recordVms(vms: number, now: number, isListed = true): void {
+    this.slackShare.recordVms(vms, now, isListed);
   }
 
   /**
--- a/src/balancing/SlackShare.ts
+++ b/src/balancing/SlackShare.ts
@@ -8,28 +8,30 @@
 /**
  * Share of this entry VM in a number that all VMs together may use in any window.
  *
- * What a VM has used counts for a whole window, also after it has left. The share is therefore that of
- * the largest fleet within the last window. A process has no share for one window after it knows the
- * other VMs: its predecessor may have used it up.
+ * Only VMs that the store lists have a share, so that the shares of the VMs on any list add up to the
+ * whole. What a VM has used counts for a whole window, also after it has left. The share is therefore
+ * that of the largest fleet within the last window. A VM has no share for one window after it is
+ * listed: its predecessor may have used it up, or the others may have larger shares.
  */
 export class SlackShare {
   /** Numbers of VMs within the last window, in order of time. @internal */
   private readonly counts: VmCount[] = [];
 
-  /** When the VMs were known for the first time; monotonic milliseconds. @internal */
-  private knownSince = Number.POSITIVE_INFINITY;
+  /** Since when this VM has been listed; monotonic milliseconds. @internal */
+  private listedSince = Number.POSITIVE_INFINITY;
 
   /** @param windowMs - Length of the window, in milliseconds. */
   constructor(private readonly windowMs: number) {}
 
   /**
    * Records how many VMs there are.
-   * @param vms - Number of VMs that have announced themselves, including this one.
+   * @param vms - Number of VMs that the store lists.
    * @param now - Monotonic milliseconds.
+   * @param isListed - Whether this VM is one of them.
    */
-  recordVms(vms: number, now: number): void {
+  recordVms(vms: number, now: number, isListed = true): void {
     this.removeExpired(now);
-    this.knownSince = Math.min(this.knownSince, now);
+    this.listedSince = isListed ? Math.min(this.listedSince, now) : Number.POSITIVE_INFINITY;
     if (this.counts.at(-1)?.vms !== vms) this.counts.push({ from: now, vms });
   }
 
@@ -44,7 +46,7 @@
    */
   getVms(now: number): number | undefined {
     this.removeExpired(now);
-    if (now < this.knownSince + this.windowMs) return undefined;
+    if (now < this.listedSince + this.windowMs) return undefined;
     return Math.max(1, ...this.counts.map(({ vms }) => vms));
   }
 
--- a/src/balancing/events.ts
+++ b/src/balancing/events.ts
@@ -172,12 +172,12 @@
   readonly until: number;
 }
 
-/** Names of the entry VMs that are up, including this one. */
+/** Names of the entry VMs that are up, among them this one if the store lists it. */
 export interface VmsChanged {
   readonly kind: 'vmsChanged';
   readonly vms: readonly string[];
   /**
-   * Names of all entry VMs that have announced themselves, up or not; by default the same as `vms`.
+   * Names of all entry VMs that the store lists, up or not; by default the same as `vms`.
    */
   readonly announced?: readonly string[];
   /** Whether the announced VMs have not been read, or only a part of them. */
--- a/src/balancing/fleetHandlers.ts
+++ b/src/balancing/fleetHandlers.ts
@@ -136,7 +136,7 @@
 ): BalancerEffect[] {
   if (!isPartial) {
     state.areVmsKnown = true;
-    state.retryBudget.recordVms(announced.length, now);
+    state.retryBudget.recordVms(announced.length, now, announced.includes(state.settings.vm));
     if (announced.join() !== state.announcedVms.join()) state.announcedVms = announced;
   }
   if (vms.join() === state.liveVms.join()) return [];
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -20,6 +20,7 @@
 import { CallerRequestHandler } from './CallerRequestHandler.js';
 import { createStateSources } from './createStateSources.js';
 import { createStoreHandlers } from './createStoreHandlers.js';
+import { describeVms } from './describeVms.js';
 import { GatewayEndpoints } from './GatewayEndpoints.js';
 import { GatewayMetrics } from './GatewayMetrics.js';
 import { RequestTimers } from './RequestTimers.js';
@@ -355,13 +356,14 @@
 
   /** @internal */
   private dispatchVmsChanged(): void {
-    const down = new Set(this.neighbours.getDownNames());
-    const { self } = this.parts.settings;
-    const names = new Set([...this.view.vms.keys(), self.name]);
-    const announced = [...names].sort();
-    const vms = announced.filter((name) => !down.has(name));
-    const isPartial = this.view.vms.size === 0 || this.view.isPartial('vms');
-    this.loop.dispatch({ kind: 'vmsChanged', vms, announced, isPartial });
+    const { view, neighbours, parts } = this;
+    const event = describeVms({
+      self: parts.settings.self.name,
+      listed: [...view.vms.keys()],
+      isPartial: view.isPartial('vms'),
+      down: neighbours.getDownNames(),
+    });
+    this.loop.dispatch(event);
     this.applyConnectionLimits();
   }
 
--- /dev/null
+++ b/src/gateway/describeVms.ts
@@ -0,0 +1,33 @@
+import type { BalancerEvent } from '../balancing/index.js';
+
+/** What an entry VM knows of all entry VMs. */
+export interface KnownVms {
+  /** Name of this VM. */
+  readonly self: string;
+  /** Names of the VMs that the store lists. */
+  readonly listed: readonly string[];
+  /** Whether only a part of the list has been read. */
+  readonly isPartial: boolean;
+  /** VMs that do not answer this one. */
+  readonly down: readonly string[];
+}
+
+/**
+ * Describes the entry VMs to the balancer. A VM that the store does not list is not among those that
+ * limits are shared by: the others do not count it.
+ * @param known - What this VM knows of all VMs.
+ * @example
+ * describeVms({ self: 'vm-3', listed: ['vm-1', 'vm-2'], isPartial: false, down: ['vm-2'] });
+ * // { kind: 'vmsChanged', vms: ['vm-1', 'vm-3'], announced: ['vm-1', 'vm-2'], isPartial: false }
+ */
+export function describeVms({
+  self,
+  listed,
+  isPartial,
+  down,
+}: KnownVms): Extract<BalancerEvent, { kind: 'vmsChanged' }> {
+  const announced = [...listed].sort();
+  const all = [...new Set([...listed, self])].sort();
+  const vms = all.filter((name) => !down.includes(name));
+  return { kind: 'vmsChanged', vms, announced, isPartial: isPartial || listed.length === 0 };
+}
