A VM that the store does not list owns no cold targets

With two VMs on the list, each of 15 VMs was an owner of each cold target (test, 15 where 3 are intended): a cold target would have got 15 fifths of its limit.

--- a/src/gateway/describeVms.ts
+++ b/src/gateway/describeVms.ts
@@ -18,7 +18,7 @@
  * @param known - What this VM knows of all VMs.
  * @example
  * describeVms({ self: 'vm-3', listed: ['vm-1', 'vm-2'], isPartial: false, down: ['vm-2'] });
- * // { kind: 'vmsChanged', vms: ['vm-1', 'vm-3'], announced: ['vm-1', 'vm-2'], isPartial: false }
+ * // { kind: 'vmsChanged', vms: ['vm-1'], announced: ['vm-1', 'vm-2'], isPartial: false }
  */
 export function describeVms({
   self,
@@ -27,7 +27,7 @@
   down,
 }: KnownVms): Extract<BalancerEvent, { kind: 'vmsChanged' }> {
   const announced = [...listed].sort();
-  const all = [...new Set([...listed, self])].sort();
-  const vms = all.filter((name) => !down.includes(name));
+  const up = announced.filter((name) => !down.includes(name));
+  const vms = up.length > 0 ? up : [self];
   return { kind: 'vmsChanged', vms, announced, isPartial: isPartial || listed.length === 0 };
 }
