A VM that the store does not list opens only the fewest connections

With two on the list, each of 15 VMs opened up to 88 of the 220 that a target accepts (1,320; the test shows the VMs on the list with 88 and the others with 4).

--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -20,7 +20,7 @@
 import { CallerRequestHandler } from './CallerRequestHandler.js';
 import { createStateSources } from './createStateSources.js';
 import { createStoreHandlers } from './createStoreHandlers.js';
-import { describeVms } from './describeVms.js';
+import { countSharingVms, describeVms } from './describeVms.js';
 import { GatewayEndpoints } from './GatewayEndpoints.js';
 import { GatewayMetrics } from './GatewayMetrics.js';
 import { RequestTimers } from './RequestTimers.js';
@@ -349,8 +349,7 @@
     if (table === undefined) return;
     this.callerServer?.setIdleTimeout(table.limits.idleTimeoutMs + IDLE_MARGIN_MS);
     const connections = table.services.map(({ maxConnections }) => maxConnections);
-    // Until the VMs are known, each opens only as many connections as it may in the largest fleet.
-    const vmCount = vms.size === 0 ? Number.POSITIVE_INFINITY : vms.size;
+    const vmCount = countSharingVms(this.parts.settings.self.name, [...vms.keys()]);
     this.agents.limits = { maxConnections: Math.min(...connections), vms: vmCount };
   }
 
--- a/src/gateway/describeVms.ts
+++ b/src/gateway/describeVms.ts
@@ -31,3 +31,15 @@
   const vms = up.length > 0 ? up : [self];
   return { kind: 'vmsChanged', vms, announced, isPartial: isPartial || listed.length === 0 };
 }
+
+/**
+ * Returns the number of VMs that a limit on connections is divided by. A VM that the store does not
+ * list opens only as many as it may in the largest fleet.
+ * @param self - Name of this VM.
+ * @param listed - Names of the VMs that the store lists.
+ * @example
+ * countSharingVms('vm-1', ['vm-1', 'vm-2']); // 2
+ */
+export function countSharingVms(self: string, listed: readonly string[]): number {
+  return listed.includes(self) ? listed.length : Number.POSITIVE_INFINITY;
+}
--- a/src/tests/gateway/describeVms.test.ts
+++ b/src/tests/gateway/describeVms.test.ts
@@ -1,7 +1,8 @@
 import test from 'ava';
 
 import { getColdOwners } from '../../balancing/ColdAllowance.js';
-import { describeVms } from '../../gateway/describeVms.js';
+import { countSharingVms, describeVms } from '../../gateway/describeVms.js';
+import { TargetAgents } from '../../gateway/TargetAgents.js';
 
 const VMS = Array.from({ length: 15 }, (_, i) => `vm-${i + 1}`);
 
@@ -39,3 +40,15 @@
   t.deepEqual(describeVms({ ...KNOWN, listed: [] }).vms, ['vm-3']);
   t.deepEqual(describeVms({ ...KNOWN, listed: ['vm-1'], down: ['vm-1'] }).vms, ['vm-3']);
 });
+
+// Divided by a short list, the connections of all VMs together are several times what a target accepts.
+test('a VM that the store does not list opens the fewest connections', (t) => {
+  const agents = new TargetAgents();
+  const connections = VMS.map((self) => {
+    agents.limits = { maxConnections: 220, vms: countSharingVms(self, VMS.slice(0, 2)) };
+    const to = { target: 't-1', bornAt: 1, address: '127.0.0.1:1' };
+    return agents.getAgent(to).maxSockets;
+  });
+  t.deepEqual(connections, [88, 88, ...Array.from({ length: 13 }, () => 4)]);
+  agents.destroy();
+});
