A line when the store's list of VMs changes

vms.listed says how many VMs the store lists, and whether this one is among them. The incident could be told apart by vms in retry.granted, but a VM without a share of the slack looked the same whether it had just started or was not on the list.

--- a/src/balancing/effects.ts
+++ b/src/balancing/effects.ts
@@ -82,7 +82,8 @@
   | 'zones.out'
   | 'rollout.state'
   | 'rollout.stage'
-  | 'vms.changed';
+  | 'vms.changed'
+  | 'vms.listed';
 
 /** Instructions to the process. */
 export type BalancerEffect =
--- a/src/balancing/fleetHandlers.ts
+++ b/src/balancing/fleetHandlers.ts
@@ -128,21 +128,32 @@
   return [{ kind: 'log', event: 'zones.out', fields: { zones } }];
 }
 
+/** Updates the VMs that the store lists, by which limits are shared. */
+function updateAnnouncedVms(
+  state: BalancerState,
+  announced: readonly string[],
+  now: number,
+): BalancerEffect[] {
+  const isListed = announced.includes(state.settings.vm);
+  state.areVmsKnown = true;
+  state.retryBudget.recordVms(announced.length, now, isListed);
+  if (announced.join() === state.announcedVms.join()) return [];
+  state.announcedVms = announced;
+  const fields = { count: announced.length, isListed };
+  return [{ kind: 'log', event: 'vms.listed', fields }];
+}
+
 /** Updates the entry VMs. */
 export function handleVms(
   state: BalancerState,
   { vms, announced = vms, isPartial = false }: VmsChanged,
   { now }: BalancerContext,
 ): BalancerEffect[] {
-  if (!isPartial) {
-    state.areVmsKnown = true;
-    state.retryBudget.recordVms(announced.length, now, announced.includes(state.settings.vm));
-    if (announced.join() !== state.announcedVms.join()) state.announcedVms = announced;
-  }
-  if (vms.join() === state.liveVms.join()) return [];
+  const lines = isPartial ? [] : updateAnnouncedVms(state, announced, now);
+  if (vms.join() === state.liveVms.join()) return lines;
   state.liveVms = vms;
   state.helpers.keepOnly(new Set(vms));
-  return [{ kind: 'log', event: 'vms.changed', fields: { count: vms.length } }];
+  return [...lines, { kind: 'log', event: 'vms.changed', fields: { count: vms.length } }];
 }
 
 function updateColdUntil(record: TargetRecord, coldMs: number, now: number): BalancerEffect[] {
