--- a/src/soak/retryFaults.ts
+++ b/src/soak/retryFaults.ts
@@ -26,6 +26,15 @@
 /** Time between two changes of a route or two reloads of the settings, in milliseconds. */
 const CHANGE_INTERVAL_MS = 1_500;
 
+/** Number of such changes; even, so that the last one restores the route. */
+const CHANGES = 8;
+
+/** Number of kills of the same gateways. */
+const KILLS = 5;
+
+/** How long gateways are cut off from the targets, in milliseconds. */
+const CUT_MS = 4_000;
+
 /** Time for which the store cannot be reached, or has lost the list of VMs, in milliseconds. */
 const LONG_STORE_FAULT_MS = 16_000;
 const STORE_RESTORE_INTERVAL_MS = 400;
@@ -59,7 +68,7 @@
   | 'killedWhileStoreAway'
   /** The same, and the store is away for longer than a window. */
   | 'killedWhileStoreAwayLong'
-  /** The store has no list of VMs for longer than a window. */
+  /** The store is restored again and again from before the VMs were announced, for longer than a window. */
   | 'vmsForgotten'
   /** The same, and all gateways are killed once meanwhile. */
   | 'killedWhileVmsForgotten'
@@ -156,7 +165,7 @@
   },
   async halfKilledRepeatedly(world) {
     const half = getHalf(world);
-    for (let i = 0; i < 5; i++) {
+    for (let i = 0; i < KILLS; i++) {
       await killAndStart(half);
       await wait(KILL_INTERVAL_MS - DOWN_MS);
     }
@@ -180,7 +189,7 @@
     }
   },
   async reloaded({ gateways }) {
-    for (let i = 0; i < 8; i++) {
+    for (let i = 0; i < CHANGES; i++) {
       for (const gateway of gateways) gateway.sendSignal('SIGHUP');
       await wait(CHANGE_INTERVAL_MS);
     }
@@ -204,7 +213,7 @@
   async routeMoves(world) {
     const { routes, services } = world;
     const all = services.map(({ name }) => ({ service: name, weight: 1 }));
-    for (let i = 0; i < 8; i++) {
+    for (let i = 0; i < CHANGES; i++) {
       const last = routes[routes.length - 1];
       world.routes = i % 2 === 0 ? [...routes.slice(0, -1), { ...last, services: all }] : routes;
       world.publishConfiguration();
@@ -221,7 +230,7 @@
   async cutOff(world) {
     const cut = getThird(world);
     for (const gateway of cut) world.setPathMode(gateway, 'oneWay');
-    await wait(4_000);
+    await wait(CUT_MS);
     for (const gateway of cut) world.setPathMode(gateway, undefined);
   },
   async cutRepeatedly(world) {
--- a/src/soak/retryMain.ts
+++ b/src/soak/retryMain.ts
@@ -30,6 +30,7 @@
   rejectingStoreAway: { ...REJECTING, faults: ['killedWhileStoreAway'] },
   rejectingAdded: { ...REJECTING, faults: ['added'] },
   rejectingLeft: { ...REJECTING, faults: ['left'] },
+  rejectingVmsLost: { ...REJECTING, faults: ['vmsLost'], forMs: 26_000 },
   cutOff: { ...BASE, behaviour: 'sound', faults: ['cutOff'], requestsPerSecond: 60 },
 };
 
