--- a/src/platform/standIn/PlatformStore.ts
+++ b/src/platform/standIn/PlatformStore.ts
@@ -78,7 +78,7 @@
   /** Whether all connections are reset. @internal */
   private isAway = false;
 
-  /** Objects that have been removed since the last restore: kind and name. @internal */
+  /** Objects that their owners have removed since the last restore: kind and name. @internal */
   private readonly removed = new Set<string>();
 
   /** Callbacks of the watches that wait for a change. @internal */
@@ -137,6 +137,11 @@
   /** Removes an object; does nothing if it does not exist. */
   remove(kind: string, name: string): void {
     this.removed.add(`${kind}/${name}`);
+    this.delete(kind, name);
+  }
+
+  /** @internal */
+  private delete(kind: string, name: string): void {
     const object = this.getObjects(kind).get(name);
     if (object === undefined) return;
     this.getObjects(kind).delete(name);
@@ -203,7 +208,7 @@
   ): void {
     const object = this.getObjects(kind).get(name);
     if (object !== copied || this.removed.has(`${kind}/${name}`)) return;
-    if (lost === undefined) this.remove(kind, name);
+    if (lost === undefined) this.delete(kind, name);
     else this.put(kind, name, lost.spec, kind === 'servers' ? lost.status : object?.status);
   }
 
