--- a/src/platform/standIn/PlatformStore.ts
+++ b/src/platform/standIn/PlatformStore.ts
@@ -78,8 +78,11 @@
   /** Whether all connections are reset. @internal */
   private isAway = false;
 
-  /** Objects that their owners have removed since the last restore: kind and name. @internal */
-  private readonly removed = new Set<string>();
+  /** Number of removals by owners so far. @internal */
+  private removals = 0;
+
+  /** Which removal was the latest of each object, by kind and name. @internal */
+  private readonly removedAt = new Map<string, number>();
 
   /** Callbacks of the watches that wait for a change. @internal */
   private readonly watchers = new Set<() => void>();
@@ -130,13 +133,14 @@
       status,
     };
     objects.set(name, object);
-    this.removed.delete(`${kind}/${name}`);
+    this.removedAt.delete(`${kind}/${name}`);
     this.recordEvent({ kind, revision: this.revision, object, deleted: false });
   }
 
   /** Removes an object; does nothing if it does not exist. */
   remove(kind: string, name: string): void {
-    this.removed.add(`${kind}/${name}`);
+    this.removals += 1;
+    this.removedAt.set(`${kind}/${name}`, this.removals);
     this.delete(kind, name);
   }
 
@@ -168,7 +172,6 @@
   restore({ revision, events, objectsByKind }: StoreCopy): void {
     this.epoch += 1;
     this.revision = revision;
-    this.removed.clear();
     this.events = [...events];
     this.objectsByKind.clear();
     for (const [kind, byName] of objectsByKind) this.objectsByKind.set(kind, new Map(byName));
@@ -189,13 +192,17 @@
    * @returns A function for each object that writes it again.
    */
   getChangesSince({ objectsByKind }: StoreCopy): readonly (() => void)[] {
+    const { removals } = this;
     return REWRITTEN_KINDS.flatMap((kind) => {
       const copied = objectsByKind.get(kind) ?? new Map<string, StoredObject>();
       const current = new Map(this.getObjects(kind));
       const names = [...new Set([...copied.keys(), ...current.keys()])];
       return names
         .filter((name) => copied.get(name) !== current.get(name))
-        .map((name) => () => this.writeAgain(kind, name, copied.get(name), current.get(name)));
+        .map((name) => () => {
+          const isRemoved = (this.removedAt.get(`${kind}/${name}`) ?? 0) > removals;
+          if (!isRemoved) this.writeAgain(kind, name, copied.get(name), current.get(name));
+        });
     });
   }
 
@@ -207,7 +214,7 @@
     lost: StoredObject | undefined,
   ): void {
     const object = this.getObjects(kind).get(name);
-    if (object !== copied || this.removed.has(`${kind}/${name}`)) return;
+    if (object !== copied) return;
     if (lost === undefined) this.delete(kind, name);
     else this.put(kind, name, lost.spec, kind === 'servers' ? lost.status : object?.status);
   }
--- a/src/tests/platform/PlatformStore.test.ts
+++ b/src/tests/platform/PlatformStore.test.ts
@@ -47,3 +47,16 @@
   for (const writeAgain of [...lostSecond, ...lostFirst]) writeAgain();
   t.not(store.getSpec('servers', 't-1'), undefined);
 });
+
+// The second restore must not make the first one forget what was removed between them.
+test('a target that is removed between two restores is not registered again', (t) => {
+  const store = new PlatformStore();
+  const empty = store.copy();
+  putTarget(store, makeTarget('t-1'));
+  const lostChanges = store.getChangesSince(empty);
+  store.restore(empty);
+  removeTarget(store, 't-1');
+  store.restore(empty);
+  for (const writeAgain of lostChanges) writeAgain();
+  t.is(store.getSpec('servers', 't-1'), undefined);
+});
