--- a/src/tests/fleet/feed.test.ts
+++ b/src/tests/fleet/feed.test.ts
@@ -13,6 +13,14 @@
 
 const LOG = new EventLog('vm', { write: (_text, done) => done(), now: () => 0, wallNow: () => 0 });
 
+const SELF = {
+  name: 'vm-2',
+  zone: 'quai',
+  callers: '127.0.0.1:80',
+  peers: '127.0.0.1:90',
+  linkMbps: 100,
+};
+
 async function getFreePort(): Promise<number> {
   const probe = createServer();
   await new Promise<void>((resolve) => {
@@ -173,3 +181,26 @@
   one.stop();
   other.stop();
 });
+
+// A VM that is followed before it has read the store would tell its first reading as additions.
+test('a follower of a VM that has just started forgets what that one does not read', async (t) => {
+  const clock = new SystemClock();
+  const source = new FleetView(clock);
+  let isFollowed = false;
+  const server = new FeedServer(source, LOG, () => {
+    isFollowed = true;
+  });
+  const port = await getFreePort();
+  server.start({ host: '127.0.0.1', port });
+  const view = new FleetView(clock);
+  const put = (name: string) => ({ name, value: makeTarget(name) });
+  const items = [put('t-1'), put('t-2')];
+  view.apply({ section: 'targets', items, position: at(4), isWhole: true });
+  const client = new FeedClient(`127.0.0.1:${port}`, view, clock, () => {}, SELF);
+  await waitUntil(() => isFollowed);
+  source.apply({ section: 'targets', items: [put('t-1')], position: at(6), isWhole: true });
+  await waitUntil(() => !view.targets.has('t-2'));
+  t.deepEqual([...view.targets.keys()], ['t-1']);
+  client.stop();
+  server.stop();
+});
--- a/src/tests/fleet/feedMessages.test.ts
+++ b/src/tests/fleet/feedMessages.test.ts
@@ -93,3 +93,18 @@
     JSON.parse(writeFeedMessage({ positions: { targets: at(8, 3) }, version: 3 })),
   ]);
 });
+
+// A follower that is not told where changes begin, or what was listed, keeps or lacks targets for good.
+test('where changes begin and what was listed is sent, and may be missing', (t) => {
+  const change = { kind: 'change', section: 'targets', items: [], position: at(7) } as const;
+  const messages: FeedMessage[] = [
+    { ...change, isWhole: false, from: at(5, 2) },
+    { ...change, isWhole: true, isListed: true },
+    { ...change, isWhole: false },
+  ];
+  const reader = new FeedReader(decodeFeedMessage);
+  t.deepEqual(
+    messages.flatMap((message) => reader.read(writeFeedMessage(message))),
+    messages,
+  );
+});
