Stand-in store: what an earlier restore has lost is not removed again as a lost removal

The second copy had the targets, the content at the second restore did not, as the first had lost them; the stand-in took that for removals by operators and made them again. The test failed before in one of its two orders.

--- a/src/platform/standIn/PlatformStore.ts
+++ b/src/platform/standIn/PlatformStore.ts
@@ -197,12 +197,16 @@
       const copied = objectsByKind.get(kind) ?? new Map<string, StoredObject>();
       const current = new Map(this.getObjects(kind));
       const names = [...new Set([...copied.keys(), ...current.keys()])];
-      return names
-        .filter((name) => copied.get(name) !== current.get(name))
-        .map((name) => () => {
-          const isRemoved = (this.removedAt.get(`${kind}/${name}`) ?? 0) > removals;
-          if (!isRemoved) this.writeAgain(kind, name, copied.get(name), current.get(name));
-        });
+      return (
+        names
+          .filter((name) => copied.get(name) !== current.get(name))
+          // What an earlier restore has lost was not removed by its owner.
+          .filter((name) => current.has(name) || this.removedAt.has(`${kind}/${name}`))
+          .map((name) => () => {
+            const isRemoved = (this.removedAt.get(`${kind}/${name}`) ?? 0) > removals;
+            if (!isRemoved) this.writeAgain(kind, name, copied.get(name), current.get(name));
+          })
+      );
     });
   }
 
--- a/src/tests/platform/PlatformStore.test.ts
+++ b/src/tests/platform/PlatformStore.test.ts
@@ -36,16 +36,19 @@
 
 // What one restore has lost is taken for removed by the next one, and would never be registered again.
 test('a target that an earlier restore has lost is registered again after a second one', (t) => {
-  const store = new PlatformStore();
-  const empty = store.copy();
-  putTarget(store, makeTarget('t-1'));
-  const copy = store.copy();
-  const lostFirst = store.getChangesSince(empty);
-  store.restore(empty);
-  const lostSecond = store.getChangesSince(copy);
-  store.restore(copy);
-  for (const writeAgain of [...lostSecond, ...lostFirst]) writeAgain();
-  t.not(store.getSpec('servers', 't-1'), undefined);
+  for (const isFirstRewrittenFirst of [false, true]) {
+    const store = new PlatformStore();
+    const empty = store.copy();
+    putTarget(store, makeTarget('t-1'));
+    const copy = store.copy();
+    const lostFirst = store.getChangesSince(empty);
+    store.restore(empty);
+    const lostSecond = store.getChangesSince(copy);
+    store.restore(copy);
+    const lost = isFirstRewrittenFirst ? [lostFirst, lostSecond] : [lostSecond, lostFirst];
+    for (const writeAgain of lost.flat()) writeAgain();
+    t.not(store.getSpec('servers', 't-1'), undefined);
+  }
 });
 
 // The second restore must not make the first one forget what was removed between them.
