--- a/src/tests/fleet/watchGaps.test.ts
+++ b/src/tests/fleet/watchGaps.test.ts
@@ -121,3 +121,20 @@
   t.deepEqual(results, ['applied', 'applied']);
   t.deepEqual([...follower.targets.keys()], [...NAMES, 't-4']);
 });
+
+// It lacks what the source has never seen missing, and takes over the position all the same.
+test('a follower that has read a state between two of its source’s asks for the whole section', (t) => {
+  const clock = new VirtualClock();
+  const source = new FleetView(clock);
+  const follower = new FleetView(clock);
+  const changes = recordChanges(source);
+  for (const view of [source, follower]) {
+    view.apply({ section: 'targets', items: NAMES.map(put), position: at(5), isWhole: true });
+  }
+  follower.apply({ section: 'targets', items: [remove('t-2')], position: at(6), isWhole: false });
+  const items = [remove('t-2'), put('t-2')];
+  source.apply({ section: 'targets', items, position: at(8), isWhole: false });
+  source.apply({ section: 'targets', items: [put('t-4')], position: at(9), isWhole: false });
+  const latest = changes[changes.length - 1];
+  t.is(follower.apply({ ...latest, isFromPeer: true }), 'incomplete');
+});
