--- a/src/platform/standIn/PlatformStore.ts
+++ b/src/platform/standIn/PlatformStore.ts
@@ -186,8 +186,8 @@
 
   /**
    * Lists the objects of operators and targets that differ from a copy. After a restore they are
-   * written again, except where an object has changed or was removed meanwhile. The history is no help, since it
-   * may have been cleared.
+   * written again, except where an object has changed or was removed meanwhile. The history is no
+   * help, since it may have been cleared.
    * @param copy - The copy.
    * @returns A function for each object that writes it again.
    */
--- a/src/tests/balancing/SlackShare.test.ts
+++ b/src/tests/balancing/SlackShare.test.ts
@@ -48,3 +48,14 @@
   t.is(share.getVms(10_999), undefined);
   t.is(share.getVms(11_000), 15);
 });
+
+// The VMs on a list of two share all of the slack between them; nothing is left for the others.
+test('a VM that is not listed has no share, and gets one a window after it is listed again', (t) => {
+  const share = new SlackShare(WINDOW_MS);
+  share.recordVms(15, 0);
+  t.is(share.getVms(20_000), 15);
+  share.recordVms(2, 20_000, false);
+  t.is(share.getVms(20_000), undefined);
+  share.recordVms(15, 40_000, true);
+  t.deepEqual([share.getVms(49_999), share.getVms(50_000)], [undefined, 15]);
+});
