--- a/src/tests/fleet/restoredView.test.ts
+++ b/src/tests/fleet/restoredView.test.ts
@@ -199,8 +199,7 @@
   });
 });
 
-// A VM that has started after the restore has read what the store has; without its word, this VM
-// would remove targets that all others know, and be told of them by nobody.
+// Removed as missing, targets that all others know would never be told to this VM again.
 test('a missing target is kept if a peer that has just started has read it', (t) => {
   const clock = new VirtualClock();
   const view = new FleetView(clock);
