--- a/src/balancing/BalancerState.ts
+++ b/src/balancing/BalancerState.ts
@@ -10,6 +10,8 @@
 import type { PendingRequest, PendingAttempt } from './PendingRequest.js';
 import type { RoutingTable, ServicePolicy } from './model.js';
 import { LimitView, PermitIssuer, PermitPool } from '../limits/index.js';
+import { KeyDirectory } from '../organisations/index.js';
+import { QuotaIssuer, QuotaPool } from '../quotas/index.js';
 import { ProbeBudget } from './ProbeBudget.js';
 import { RetryBudget } from './RetryBudget.js';
 import { FormerTargetNotices } from './TargetNotices.js';
@@ -36,6 +38,11 @@
   readonly heldRequests: Map<RequestId, RequestArrived>;
   table: RoutingTable | undefined;
   services: ReadonlyMap<ServiceName, ServicePolicy>;
+  /** Organisations by their API keys. */
+  keys: KeyDirectory;
+  /** Permits of quotas: `quotaPool` asks for them, `quotaIssuer` grants them. */
+  readonly quotaPool: QuotaPool;
+  readonly quotaIssuer: QuotaIssuer;
   readonly targets: Map<TargetId, TargetRecord>;
   /** What targets asked for whose registration has ended. */
   readonly formerNotices: FormerTargetNotices;
@@ -104,6 +111,9 @@
     heldRequests: new Map(),
     table: undefined,
     services: new Map(),
+    keys: new KeyDirectory(),
+    quotaPool: new QuotaPool(settings.quotas),
+    quotaIssuer: new QuotaIssuer(settings.quotas),
     targets: new Map(),
     formerNotices: new FormerTargetNotices(),
     isTargetListPartial: false,
--- a/src/balancing/PendingRequest.ts
+++ b/src/balancing/PendingRequest.ts
@@ -37,6 +37,24 @@
   readonly sentAt: number;
 }
 
+/** Whether a request may be sent, as far as the quota of its organisation is concerned. */
+export type QuotaState =
+  /** Its organisation has no quota, or it has none. */
+  | 'unlimited'
+  /** No permit has been asked for, or the permit was returned. */
+  | 'unasked'
+  | 'awaited'
+  | 'granted';
+
+/** A permit of an organisation's quota that was asked for or granted. */
+export interface QuotaPermit {
+  readonly ask: number;
+  /** VM that was asked. */
+  readonly vm: string;
+  /** Monotonic milliseconds. */
+  readonly askedAt: number;
+}
+
 /** A request that has arrived and has no answer yet. */
 export interface PendingRequest {
   readonly id: RequestId;
@@ -46,6 +64,13 @@
   readonly fingerprint: string;
   readonly route: Route;
   readonly service: ServiceName;
+  /** Name of the caller's organisation; undefined if it has none. */
+  readonly organisation: string | undefined;
+  /** Priority of its organisation, or else of its route; 0 is the most urgent. */
+  readonly priority: number;
+  quota: QuotaState;
+  /** The permit that is awaited or held; undefined if there is none. */
+  quotaPermit: QuotaPermit | undefined;
   /** Version that the request is for while its service is being moved to another one. */
   track: VersionTrack;
   readonly arrivedAt: number;
--- a/src/balancing/createPendingRequest.ts
+++ b/src/balancing/createPendingRequest.ts
@@ -1,7 +1,7 @@
 import type { ServiceName } from '../core/model/index.js';
 import type { BalancerContext, BalancerState } from './BalancerState.js';
 import type { RequestArrived } from './events.js';
-import type { Route } from './model.js';
+import type { Organisation, Route } from './model.js';
 import type { PendingRequest } from './PendingRequest.js';
 import { pickService } from './routes.js';
 import { drawTrack } from './versions.js';
@@ -27,12 +27,14 @@
  * @param event - The request.
  * @param route - Its route.
  * @param context - Clock and random source.
+ * @param organisation - Its caller's organisation, if any.
  */
 export function createPendingRequest(
   state: BalancerState,
   event: RequestArrived,
   route: Route,
   context: BalancerContext,
+  organisation?: Organisation,
 ): PendingRequest {
   const allowedMs = Math.min(event.allowedMs ?? Number.POSITIVE_INFINITY, route.timeoutMs);
   const sinceFirstMs = getSinceFirstMs(state, event, route);
@@ -44,6 +46,10 @@
     fingerprint: event.fingerprint,
     route,
     service,
+    organisation: organisation?.name,
+    priority: organisation?.priority ?? route.priority,
+    quota: organisation?.quota === undefined ? 'unlimited' : 'unasked',
+    quotaPermit: undefined,
     track: drawTrack(state, service, route.name, context),
     arrivedAt: event.arrivedAt,
     sinceFirstMs,
--- a/src/balancing/effects.ts
+++ b/src/balancing/effects.ts
@@ -1,6 +1,7 @@
 import type { AttemptId, RequestId, TargetId } from '../core/model/index.js';
 import type { CrashNews } from '../crashes/index.js';
 import type { ForwardTerms } from './events.js';
+import type { QuotaAnswer, QuotaAsk } from '../quotas/index.js';
 import type { LimitedTarget, LimitReport, PermitAnswer, PermitAsk } from '../limits/index.js';
 
 /** Why this entry VM answers a request locally, without an answer from a target. */
@@ -9,6 +10,10 @@
   | 'notConfigured'
   | 'noRoute'
   | 'stopping'
+  /** The caller's API key is missing or unknown. */
+  | 'unknownKey'
+  /** The organisation has used up its quota. */
+  | 'overQuota'
   /** The service has no usable target. */
   | 'noTarget'
   /** All usable targets have rate limits, and these are used up. */
@@ -77,6 +82,7 @@
   | 'target.pauseUnreadable'
   | 'target.headerUnread'
   | 'permit.issuerSilent'
+  | 'quota.issuerSilent'
   | 'service.learnt'
   | 'config.adopted'
   | 'zones.out'
@@ -95,6 +101,8 @@
       readonly to: Destination;
       /** Time until the request's deadline, in milliseconds. */
       readonly allowedMs: number;
+      /** Name of the caller's organisation; undefined if it has none. */
+      readonly organisation?: string;
     }
   /** Passes a request on to another VM. */
   | {
@@ -131,6 +139,12 @@
   | { readonly kind: 'answerPermit'; readonly to: string; readonly answer: PermitAnswer }
   /** Returns an unused permit to the VM that issued it. */
   | { readonly kind: 'returnPermit'; readonly vm: string; readonly target: LimitedTarget }
+  /** Asks another VM for a permit to send a request of an organisation. */
+  | { readonly kind: 'askQuota'; readonly vm: string; readonly ask: QuotaAsk }
+  /** Answers another VM that has asked for such a permit. */
+  | { readonly kind: 'answerQuota'; readonly to: string; readonly answer: QuotaAnswer }
+  /** Returns an unused permit of an organisation to the VM that issued it. */
+  | { readonly kind: 'returnQuota'; readonly vm: string; readonly organisation: string }
   /** Tells a few other VMs which limits targets have advertised. */
   | { readonly kind: 'gossipLimits'; readonly reports: readonly LimitReport[] }
   /** Tells a few other VMs which requests were running on targets that crashed. */
--- a/src/balancing/endings.ts
+++ b/src/balancing/endings.ts
@@ -4,6 +4,7 @@
 import type { BalancerEffect, LocalAnswerReason } from './effects.js';
 import type { PendingRequest, PendingAttempt } from './PendingRequest.js';
 import { returnPermits } from './limits.js';
+import { getQuotaRetryMs, returnQuotaPermit } from './quotaPermits.js';
 
 /**
  * Range of the time after which a refused caller should retry, as a share of the time it has left.
@@ -27,6 +28,8 @@
   notConfigured: 503,
   noRoute: 404,
   stopping: 503,
+  unknownKey: 401,
+  overQuota: 429,
   noTarget: 503,
   limited: 503,
   paused: 503,
@@ -42,6 +45,7 @@
 const REFUSAL_REASONS: ReadonlySet<LocalAnswerReason> = new Set([
   'notConfigured',
   'stopping',
+  'overQuota',
   'noTarget',
   'limited',
   'paused',
@@ -112,6 +116,7 @@
     now + earlyMs < getLatestStartAt(pending, state.workTimes.get(pending.route));
   if (reason === 'rejectedWithRoom' && canStillBeOnTime) return Math.round(earlyMs);
   const usualMs = getRetryAfterMs(pending.callerTimeoutAt - now, random());
+  if (reason === 'overQuota') return getQuotaRetryMs(state, pending, now, random());
   if (reason === 'crashesTargets') {
     return Math.max(usualMs, Math.ceil(state.crashes.getRefusalMs(pending.fingerprint, now)));
   }
@@ -149,6 +154,14 @@
   return { fingerprint, crashed };
 }
 
+/** Fields that are logged only where callers belong to organisations. */
+function getOrganisationFields({
+  organisation,
+  priority,
+}: PendingRequest): Readonly<Record<string, unknown>> {
+  return organisation === undefined ? {} : { organisation, priority };
+}
+
 /**
  * Answers a request locally, without an answer from a target, and removes it.
  * @param state - State of this entry VM.
@@ -162,7 +175,10 @@
   reason: LocalAnswerReason,
   context: BalancerContext,
 ): BalancerEffect[] {
-  const permitReturns = endProbeRound(state, pending, context.now);
+  const permitReturns = [
+    ...endProbeRound(state, pending, context.now),
+    ...returnQuotaPermit(state, pending, context.now),
+  ];
   const cancelled = cancelAttempts(state, pending);
   state.pendingRequests.delete(pending.id);
   const isRefusal = REFUSAL_REASONS.has(reason);
@@ -182,6 +198,7 @@
         reason,
         route: pending.route.name,
         service: pending.service,
+        ...getOrganisationFields(pending),
         tookMs: Math.round(context.now - pending.arrivedAt),
         objectiveMs: pending.route.objectiveMs,
         sinceFirstMs: pending.sinceFirstMs,
@@ -225,7 +242,10 @@
   pending: PendingRequest,
   now: number,
 ): BalancerEffect[] {
-  const permitReturns = endProbeRound(state, pending, now);
+  const permitReturns = [
+    ...endProbeRound(state, pending, now),
+    ...returnQuotaPermit(state, pending, now),
+  ];
   state.pendingRequests.delete(pending.id);
   return [...permitReturns, ...cancelAttempts(state, pending)];
 }
--- a/src/balancing/events.ts
+++ b/src/balancing/events.ts
@@ -1,6 +1,7 @@
 import type { AttemptId, RequestId, ServiceName, TargetId, ZoneName } from '../core/model/index.js';
 import type { CrashNews } from '../crashes/index.js';
 import type { LimitedTarget, LimitReport, PermitAnswer, PermitAsk } from '../limits/index.js';
+import type { QuotaAnswer, QuotaAsk } from '../quotas/index.js';
 import type { RolloutGuidance, RolloutOrder } from '../rollouts/index.js';
 import type {
   LoadReading,
@@ -28,6 +29,8 @@
   readonly arrivedAt: number;
   /** Set if another VM, which does not reach the targets, has passed the request on. */
   readonly forwarded?: ForwardTerms;
+  /** Digest of the caller's API key; undefined if it sent none. */
+  readonly keyDigest?: string;
 }
 
 /** What a VM decides on a request that it passes on. */
@@ -229,6 +232,26 @@
   readonly kind: 'stopAsked';
 }
 
+/** Another VM asks for a permit to send a request of an organisation. */
+export interface QuotaAsked {
+  readonly kind: 'quotaAsked';
+  readonly ask: QuotaAsk;
+  /** Where the answer is sent. */
+  readonly from: string;
+}
+
+/** A VM has answered a request for a permit. */
+export interface QuotaAnswered {
+  readonly kind: 'quotaAnswered';
+  readonly answer: QuotaAnswer;
+}
+
+/** A VM returns a permit that it has not used. */
+export interface QuotaReturned {
+  readonly kind: 'quotaReturned';
+  readonly organisation: string;
+}
+
 /** All events that affect which target a request is sent to. */
 export type BalancerEvent =
   | RequestArrived
@@ -248,6 +271,9 @@
   | PermitAsked
   | PermitAnswered
   | PermitReturned
+  | QuotaAsked
+  | QuotaAnswered
+  | QuotaReturned
   | CrashesReported
   | OutcomesReported
   | StopAsked;
--- a/src/balancing/fleetHandlers.ts
+++ b/src/balancing/fleetHandlers.ts
@@ -15,6 +15,7 @@
 import type { TargetRegistration } from './model.js';
 import { placeRequest, placeWaitingRequests } from './placing.js';
 import { sortByPreference } from './preference.js';
+import { applyQuotas } from './quotaPermits.js';
 import { recordStatements } from './statements.js';
 import type { TargetListEvent } from './targetLog.js';
 import { logTargets } from './targetLog.js';
@@ -23,12 +24,18 @@
 import { holdNewVersions } from './versions.js';
 
 /** Adopts a configuration that was read, unless it is older than the current one. */
-export function handleTable(state: BalancerState, { table }: TableRead): BalancerEffect[] {
+export function handleTable(
+  state: BalancerState,
+  { table }: TableRead,
+  context: BalancerContext,
+): BalancerEffect[] {
   // The store, a peer or a late answer may send an older one; adopting it would undo a change.
   if (state.table !== undefined && table.version <= state.table.version) return [];
   const before = state.table?.version;
   state.table = table;
   state.services = new Map(table.services.map((rules) => [rules.name, rules]));
+  state.keys = state.keys.update(table.organisations);
+  applyQuotas(state, context);
   const { version, routes } = table;
   return [
     { kind: 'log', event: 'config.adopted', fields: { version, before, routes: routes.length } },
--- a/src/balancing/model.ts
+++ b/src/balancing/model.ts
@@ -25,6 +25,26 @@
   readonly timeoutMs: number;
   /** Maximum number of targets that one request is sent to. */
   readonly maxTargets: number;
+  /** Whether requests need no API key. */
+  readonly isAuthExempt?: boolean;
+}
+
+/** Limit on the requests of an organisation, for all entry VMs together. */
+export interface Quota {
+  readonly ratePerSecond: number;
+  /** Requests that may come on top of the rate at once. */
+  readonly burst: number;
+}
+
+/** A customer of the operator, whose callers are recognised by API keys. */
+export interface Organisation {
+  readonly name: string;
+  /** Digests of its API keys, as `digestApiKey` makes them. */
+  readonly keyDigests: readonly string[];
+  /** Goes before the priority of a route; 0 is the most urgent. */
+  readonly priority?: number;
+  /** Undefined if its requests are not limited. */
+  readonly quota?: Quota;
 }
 
 /** Settings that apply to all targets of a service. */
@@ -52,6 +72,8 @@
   readonly routes: readonly Route[];
   readonly services: readonly ServicePolicy[];
   readonly limits: CallerLimits;
+  /** Undefined if callers need no API keys. */
+  readonly organisations?: readonly Organisation[];
 }
 
 /** What a target has registered about itself. */
--- a/src/balancing/placing.ts
+++ b/src/balancing/placing.ts
@@ -10,6 +10,7 @@
 import type { PendingRequest, ProbeRound, PendingAttempt } from './PendingRequest.js';
 import { forwardRequest, hasHelper, isForwardable } from './forwarding.js';
 import { usePermit } from './limits.js';
+import { ensureQuota, getQuotaOverdueAt } from './quotas.js';
 import { getReachVerdict } from './reachability.js';
 import { startProbeRound, toDestination } from './probing.js';
 import {
@@ -36,7 +37,7 @@
  * @param pending - The request.
  */
 export function getNextWakeAt(pending: PendingRequest): number {
-  let at = pending.deadlineAt;
+  let at = Math.min(pending.deadlineAt, getQuotaOverdueAt(pending));
   for (const { overdueAt, isOverdue } of pending.attempts) {
     if (!isOverdue) at = Math.min(at, overdueAt);
   }
@@ -84,6 +85,7 @@
       attempt: attempt.id,
       to: toDestination(record),
       allowedMs: Math.max(1, Math.floor(pending.deadlineAt - now)),
+      organisation: pending.organisation,
     },
     {
       kind: 'log',
@@ -157,6 +159,11 @@
   return roundCount < PREFERRED_ROUND_COUNT ? 0 : ROUND_PAUSE_MS;
 }
 
+/** Whether the quota of a request's organisation lets it be sent. */
+function hasQuota({ quota }: PendingRequest): boolean {
+  return quota === 'unlimited' || quota === 'granted';
+}
+
 /** Places a request by the readings at hand without probing, or schedules the next round. */
 function placeWithoutProbing(
   state: BalancerState,
@@ -164,6 +171,9 @@
   context: BalancerContext,
 ): BalancerEffect[] {
   const { now } = context;
+  if (!hasQuota(pending)) {
+    return [{ kind: 'wake', request: pending.id, at: getNextWakeAt(pending) }];
+  }
   const best = chooseCandidate(state, pending, context, true);
   if (best !== undefined && isWorthSending(pending, best, now)) {
     return sendAttempt(state, pending, best, context);
@@ -224,6 +234,7 @@
       pending.service === service &&
       pending.attempts.size === 0 &&
       pending.forward === undefined &&
+      hasQuota(pending) &&
       pending.roundCount >= PREFERRED_ROUND_COUNT &&
       !isRefusedForCrashes(state, pending.fingerprint, now) &&
       // Probes in flight may find a better target shortly.
@@ -259,6 +270,16 @@
   return [...permitReturns, ...forwardRequest(state, pending, context)];
 }
 
+/** Probes targets for a request that waits for a permit, so that it is sent as soon as it has one. */
+function probeWhileAsking(
+  state: BalancerState,
+  pending: PendingRequest,
+  context: BalancerContext,
+): BalancerEffect[] {
+  if (pending.roundCount === 0) return startNextRound(state, pending, context);
+  return [{ kind: 'wake', request: pending.id, at: getNextWakeAt(pending) }];
+}
+
 /**
  * Looks for a target for a request that has no open attempt, or for its hedge.
  * @param state - State of this entry VM.
@@ -276,6 +297,11 @@
   }
   const elsewhere = placeOutOfReach(state, pending, context);
   if (elsewhere !== undefined) return elsewhere;
+  if (!hasQuota(pending)) {
+    const asked = ensureQuota(state, pending, context);
+    if (!state.pendingRequests.has(pending.id)) return asked;
+    if (!hasQuota(pending)) return [...asked, ...probeWhileAsking(state, pending, context)];
+  }
   const { round } = pending;
   const hasRound = round !== undefined;
   const hasRoundEnded = isRoundOver(round, now);
--- a/src/balancing/reduceBalancer.ts
+++ b/src/balancing/reduceBalancer.ts
@@ -19,6 +19,7 @@
 import { handleLimitsReported, handlePermitAnswered, handlePermitAsked } from './limitHandlers.js';
 import { reclaimPermit } from './limits.js';
 import { handleOutcomesReported } from './outcomes.js';
+import { handleQuotaAnswered, handleQuotaAsked, handleQuotaReturned } from './quotaHandlers.js';
 import { releaseHeldRequests } from './starting.js';
 import { handleStatements } from './statements.js';
 import { handleGuidance, handleRollouts } from './versions.js';
@@ -45,7 +46,7 @@
   statementsRead: handleStatements,
   wakeDue: handleWake,
   tableRead: (state, event, context) => [
-    ...handleTable(state, event),
+    ...handleTable(state, event, context),
     ...placeReleasedRequests(state, context),
   ],
   targetsRead: (state, event, context) => [
@@ -66,6 +67,9 @@
     reclaimPermit(state, target, now);
     return [];
   },
+  quotaAsked: handleQuotaAsked,
+  quotaAnswered: handleQuotaAnswered,
+  quotaReturned: handleQuotaReturned,
   crashesReported: handleCrashesReported,
   outcomesReported: handleOutcomesReported,
   stopAsked: (state, _event, { now }) => {
--- a/src/balancing/requestHandlers.ts
+++ b/src/balancing/requestHandlers.ts
@@ -11,6 +11,7 @@
 import { getNextWakeAt, placeRequest, placeWaitingRequests } from './placing.js';
 import { hasHeardSince } from './reachability.js';
 import { findRoute } from './routes.js';
+import { authenticate } from '../organisations/index.js';
 import { shouldHold, holdRequest } from './starting.js';
 import type { RetryDecision } from './retries.js';
 import { takeRetry } from './retries.js';
@@ -21,7 +22,7 @@
 function refuseAtOnce(
   event: RequestArrived,
   status: number,
-  reason: 'notConfigured' | 'noRoute' | 'stopping',
+  reason: 'notConfigured' | 'noRoute' | 'stopping' | 'unknownKey',
   retryAfterMs?: number,
 ): BalancerEffect[] {
   const { request, callerRequestId: id, host, path } = event;
@@ -55,7 +56,9 @@
   if (table === undefined) return refuseAtOnce(event, 503, 'notConfigured', STARTUP_RETRY_MS);
   const route = findRoute(table, event.host, event.path);
   if (route === undefined) return refuseAtOnce(event, 404, 'noRoute');
-  const pending = createPendingRequest(state, event, route, context);
+  const access = authenticate(state.keys, route, event.keyDigest);
+  if (access.kind === 'unknown') return refuseAtOnce(event, 401, 'unknownKey');
+  const pending = createPendingRequest(state, event, route, context, access.organisation);
   state.pendingRequests.set(pending.id, pending);
   // The VM that passed a request on has counted it.
   if (!pending.isForwarded) state.retryBudget.recordRequest(pending.service, now);
--- a/src/balancing/settings.ts
+++ b/src/balancing/settings.ts
@@ -2,6 +2,7 @@
 import type { CrashLedgerOptions } from '../crashes/index.js';
 import type { ColdRateLimit } from './ColdAllowance.js';
 import type { ExposureBound } from '../rollouts/index.js';
+import type { QuotaBound } from '../quotas/index.js';
 import type { RetryBudgetOptions } from './RetryBudget.js';
 
 /** Limits that hold for all entry VMs together, from the settings file. */
@@ -13,6 +14,8 @@
   readonly cold: ColdRateLimit;
   /** Probes per second that one target may get from all entry VMs together. */
   readonly probesPerTargetAndSecond: number;
+  /** How far quotas of organisations may be exceeded. */
+  readonly quotas?: QuotaBound;
   /** Requests that a bad version may get; undefined where no rollouts are used. */
   readonly rollouts?: ExposureBound;
 }
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -144,6 +144,9 @@
     askPermit: (effect) => this.messages.runEffect(effect),
     answerPermit: (effect) => this.messages.runEffect(effect),
     returnPermit: (effect) => this.messages.runEffect(effect),
+    askQuota: (effect) => this.messages.runEffect(effect),
+    answerQuota: (effect) => this.messages.runEffect(effect),
+    returnQuota: (effect) => this.messages.runEffect(effect),
     gossipLimits: (effect) => this.messages.runEffect(effect),
     gossipCrashes: (effect) => this.messages.runEffect(effect),
     log: (effect) => {
--- a/src/gateway/VmMessages.ts
+++ b/src/gateway/VmMessages.ts
@@ -6,6 +6,8 @@
 import type { LimitEffect } from '../fleet/LimitSync.js';
 import { LimitSync } from '../fleet/LimitSync.js';
 import { OutcomeSync } from '../fleet/OutcomeSync.js';
+import type { QuotaEffect } from '../fleet/QuotaSync.js';
+import { isQuotaEffect, QuotaSync } from '../fleet/QuotaSync.js';
 import type { NeighbourMonitor } from '../fleet/NeighbourMonitor.js';
 import { RolloutSync } from '../fleet/RolloutSync.js';
 import type { EventLog } from '../logging/EventLog.js';
@@ -15,7 +17,8 @@
 import { getOwnRollout } from './getOwnRollout.js';
 
 /** Effects of the balancer that send datagrams to other VMs. */
-export type MessageEffect = LimitEffect | Extract<BalancerEffect, { kind: 'gossipCrashes' }>;
+export type MessageEffect =
+  LimitEffect | QuotaEffect | Extract<BalancerEffect, { kind: 'gossipCrashes' }>;
 
 /** Dependencies of `VmMessages`. */
 export interface VmMessagesParts {
@@ -39,6 +42,9 @@
   /** @internal */
   private readonly crashSync: CrashSync;
 
+  /** @internal */
+  private readonly quotaSync: QuotaSync;
+
   /** @internal */
   private readonly outcomeSync: OutcomeSync;
 
@@ -56,6 +62,7 @@
       ...parts,
       getNewsToRepeat: (count) => state.crashes.getNewsToRepeat(count, clock.now()),
     });
+    this.quotaSync = new QuotaSync(parts);
     this.outcomeSync = new OutcomeSync({
       ...parts,
       takeReports: (count) => takeOutcomeReports(state, count, clock.now()),
@@ -78,8 +85,10 @@
    * @param address - Peer address of the VM that sent it.
    */
   receive(text: string, address: string): void {
-    const { limitSync, crashSync, outcomeSync } = this;
-    const isRead = [limitSync, crashSync, outcomeSync].some((sync) => sync.receive(text, address));
+    const { limitSync, crashSync, outcomeSync, quotaSync } = this;
+    const isRead = [limitSync, crashSync, outcomeSync, quotaSync].some((sync) =>
+      sync.receive(text, address),
+    );
     if (!isRead) this.rolloutSync?.receive(text, address);
   }
 
@@ -89,6 +98,7 @@
    */
   runEffect(effect: MessageEffect): void {
     if (effect.kind === 'gossipCrashes') this.crashSync.runEffect(effect);
+    else if (isQuotaEffect(effect)) this.quotaSync.runEffect(effect);
     else this.limitSync.runEffect(effect);
   }
 
