--- a/src/balancing/probing.ts
+++ b/src/balancing/probing.ts
@@ -1,5 +1,5 @@
 import type { BalancerContext, BalancerState } from './BalancerState.js';
-import { sampleTargets } from './candidates.js';
+import { sampleTargets } from './sampling.js';
 import type { BalancerEffect, Destination } from './effects.js';
 import type { PendingRequest, ProbeRound } from './PendingRequest.js';
 import { askPermit, isWithinLimit, isLimitExhausted } from './limits.js';
