Check API keys at the edges of the gateway

Cause: the reducer checks keys, but nothing read them from requests or the configuration, and targets received whatever callers said about themselves.

Change: decode the organisations and exempt routes; pass the digest of the caller's key to the reducer; answer an unknown key before its body is read; write the organisation's name on requests to targets and remove the key; forward the key as received to other VMs; refuse unsent requests whose key a new configuration removes.

Effect: with organisations in the configuration, requests need a known key. Without them, headers pass as before.

--- a/src/balancing/fleetHandlers.ts
+++ b/src/balancing/fleetHandlers.ts
@@ -10,6 +10,7 @@
   ZonesOutRead,
 } from './events.js';
 import { recordRunGone } from './crashes.js';
+import { refuseRemovedKeys } from './keyChecks.js';
 import { markDead, recordTargetAnswer, recordTargetFailure } from './learning.js';
 import { removeExpiredLimits, recordLimit } from './limits.js';
 import type { TargetRegistration } from './model.js';
@@ -39,6 +40,7 @@
   const { version, routes } = table;
   return [
     { kind: 'log', event: 'config.adopted', fields: { version, before, routes: routes.length } },
+    ...refuseRemovedKeys(state, context),
   ];
 }
 
--- a/src/gateway/ActiveRequests.ts
+++ b/src/gateway/ActiveRequests.ts
@@ -65,10 +65,11 @@
   }
 
   /** Sends a request to a target. Does nothing if the request is no longer open. */
-  startAttempt({ request, attempt, to, allowedMs }: SendAttemptEffect): void {
+  startAttempt({ request, attempt, to, allowedMs, organisation }: SendAttemptEffect): void {
     const exchange = this.exchanges.get(request);
     if (exchange === undefined) return;
-    const { req, headers, body, callerRequestId } = exchange;
+    const { req, body, callerRequestId } = exchange;
+    const headers = exchange.getTargetHeaders(organisation);
     const targetRequest = new TargetRequest({
       agent: this.agents.getAgent(to),
       clock: this.clock,
@@ -107,7 +108,7 @@
       finish({ kind: 'unsent' });
       return;
     }
-    const { req, headers, body } = exchange;
+    const { req, vmHeaders, body } = exchange;
     let result: ForwardResult | undefined;
     const vmRequest = new TargetRequest({
       agent: this.vmAgents.getAgent({ target: vm, bornAt: 0, address }),
@@ -116,7 +117,7 @@
       method: req.method ?? 'GET',
       path: req.url ?? '/',
       headers: [
-        ...writeTargetHeaders(headers, undefined, allowedMs, body?.length),
+        ...writeTargetHeaders(vmHeaders, undefined, allowedMs, body?.length),
         FORWARD_HEADER,
         writeForwardTerms(terms),
       ],
--- a/src/gateway/CallerExchange.ts
+++ b/src/gateway/CallerExchange.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import { linger } from '../entry/exchange/linger.js';
+import { keepApiKey, writeOrganisation } from '../platform/index.js';
 import { REASON_HEADER } from './forwardHeaders.js';
 import type { TargetAnswer } from './TargetRequest.js';
 
@@ -22,16 +23,36 @@
    * @param body - The request's body; undefined if it has none.
    * @param callerRequestId - Request id set by the caller, if any.
    * @param isForwarded - Whether another VM has passed the request on.
+   * @param hasOrganisations - Whether the configuration in force has organisations.
    */
   constructor(
     readonly req: IncomingMessage,
     private readonly res: ServerResponse,
-    readonly headers: readonly string[],
+    private readonly headers: readonly string[],
     readonly body: Buffer | undefined,
     readonly callerRequestId: string | undefined,
     private readonly isForwarded = false,
+    private readonly hasOrganisations: () => boolean = () => false,
   ) {}
 
+  /**
+   * Returns the headers for a target, as alternating names and values. If there are organisations,
+   * they never include the API key, and an organisation only if the key belongs to it.
+   *
+   * This is decided for each attempt and not on arrival: a request that is held at start arrives
+   * before any configuration is known.
+   * @param organisation - Name of the caller's organisation; undefined if it has none.
+   */
+  getTargetHeaders(organisation: string | undefined): readonly string[] {
+    const isWritten = organisation !== undefined || this.hasOrganisations();
+    return isWritten ? writeOrganisation(this.headers, organisation) : this.headers;
+  }
+
+  /** Headers for another VM: it checks the caller's key itself. */
+  get vmHeaders(): readonly string[] {
+    return this.hasOrganisations() ? keepApiKey(this.headers, this.req.rawHeaders) : this.headers;
+  }
+
   /**
    * Forwards a target's answer to the caller unchanged.
    * @param answer - The target's answer.
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -1,5 +1,6 @@
 import type { BalancerEffect, BalancerState } from '../balancing/index.js';
 import { createBalancerState } from '../balancing/index.js';
+import { isKeyUnknown } from '../balancing/keyChecks.js';
 import type { GatewaySettings } from '../config/index.js';
 import { CallerServer } from '../entry/api/CallerServer.js';
 import { FeedClient } from '../fleet/FeedClient.js';
@@ -300,6 +301,8 @@
       dispatch: this.loop.dispatch,
       getCallerLimits: () => this.view.table?.limits,
       isVmAddress: (ip) => this.isVmAddress(ip),
+      isKeyUnknown: (head) => isKeyUnknown(this.state, head, this.parts.clock.now()),
+      hasOrganisations: () => this.state.keys.isRequired,
     });
     this.callerServer = await CallerServer.listen({
       listen: listen.callers,
--- a/src/platform/decode.ts
+++ b/src/platform/decode.ts
@@ -1,5 +1,7 @@
 import type {
   CallerLimits,
+  Organisation,
+  Quota,
   Route,
   RoutingTable,
   ServicePolicy,
@@ -9,6 +11,7 @@
   WeightedService,
 } from '../balancing/index.js';
 import type { StorePosition } from '../core/model/index.js';
+import { digestApiKey } from '../organisations/index.js';
 import type { RolloutOrder, RolloutState } from '../rollouts/index.js';
 
 /** A field of a stored object is missing or invalid. */
@@ -79,6 +82,11 @@
   return weighted;
 }
 
+function asFlag(value: unknown, name: string): boolean {
+  if (typeof value !== 'boolean') throw new DecodeError(`${name} must be true or false`);
+  return value;
+}
+
 /** Number of targets that a request may be sent to if the operator does not configure one. */
 const DEFAULT_MAX_TARGETS = 1;
 
@@ -100,6 +108,7 @@
       action.max_attempts === undefined
         ? DEFAULT_MAX_TARGETS
         : Math.max(1, asNonNegativeNumber(action.max_attempts, 'max_attempts')),
+    ...(asFlag(rule.auth_exempt ?? false, 'auth_exempt') ? { isAuthExempt: true } : {}),
   };
 }
 
@@ -122,6 +131,74 @@
   };
 }
 
+/** Characters that a header cannot carry, or not at its ends. */
+const UNSENDABLE_NAME_PATTERN = /[\u0000-\u001f\u007f]|^ | $/;
+
+function asOrganisationName(value: unknown, name: string): string {
+  const text = asNonEmptyString(value, name);
+  if (UNSENDABLE_NAME_PATTERN.test(text)) {
+    throw new DecodeError(`${name} has characters that a header cannot carry`);
+  }
+  return text;
+}
+
+function decodeQuota(tenant: JsonObject, where: string): Quota | undefined {
+  const ratePerSecond = asNonNegativeNumber(tenant.rate_per_s ?? 0, `${where}.rate_per_s`);
+  const burst = asNonNegativeNumber(tenant.burst_size ?? 0, `${where}.burst_size`);
+  return ratePerSecond === 0 ? undefined : { ratePerSecond, burst };
+}
+
+/** Decodes one organisation. Errors name the place in the list and never a key. */
+function decodeOrganisation(value: unknown, where: string): Organisation {
+  const tenant = asObject(value, where);
+  const keys = asArray(tenant.api_keys, `${where}.api_keys`).map((key, i) =>
+    digestApiKey(asNonEmptyString(key, `${where}.api_keys[${i}]`)),
+  );
+  const quota = decodeQuota(tenant, where);
+  const priority =
+    tenant.priority === undefined || tenant.priority === null
+      ? undefined
+      : asNonNegativeNumber(tenant.priority, `${where}.priority`);
+  return {
+    name: asOrganisationName(tenant.name, `${where}.name`),
+    keyDigests: [...new Set(keys)],
+    ...(priority === undefined ? {} : { priority }),
+    ...(quota === undefined ? {} : { quota }),
+  };
+}
+
+/**
+ * Rejects names that two entries have, and keys that two organisations have: whose quota and priority
+ * apply would depend on the order of the list.
+ */
+function checkUniqueness(organisations: readonly Organisation[]): void {
+  const indexByName = new Map<string, number>();
+  const indexByKey = new Map<string, number>();
+  organisations.forEach(({ name, keyDigests }, index) => {
+    const sameName = indexByName.get(name);
+    if (sameName !== undefined) {
+      throw new DecodeError(`tenants[${sameName}] and tenants[${index}] have the same name`);
+    }
+    indexByName.set(name, index);
+    for (const digest of keyDigests) {
+      const sameKey = indexByKey.get(digest);
+      if (sameKey !== undefined) {
+        throw new DecodeError(`tenants[${sameKey}] and tenants[${index}] have a key in common`);
+      }
+      indexByKey.set(digest, index);
+    }
+  });
+}
+
+function decodeOrganisations(value: unknown): readonly Organisation[] | undefined {
+  if (value === undefined || value === null) return undefined;
+  const organisations = asArray(value, 'tenants').map((tenant, i) =>
+    decodeOrganisation(tenant, `tenants[${i}]`),
+  );
+  checkUniqueness(organisations);
+  return organisations.length === 0 ? undefined : organisations;
+}
+
 /**
  * Decodes the operator's configuration; throws `DecodeError` if it is incomplete or invalid.
  * @param spec - Content of the stored object.
@@ -133,11 +210,13 @@
     const host = asNonEmptyString(listener.host, 'host');
     return asArray(listener.routing_rules, 'routing_rules').map((rule) => decodeRoute(host, rule));
   });
+  const organisations = decodeOrganisations(config.tenants);
   return {
     version: asTableVersion(config.version),
     routes,
     services: asArray(config.clusters, 'clusters').map(decodeServiceRules),
     limits: decodeCallerLimits(config.limits),
+    ...(organisations === undefined ? {} : { organisations }),
   };
 }
 
--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -12,6 +12,12 @@
 /** Time that the sender waits for an answer, in milliseconds. */
 export const DEADLINE_HEADER = 'x-masticlink-deadline-ms';
 
+/** Key by which an organisation's callers are recognised; nothing but the key. */
+export const API_KEY_HEADER = 'x-masticlink-credential';
+
+/** Name of the caller's organisation, on requests to targets. */
+export const ORGANISATION_HEADER = 'x-masticlink-tenant-id';
+
 /** Proof that a target made the answer; answers that an entry VM makes itself never carry it. */
 export const RESPONSE_SIGNATURE_HEADER = 'x-masticlink-response-signature';
 
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -3,4 +3,11 @@
 export { ADDRESSES_PATH, READY_PATH, writeAddresses } from './pages.js';
 export type { CallerHead, TargetHead } from './requests.js';
 export { readStatements } from './readStatements.js';
-export { readCallerHead, readTargetHead, writeTargetHeaders } from './requests.js';
+export {
+  keepApiKey,
+  readCallerHead,
+  readKeyDigest,
+  readTargetHead,
+  writeOrganisation,
+  writeTargetHeaders,
+} from './requests.js';
--- a/src/platform/requests.ts
+++ b/src/platform/requests.ts
@@ -1,13 +1,16 @@
 import type { IncomingHttpHeaders } from 'node:http';
 
 import type { LoadReading, AdvertisedLimit } from '../balancing/index.js';
+import { digestApiKey } from '../organisations/index.js';
 import {
+  API_KEY_HEADER,
   COLD_HEADER,
   DEADLINE_HEADER,
   EXPECTED_TARGET_HEADER,
   LIMIT_HEADER,
   LOAD_HEADER,
   NOT_EXECUTED_HEADER,
+  ORGANISATION_HEADER,
   REQUEST_ID_HEADER,
   RESPONSE_SIGNATURE_HEADER,
   TARGET_ID_HEADER,
@@ -39,6 +42,64 @@
   };
 }
 
+/**
+ * Returns the lower-case name by which a target may read a header. Some servers treat underscores in
+ * names as hyphens, so that a caller could use them to claim an organisation.
+ */
+function normalizeName(name: string): string {
+  return name.toLowerCase().replaceAll('_', '-');
+}
+
+/** Removes headers from alternating names and values, in any spelling and number. */
+function removeHeaders(headers: readonly string[], removed: readonly string[]): string[] {
+  return headers.filter((_, i) => !removed.includes(normalizeName(headers[i - (i % 2)])));
+}
+
+/** Returns the lines that carry the caller's API key, as alternating names and values. */
+function getKeyLines(rawHeaders: readonly string[]): string[] {
+  return rawHeaders.filter((_, i) => rawHeaders[i - (i % 2)].toLowerCase() === API_KEY_HEADER);
+}
+
+/**
+ * Returns the digest of a caller's API key.
+ * @param rawHeaders - Headers as received, as alternating names and values.
+ * @returns Undefined if there is no key, or if lines with different keys leave open which one counts.
+ * @example
+ * readKeyDigest(['X-Masticlink-Credential', 'x42q492cqf75rjvz48wu']); // 22 characters
+ */
+export function readKeyDigest(rawHeaders: readonly string[]): string | undefined {
+  const [key, ...others] = new Set(getKeyLines(rawHeaders).filter((_, i) => i % 2 === 1));
+  if (key === undefined || key === '' || others.length > 0) return undefined;
+  // Node reads header values as Latin-1; the configuration's keys are hashed as UTF-8.
+  return digestApiKey(Buffer.from(key, 'latin1'));
+}
+
+/**
+ * Replaces what a caller said about its key and its organisation by the organisation that was found.
+ * @param headers - Headers of the request, as alternating names and values.
+ * @param organisation - Name of the caller's organisation; undefined if it has none.
+ */
+export function writeOrganisation(
+  headers: readonly string[],
+  organisation: string | undefined,
+): string[] {
+  const written = removeHeaders(headers, [API_KEY_HEADER, ORGANISATION_HEADER]);
+  if (organisation === undefined) return written;
+  // Node writes header values as Latin-1; targets read the name as UTF-8.
+  return [...written, 'X-Masticlink-Tenant-Id', Buffer.from(organisation).toString('latin1')];
+}
+
+/**
+ * Returns the headers of a request that is forwarded to another VM: with the caller's key as received,
+ * also if its Connection header names the key, and without an organisation.
+ * @param headers - Headers of the request, without headers that apply to a single connection.
+ * @param rawHeaders - Headers as received.
+ */
+export function keepApiKey(headers: readonly string[], rawHeaders: readonly string[]): string[] {
+  const others = removeHeaders(headers, [API_KEY_HEADER, ORGANISATION_HEADER]);
+  return [...others, ...getKeyLines(rawHeaders)];
+}
+
 /** Headers that this entry VM sets itself on requests to a target, in place of the caller's. */
 const OVERWRITTEN_HEADERS: ReadonlySet<string> = new Set([
   DEADLINE_HEADER,
--- a/src/tests/gateway/forwarding.test.ts
+++ b/src/tests/gateway/forwarding.test.ts
@@ -97,6 +97,8 @@
     dispatch: (event) => dispatched.push(event),
     getCallerLimits: () => undefined,
     isVmAddress: (ip) => ip === '10.0.0.1',
+    isKeyUnknown: () => false,
+    hasOrganisations: () => false,
   });
   const headers = {
     [FORWARD_HEADER]: 'targets=1; since=0; service=horaires',
