Quotas of organisations are enforced over all VMs

Requests of an organisation with a quota were unlimited: the hooks were stubs. They now ask one of a few issuers for a permit while targets are probed. Issuers use the token buckets of target limits, whose waits moved to PermitBuckets. A request that is passed on to another VM returns its permit first, and an answer 429 of that VM is repeated.

--- a/src/balancing/forwarding.ts
+++ b/src/balancing/forwarding.ts
@@ -3,6 +3,7 @@
 import { answerLocally, refuseOrFail, removeForward, removeRequest } from './endings.js';
 import type { ForwardEnded, ForwardResult } from './events.js';
 import type { PendingRequest } from './PendingRequest.js';
+import { returnQuotaPermit } from './quotaPermits.js';
 import { probeForRecovery } from './reachability.js';
 
 /** Maximum number of VMs that one request is passed on to; all but the last refused it. */
@@ -30,6 +31,7 @@
 
 /** Reasons of a helper that this VM gives the caller as well. */
 const REPEATED_REASONS: readonly LocalAnswerReason[] = [
+  'overQuota',
   'limited',
   'paused',
   'crashesTargets',
@@ -115,6 +117,8 @@
   const { id: request, callerRequestId: id } = pending;
   return [
     ...probes,
+    // The helper asks for a permit of its own.
+    ...returnQuotaPermit(state, pending, now),
     { kind: 'forwardRequest', request, attempt, vm, allowedMs, terms },
     {
       kind: 'log',
--- a/src/config/gatewaySettingsKeys.ts
+++ b/src/config/gatewaySettingsKeys.ts
@@ -88,6 +88,21 @@
       '0',
       'Requests on top that a bad version may get.',
     ),
+    'quota-window': withDefault(
+      duration({ min: 100, max: DAY_MS }),
+      '5s',
+      'Sliding window in which the requests of an organisation are counted.',
+    ),
+    'quota-overage': withDefault(
+      decimal({ min: 0, max: 100 }),
+      '0.1',
+      'Share of a window’s quota that an organisation may send on top, all entry VMs together.',
+    ),
+    'quota-slack': withDefault(
+      decimal({ min: 0, max: 1_000_000 }),
+      '20',
+      'Requests of an organisation in a window on top, all entry VMs together.',
+    ),
     'configuration-in-force': withDefault(
       duration({ min: 1_000, max: DAY_MS }),
       '2s',
--- a/src/config/readGatewaySettings.ts
+++ b/src/config/readGatewaySettings.ts
@@ -37,6 +37,11 @@
       },
       cold: { perSecond: bounds['cold-overage'], slack: bounds['cold-slack'] },
       probesPerTargetAndSecond: bounds['probes-per-second'],
+      quotas: {
+        windowMs: bounds['quota-window'],
+        overage: bounds['quota-overage'],
+        slack: bounds['quota-slack'],
+      },
       rollouts:
         bounds['trial-share'] > 0
           ? { share: bounds['trial-share'], slack: bounds['trial-slack'] }
--- a/src/limits/PermitIssuer.ts
+++ b/src/limits/PermitIssuer.ts
@@ -6,8 +6,9 @@
 } from './issuing.js';
 import type { LimitedTarget } from './model.js';
 import { getLimitKey } from './model.js';
+import type { PermitDecision } from './PermitBuckets.js';
+import { PermitBuckets } from './PermitBuckets.js';
 import type { BucketConfig } from './TokenBuckets.js';
-import { TokenBuckets } from './TokenBuckets.js';
 
 /**
  * Requests that a target may get from all VMs together within any window: `overage` times its
@@ -20,19 +21,6 @@
 /** Longest time that a VM is told to wait before its next request for a permit, in milliseconds. */
 const MAX_WAIT_MS = 4_000;
 
-/**
- * Retry times given to waiting VMs are spaced by this fraction of the interval between two permits.
- * They are not spaced by the full interval because some of the VMs do not come back.
- */
-const WAIT_SPACING_SHARE = 0.25;
-
-/** An issuer's decision on one request for a permit. */
-export interface PermitDecision {
-  readonly isGranted: boolean;
-  /** Time to wait before the next request if the permit is not granted, in milliseconds. */
-  readonly waitMs: number;
-}
-
 /**
  * Issues this VM's share of the permits for limited targets.
  *
@@ -40,11 +28,11 @@
  * active issuers, even if they do not know of each other.
  */
 export class PermitIssuer {
-  /** Buckets start empty: another VM may have issued permits until a moment ago. @internal */
-  private readonly buckets = new TokenBuckets(0);
-
-  /** Time up to which permits are reserved for VMs that were told to retry. @internal */
-  private readonly reservedUntil = new Map<string, number>();
+  /** @internal */
+  private readonly buckets = new PermitBuckets({
+    maxWaitMs: MAX_WAIT_MS,
+    maxSpreadMs: Number.POSITIVE_INFINITY,
+  });
 
   /**
    * Grants a permit for one request or says when to ask again. Waiting VMs are given different
@@ -55,22 +43,8 @@
    * @param now - Monotonic milliseconds.
    */
   tryIssue(target: LimitedTarget, perSecond: number, vmCount: number, now: number): PermitDecision {
-    const key = getLimitKey(target);
     const config = PermitIssuer.getBucketConfig(perSecond, vmCount);
-    const tokens = this.buckets.getTokens(key, config, now);
-    if (tokens >= 1) {
-      this.buckets.take(key, config, now);
-      return { isGranted: true, waitMs: 0 };
-    }
-    const intervalMs = MS_PER_SECOND / config.perSecond;
-    const nextPermitAt = now + (1 - tokens) * intervalMs;
-    const retryAt = Math.max(
-      nextPermitAt,
-      (this.reservedUntil.get(key) ?? 0) + WAIT_SPACING_SHARE * intervalMs,
-    );
-    const waitMs = Math.min(MAX_WAIT_MS, retryAt - now);
-    this.reservedUntil.set(key, now + waitMs);
-    return { isGranted: false, waitMs: Math.ceil(waitMs) };
+    return this.buckets.tryIssue(getLimitKey(target), config, now);
   }
 
   /**
@@ -81,15 +55,13 @@
    * @param now - Monotonic milliseconds.
    */
   reclaim(target: LimitedTarget, perSecond: number, vmCount: number, now: number): void {
-    this.buckets.add(getLimitKey(target), PermitIssuer.getBucketConfig(perSecond, vmCount), now);
+    const config = PermitIssuer.getBucketConfig(perSecond, vmCount);
+    this.buckets.reclaim(getLimitKey(target), config, now);
   }
 
   /** Removes the state of targets that are no longer limited. */
   keepOnly(isLimited: (key: string) => boolean): void {
     this.buckets.keepOnly(isLimited);
-    for (const key of this.reservedUntil.keys()) {
-      if (!isLimited(key)) this.reservedUntil.delete(key);
-    }
   }
 
   /** @internal */
--- a/src/limits/PermitPool.ts
+++ b/src/limits/PermitPool.ts
@@ -6,11 +6,9 @@
   ISSUERS_PER_TARGET,
   MAX_ACTIVE_ISSUERS,
   PERMIT_TTL_MS,
+  UNRESPONSIVE_RETRY_MS,
 } from './issuing.js';
 
-/** An issuer that did not answer is asked again after this time, in milliseconds. */
-const UNRESPONSIVE_RETRY_MS = 1_500;
-
 interface PendingRequest {
   readonly id: number;
   readonly vm: string;
--- a/src/limits/index.ts
+++ b/src/limits/index.ts
@@ -1,5 +1,11 @@
 export { getOwners } from './getOwners.js';
-export { ISSUERS_PER_TARGET, MAX_ACTIVE_ISSUERS, PERMIT_TTL_MS } from './issuing.js';
+export {
+  ISSUER_TIMEOUT_MS,
+  ISSUERS_PER_TARGET,
+  MAX_ACTIVE_ISSUERS,
+  PERMIT_TTL_MS,
+  UNRESPONSIVE_RETRY_MS,
+} from './issuing.js';
 export type { LimitChange } from './LimitView.js';
 export { LimitView } from './LimitView.js';
 export type {
@@ -12,7 +18,8 @@
   PermitReturn,
 } from './model.js';
 export { getLimitKey } from './model.js';
-export type { PermitDecision } from './PermitIssuer.js';
+export type { PermitDecision, WaitBounds } from './PermitBuckets.js';
+export { PermitBuckets } from './PermitBuckets.js';
 export { PermitIssuer } from './PermitIssuer.js';
 export { PermitPool } from './PermitPool.js';
 export type { BucketConfig } from './TokenBuckets.js';
--- a/src/limits/issuing.ts
+++ b/src/limits/issuing.ts
@@ -18,3 +18,6 @@
 
 /** An issuer that does not answer within this time is considered unresponsive, in milliseconds. */
 export const ISSUER_TIMEOUT_MS = 60;
+
+/** An issuer that did not answer is asked again after this time, in milliseconds. */
+export const UNRESPONSIVE_RETRY_MS = 1_500;
--- a/src/quotas/index.ts
+++ b/src/quotas/index.ts
@@ -1,3 +1,7 @@
+export type { QuotaBucket } from './getQuotaBucket.js';
+export { getQuotaBucket, QUOTA_PERMIT_TTL_MS } from './getQuotaBucket.js';
 export type { QuotaAnswer, QuotaAsk, QuotaBound } from './model.js';
+export { DEFAULT_QUOTA_BOUND } from './model.js';
 export { QuotaIssuer } from './QuotaIssuer.js';
-export { QuotaPool } from './QuotaPool.js';
+export type { AskHistory, EndedAsk, IssuerChoice, OpenAsk, QuotaCounts } from './QuotaPool.js';
+export { NO_ASKS, QuotaPool } from './QuotaPool.js';
--- a/src/quotas/model.ts
+++ b/src/quotas/model.ts
@@ -8,6 +8,9 @@
   readonly slack: number;
 }
 
+/** The bound where the settings name none. */
+export const DEFAULT_QUOTA_BOUND: QuotaBound = { windowMs: 5_000, overage: 0.1, slack: 20 };
+
 /** Asks for a permit to send one request of an organisation. */
 export interface QuotaAsk {
   readonly organisation: string;
--- a/src/tests/config/gatewaySettings.test.ts
+++ b/src/tests/config/gatewaySettings.test.ts
@@ -46,7 +46,7 @@
     .replaceAll('{{ip}}', '10.0.0.1')
     .replaceAll('{{limits.link_mbps}}', '7.0')
     .replaceAll('{{seeds}}', '')
-    .replaceAll(/\{\{bounds\.(retry_window|grace|ttl_max|config_apply|drain)\}\}/g, '5s')
+    .replaceAll(/\{\{bounds\.(retry_window|quota_window|grace|ttl_max|config_apply|drain)\}\}/g, '5s')
     .replaceAll('{{bounds.retry_budget_ratio}}', '0.2')
     .replaceAll('{{bounds.canary_share}}', '0.1')
     .replaceAll('{{internal_ports.0}}', '7200')
@@ -57,6 +57,7 @@
   t.is(settings.self.linkMbps, 7);
   t.is(settings.changeBoundMs, 5_000);
   t.deepEqual(settings.balancing.rollouts, { share: 0.1, slack: 7 });
+  t.deepEqual(settings.balancing.quotas, { windowMs: 5_000, overage: 7, slack: 7 });
 });
 
 test('a bound that is divided among parts of a deployment may be a fraction', (t) => {
