Quotas appear in metrics, the operations page and masticlink explain

Nothing showed how far organisations use their limits. The 20 busiest have time series of their own, the others share one, since there may be thousands.

--- a/src/gateway/GatewayMetrics.ts
+++ b/src/gateway/GatewayMetrics.ts
@@ -16,6 +16,12 @@
  */
 const LATENCY_BUCKETS_S = [0.01, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10];
 
+/** Organisations that have time series of their own; there may be thousands. */
+const MAX_NAMED_ORGANISATIONS = 20;
+
+/** Name of the time series of all other organisations. */
+const OTHER_ORGANISATIONS = 'other';
+
 const MS_PER_SECOND = 1_000;
 
 interface PrometheusMetrics {
@@ -33,6 +39,9 @@
   readonly learntWeight: Gauge;
   readonly rolloutShare: Gauge;
   readonly rolloutAnswers: Gauge;
+  readonly quotaRequests: Counter;
+  readonly quotaPerSecond: Gauge;
+  readonly quotaUse: Gauge;
 }
 
 interface Observation {
@@ -40,6 +49,15 @@
   readonly route: string;
 }
 
+/** Requests of an organisation that has a quota. */
+export interface QuotaFigures {
+  /** Requests since the process started. */
+  readonly granted: number;
+  readonly refused: number;
+  /** Limit for all entry VMs together. */
+  readonly perSecond: number;
+}
+
 /** Values that other components count themselves; read on each scrape. */
 export interface MetricSources {
   /** Store calls so far, by `METHOD section`. */
@@ -54,6 +72,10 @@
   getLearntCurves(): ReadonlyMap<string, SlowdownEstimates>;
   /** State of the rollouts known to this VM, by service. */
   getRolloutFigures(): ReadonlyMap<string, RolloutStats>;
+  /** Requests of the organisations that have quotas, by name. */
+  getQuotaFigures(): ReadonlyMap<string, QuotaFigures>;
+  /** Monotonic time, in milliseconds. */
+  now(): number;
   /** Age of the last confirmed view of the store, in milliseconds; infinite until the first. */
   getStoreAgeMs(): number;
   /** Number of requests that have not been answered yet. */
@@ -104,6 +126,32 @@
   };
 }
 
+function createQuotaGauges(
+  prom: Prom,
+  registers: Registry[],
+): Pick<PrometheusMetrics, 'quotaRequests' | 'quotaPerSecond' | 'quotaUse'> {
+  return {
+    quotaRequests: new prom.Counter({
+      name: 'masticlink_gateway_quota_requests_total',
+      help: 'Requests of an organisation since the process started, by what its quota decided.',
+      labelNames: ['organisation', 'outcome'],
+      registers,
+    }),
+    quotaPerSecond: new prom.Gauge({
+      name: 'masticlink_gateway_quota_per_second',
+      help: 'Limit on an organisation’s requests per second, all entry VMs together.',
+      labelNames: ['organisation'],
+      registers,
+    }),
+    quotaUse: new prom.Gauge({
+      name: 'masticlink_gateway_quota_use',
+      help: 'This VM’s part of the use of an organisation’s limit since the last scrape.',
+      labelNames: ['organisation'],
+      registers,
+    }),
+  };
+}
+
 async function loadMetrics(): Promise<PrometheusMetrics> {
   const prom = await import('prom-client');
   const registry = new prom.Registry();
@@ -163,6 +211,7 @@
     }),
     ...createTargetGauges(prom, registers),
     ...createRolloutGauges(prom, registers),
+    ...createQuotaGauges(prom, registers),
   };
 }
 
@@ -181,6 +230,12 @@
   /** @internal */
   private promMetrics: Promise<PrometheusMetrics> | undefined;
 
+  /** Granted requests of organisations at the last scrape. @internal */
+  private lastQuotas: { readonly at: number; readonly granted: ReadonlyMap<string, number> } = {
+    at: 0,
+    granted: new Map(),
+  };
+
   /** @param sources - Values that other components count. */
   constructor(private readonly sources: MetricSources) {}
 
@@ -208,6 +263,7 @@
     this.updateGauges(promMetrics);
     this.updateLearntCurves(promMetrics);
     this.updateRollouts(promMetrics);
+    this.updateQuotas(promMetrics);
     const { registry } = promMetrics;
     return { type: registry.contentType, text: await registry.metrics() };
   }
@@ -261,6 +317,32 @@
     }
   }
 
+  /** @internal */
+  private updateQuotas({ quotaRequests, quotaPerSecond, quotaUse }: PrometheusMetrics): void {
+    quotaRequests.reset();
+    quotaPerSecond.reset();
+    quotaUse.reset();
+    const figures = [...this.sources.getQuotaFigures()].sort(
+      ([, a], [, b]) => b.granted + b.refused - a.granted - a.refused,
+    );
+    const now = this.sources.now();
+    const seconds = (now - this.lastQuotas.at) / MS_PER_SECOND;
+    figures.forEach(([name, { granted, refused, perSecond }], i) => {
+      const isNamed = i < MAX_NAMED_ORGANISATIONS;
+      const organisation = isNamed ? name : OTHER_ORGANISATIONS;
+      quotaRequests.inc({ organisation, outcome: 'granted' }, granted);
+      quotaRequests.inc({ organisation, outcome: 'refused' }, refused);
+      if (!isNamed) return;
+      quotaPerSecond.set({ organisation }, perSecond);
+      const newlyGranted = granted - (this.lastQuotas.granted.get(name) ?? 0);
+      if (seconds > 0) quotaUse.set({ organisation }, newlyGranted / seconds / perSecond);
+    });
+    this.lastQuotas = {
+      at: now,
+      granted: new Map(figures.map(([name, { granted }]) => [name, granted])),
+    };
+  }
+
   /** @internal */
   private updateGauges(metrics: PrometheusMetrics): void {
     const { targets, longestPause, storeAge, requests } = metrics;
--- a/src/gateway/createStateSources.ts
+++ b/src/gateway/createStateSources.ts
@@ -13,13 +13,20 @@
   clock: Clock,
 ): Pick<
   MetricSources,
-  'getTargetCounts' | 'getLongestPauses' | 'getLearntCurves' | 'getRolloutFigures'
+  | 'getTargetCounts'
+  | 'getLongestPauses'
+  | 'getLearntCurves'
+  | 'getRolloutFigures'
+  | 'getQuotaFigures'
+  | 'now'
 > {
   return {
     getTargetCounts: () => countTargets(state, clock.now()),
     getLongestPauses: () => getLongestPauses(state, clock.now()),
     getLearntCurves: () =>
       new Map([...state.serviceCurves].map(([name, { estimates }]) => [name, estimates])),
+    now: () => clock.now(),
+    getQuotaFigures: () => state.quotaPool.figures,
     getRolloutFigures: () => getRolloutStats(state, clock.now()),
   };
 }
--- a/src/quotas/QuotaPool.ts
+++ b/src/quotas/QuotaPool.ts
@@ -118,9 +118,14 @@
     this.share = new SlackShare(this.bound.windowMs);
   }
 
-  /** Requests at this VM by organisation. */
-  get counts(): ReadonlyMap<string, Readonly<QuotaCounts>> {
-    return new Map([...this.byOrganisation].map(([name, { counts }]) => [name, counts]));
+  /** Requests at this VM and limits, by organisation. */
+  get figures(): ReadonlyMap<string, QuotaCounts & { readonly perSecond: number }> {
+    return new Map(
+      [...this.byOrganisation].map(([name, { counts, quota }]) => [
+        name,
+        { ...counts, perSecond: quota.ratePerSecond },
+      ]),
+    );
   }
 
   /**
--- a/src/report/explainRequest.ts
+++ b/src/report/explainRequest.ts
@@ -48,6 +48,7 @@
   notConfigured: 'this VM had no configuration yet',
   noRoute: 'no route of the configuration in force matches its host and path',
   stopping: 'the VM was stopping as planned and accepted no more requests',
+  overQuota: 'its organisation had used up its quota',
   noTarget: 'no target of the service was usable',
   limited: 'all live targets advertised rate limits, and those allowed no further request',
   paused: 'all live targets wanted no requests from this VM for some time',
@@ -69,6 +70,7 @@
   rounds,
   sinceFirstMs,
   crashed,
+  organisation,
 }: Readonly<Record<string, unknown>>): string {
   const why = REASON_DESCRIPTIONS[formatValue(reason)] ?? formatValue(reason);
   const retryText =
@@ -79,9 +81,11 @@
   const firstRequestText =
     sinceFirstMs === undefined ? '' : `; first tried ${formatValue(sinceFirstMs)} ms earlier`;
   const crashedText = crashed === undefined ? '' : ` (${formatNames(crashed)})`;
+  const organisationText =
+    organisation === undefined ? '' : ` (organisation ${formatValue(organisation)})`;
   // A request that is refused before its route is known has no `tookMs`.
   const durationText = tookMs === undefined ? 'at once' : `after ${formatValue(tookMs)} ms`;
-  return `answered ${formatValue(status)} ${durationText}: ${why}${crashedText}${roundsText}${firstRequestText}${retryText}`;
+  return `answered ${formatValue(status)} ${durationText}: ${why}${organisationText}${crashedText}${roundsText}${firstRequestText}${retryText}`;
 }
 
 function describeRetry(f: Readonly<Record<string, unknown>>): string {
--- a/src/tests/gateway/GatewayMetrics.test.ts
+++ b/src/tests/gateway/GatewayMetrics.test.ts
@@ -38,6 +38,8 @@
           },
         ],
       ]),
+    getQuotaFigures: () => new Map(),
+    now: () => 0,
     getStoreAgeMs: () => 250,
     getOpenRequestCount: () => 4,
     getFeedMessageCount: () => 32,
@@ -60,6 +62,8 @@
     getLongestPauses: () => new Map(),
     getLearntCurves: () => new Map(),
     getRolloutFigures: () => new Map(),
+    getQuotaFigures: () => new Map(),
+    now: () => 0,
     getStoreAgeMs: () => Number.POSITIVE_INFINITY,
     getOpenRequestCount: () => 0,
     getFeedMessageCount: () => 0,
@@ -67,3 +71,39 @@
   const { text } = await metrics.read();
   t.regex(text, /^masticlink_gateway_store_age_seconds \+Inf$/m);
 });
+
+test('only the 20 busiest organisations have time series, so that thousands do not fill the scrape', async (t) => {
+  let now = 0;
+  let granted = 100;
+  const metrics = new GatewayMetrics({
+    getStoreCallCounts: () => new Map(),
+    getProbeCount: () => 0,
+    getTargetCounts: () => new Map(),
+    getLongestPauses: () => new Map(),
+    getRolloutFigures: () => new Map(),
+    getLearntCurves: () => new Map(),
+    getQuotaFigures: () =>
+      new Map(
+        Array.from({ length: 30 }, (_, i) => [
+          `o-${i}`,
+          { granted: granted + i, refused: i, perSecond: 50 },
+        ]),
+      ),
+    now: () => now,
+    getStoreAgeMs: () => 0,
+    getOpenRequestCount: () => 0,
+    getFeedMessageCount: () => 0,
+  });
+  await metrics.read();
+  now = 10_000;
+  granted = 200;
+  const { text } = await metrics.read();
+  const lines = text.split('\n').filter((line) => line.startsWith('masticlink_gateway_quota'));
+  t.is(lines.length, 20 * 4 + 2);
+  t.true(lines.includes('masticlink_gateway_quota_use{organisation="o-29"} 0.2'));
+  t.true(
+    lines.includes(
+      'masticlink_gateway_quota_requests_total{organisation="other",outcome="granted"} 2045',
+    ),
+  );
+});
