Emulator plays zones, organisations, route surges and long requests

Plans could not show who is served worst: they had one zone, callers without keys, and surges of all routes at once. A plan now may have zones with demand in waves and delays between them, organisations of Zipf-distributed sizes with limits, one of which may exceed its usual rate, surges of one route, priorities of routes and a share of long requests. Quota messages are delivered between VMs. Results give the worth by route, zone and organisation, refusals, messages and bytes between zones; a window in which an organisation runs more than its bound is a broken rule.

--- a/src/lab/LabPlan.ts
+++ b/src/lab/LabPlan.ts
@@ -1,3 +1,5 @@
+import type { QuotaBound } from '../quotas/index.js';
+
 /** Simulated targets of one service. The defaults are assumptions, not taken from a real service. */
 export interface TargetsPlan {
   readonly service: string;
@@ -33,6 +35,16 @@
   readonly lateWorth: number;
   /** Maximum number of retries by a caller. */
   readonly retries: number;
+  /** Priority in the routing table, 0 the most urgent; the route's index if left out. */
+  readonly priority?: number;
+  /** Requests with a multiple of the drawn work; none if left out. */
+  readonly longRequests?: LongRequests;
+}
+
+/** Share of a route's requests that take a multiple of the usual work. */
+export interface LongRequests {
+  readonly share: number;
+  readonly factor: number;
 }
 
 /** A period with a higher request rate. */
@@ -41,6 +53,53 @@
   readonly untilMs: number;
   /** Multiplier of the request rate. */
   readonly factor: number;
+  /** Name of the only route that it applies to; all routes if left out. */
+  readonly route?: string;
+}
+
+/** Demand of a zone as a sine wave: rate x (1 + swing x sin(2 pi x (time / period + phase))). */
+export interface DemandWave {
+  /** Amplitude as a share of the mean rate, from 0 to 1. */
+  readonly swing: number;
+  readonly periodMs: number;
+  /** Phase of each zone as a share of the period. */
+  readonly phases: readonly number[];
+}
+
+/**
+ * Availability zones. VMs and the targets of each service belong to them in turn. Each zone gets the
+ * same mean demand, and its callers send to VMs of their own zone.
+ */
+export interface ZonesPlan {
+  readonly count: number;
+  /** One-way network delay between zones; `oneWayDelayMs` is the delay within a zone. */
+  readonly betweenDelayMs: number;
+  /** Constant demand if left out. */
+  readonly wave?: DemandWave;
+}
+
+/** A period in which one organisation sends a multiple of its usual rate. */
+export interface OrganisationSurge {
+  /** Zero-based rank of the organisation by size. */
+  readonly rank: number;
+  readonly factor: number;
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
+
+/** Organisations that share the requests of all routes, with sizes by Zipf's law. */
+export interface OrganisationsPlan {
+  readonly count: number;
+  /** Exponent of Zipf's law. */
+  readonly exponent: number;
+  /** Rate limit as a multiple of the usual rate. */
+  readonly limitFactor: number;
+  /** Burst as a time at the usual rate, in seconds, and its lower bound in requests. */
+  readonly burstSeconds: number;
+  readonly minBurst: number;
+  readonly surges: readonly OrganisationSurge[];
+  /** How far the limits may be exceeded. */
+  readonly bound: QuotaBound;
 }
 
 /** A period in which targets reject a share of their requests without running them. */
@@ -100,6 +159,10 @@
   readonly probesPerSecond: number;
   /** Whether VMs start with the targets' slowdown curves; otherwise they learn them. */
   readonly isSlowdownPreset: boolean;
+  /** A single zone if left out. */
+  readonly zones?: ZonesPlan;
+  /** Callers without API keys if left out. */
+  readonly organisations?: OrganisationsPlan;
 }
 
 /**
--- a/src/lab/LabRecord.ts
+++ b/src/lab/LabRecord.ts
@@ -13,6 +13,10 @@
   runs: number;
   /** Total time that refused tries waited for their refusal, in milliseconds. */
   heldMs: number;
+  /** Zone of the caller; undefined if the plan has no zones. */
+  readonly zone?: string;
+  /** Organisation of the caller; undefined if the plan has none. */
+  readonly organisation?: string;
 }
 
 /** Summary of the outcomes of all requests of a run. */
@@ -44,7 +48,8 @@
   return values.reduce((total, value) => total + value, 0);
 }
 
-function getPayoffShare(records: readonly LabRecord[]): number {
+/** Returns the earned value of requests as a share of the value of all of them. */
+export function getPayoffShare(records: readonly LabRecord[]): number {
   return sum(records.map(getPayoff)) / Math.max(1, sum(records.map(({ route }) => route.worth)));
 }
 
--- a/src/lab/LabTarget.ts
+++ b/src/lab/LabTarget.ts
@@ -59,11 +59,13 @@
    * @param plan - Slots, queue and slowdown of the target.
    * @param clock - Virtual clock.
    * @param random - Returns a uniform number in [0, 1).
+   * @param zone - Availability zone.
    */
   constructor(
     readonly plan: TargetsPlan,
     private readonly clock: Clock,
     private readonly random: () => number,
+    readonly zone = 'zone-1',
   ) {
     this.spellEndsAt = random() * plan.spellMs;
   }
--- a/src/lab/LabVm.ts
+++ b/src/lab/LabVm.ts
@@ -14,25 +14,16 @@
 import type { LimitArrival } from './limitWindows.js';
 import type { PauseRequest } from './statementChecks.js';
 import type { LabTarget, LabWork } from './LabTarget.js';
-
-/** Result of a caller's try. */
-export type TryResult =
-  | { readonly kind: 'answered' }
-  | { readonly kind: 'refused'; readonly retryAfterMs: number }
-  | { readonly kind: 'failed' };
-
-/** One try of a caller request, sent to one VM. */
-export interface LabTry {
-  readonly path: string;
-  readonly workMs: number;
-  readonly allowedMs: number;
-  readonly onRun: () => void;
-  readonly onEnd: (end: TryResult) => void;
-}
+import type { LabTry, TryResult } from './LabTry.js';
+import { getPeerMessage } from './labMessages.js';
+import type { Traffic } from './labZones.js';
+import { getDelayMs, TRAFFIC_BYTES } from './labZones.js';
 
 /** Dependencies of {@link LabVm}. */
 export interface LabVmParts {
   readonly name: string;
+  /** Availability zone of the VM. */
+  readonly zone: string;
   readonly plan: LabPlan;
   readonly clock: Clock;
   readonly random: () => number;
@@ -71,6 +62,12 @@
   /** Messages sent to other VMs so far. */
   messages = 0;
 
+  /** Requests that targets rejected so far. */
+  rejected = 0;
+
+  /** Bytes sent to and received from other zones so far; messages between VMs count as sent. */
+  zoneBytes = 0;
+
   /** Whether the VM is down: it gets no requests from callers and drops messages from VMs. */
   isDown = false;
 
@@ -103,6 +100,11 @@
     parts.clock.after(GOSSIP_INTERVAL_MS, () => this.gossipPeriodically());
   }
 
+  /** Availability zone of the VM. */
+  get zone(): string {
+    return this.parts.zone;
+  }
+
   /** Stops the VM: cancels its attempts, fails its pending tries and resets its state. */
   kill(): void {
     this.isDown = true;
@@ -117,13 +119,14 @@
 
   /** @internal */
   private start(): BalancerState {
-    const { name, plan, clock } = this.parts;
+    const { name, zone, plan, clock } = this.parts;
     const settings = {
       vm: name,
-      zone: 'zone-1',
+      zone,
       retries: RETRY_LIMIT,
       cold: { perSecond: 1.5, slack: 5 },
       probesPerTargetAndSecond: plan.probesPerSecond,
+      quotas: plan.organisations?.bound,
     };
     return createBalancerState(settings, clock.now());
   }
@@ -177,6 +180,7 @@
       host: LAB_HOST,
       path: each.path,
       allowedMs: each.allowedMs,
+      keyDigest: each.keyDigest,
       arrivedAt: this.parts.clock.now(),
     });
   }
@@ -215,25 +219,19 @@
           effect.request,
           effect.retryAfterMs === undefined
             ? { kind: 'failed' }
-            : { kind: 'refused', retryAfterMs: effect.retryAfterMs },
+            : { kind: 'refused', retryAfterMs: effect.retryAfterMs, reason: effect.reason },
         );
         break;
       case 'wake':
         this.wake(effect.request, effect.at);
         break;
-      case 'askPermit':
-        this.sendToPeer(effect.vm, { kind: 'permitAsked', ask: effect.ask, from: this.parts.name });
-        break;
-      case 'answerPermit':
-        this.sendToPeer(effect.to, { kind: 'permitAnswered', answer: effect.answer });
-        break;
-      case 'returnPermit':
-        this.sendToPeer(effect.vm, { kind: 'permitReturned', target: effect.target });
-        break;
       case 'gossipLimits':
         this.sendLimitReports(effect.reports);
         break;
-      default:
+      default: {
+        const message = getPeerMessage(effect, this.parts.name);
+        if (message !== undefined) this.sendToPeer(message.to, message.event);
+      }
     }
   }
 
@@ -250,22 +248,26 @@
 
   /** Sends a message to another VM; it is lost if that VM is down on arrival. @internal */
   private sendToPeer(vm: string, event: BalancerEvent): void {
-    const { clock, plan, peers } = this.parts;
+    const { clock, plan, peers, zone } = this.parts;
     this.messages += 1;
     if (this.isDown) return;
-    clock.after(plan.oneWayDelayMs, () => {
-      const peer = peers.get(vm);
+    const peer = peers.get(vm);
+    this.countBytes('message', peer?.zone ?? zone);
+    clock.after(getDelayMs(plan, zone, peer?.zone ?? zone), () => {
       if (peer !== undefined && !peer.isDown) peer.dispatch(event);
     });
   }
 
   /** @internal */
   private probe({ to }: Extract<BalancerEffect, { kind: 'probe' }>): void {
-    const { clock, plan, targets } = this.parts;
+    const { clock, plan, targets, zone } = this.parts;
+    const target = targets.get(to.target);
+    const delayMs = getDelayMs(plan, zone, target?.zone ?? zone);
     this.probes += 1;
-    clock.after(plan.oneWayDelayMs, () => {
-      const reading = targets.get(to.target)?.reading as LoadReading;
-      clock.after(plan.oneWayDelayMs, () => {
+    this.countBytes('probe', target?.zone ?? zone);
+    clock.after(delayMs, () => {
+      const reading = target?.reading as LoadReading;
+      clock.after(delayMs, () => {
         const end = { kind: 'answered', reading, coldMs: 0 } as const;
         this.dispatch({ kind: 'probeEnded', target: to.target, bornAt: to.bornAt, end });
       });
@@ -275,21 +277,25 @@
   /** @internal */
   private send(effect: Extract<BalancerEffect, { kind: 'sendAttempt' }>): void {
     const { request, attempt, to } = effect;
-    const { clock, plan, targets, name, onArrival } = this.parts;
+    const { clock, plan, targets, name, zone, onArrival } = this.parts;
     const { onLimitForwarded, onPauseRequested, onDrainReceived } = this.parts;
     const each = this.tries.get(request);
     const target = targets.get(to.target);
     if (each === undefined || target === undefined) return;
     this.sent += 1;
+    this.countBytes('request', target.zone);
+    const delayMs = getDelayMs(plan, zone, target.zone);
     const work: LabWork = {
       workMs: each.workMs,
       onRun: each.onRun,
       onEnd: (kind, reading, statements) => {
+        if (kind === 'rejected') this.rejected += 1;
+        this.countBytes(kind, target.zone);
         const { pauseMs } = statements;
         if (typeof pauseMs === 'number') {
           onPauseRequested({ target: to.target, vm: name, at: clock.now(), pauseMs });
         }
-        clock.after(plan.oneWayDelayMs, () => {
+        clock.after(delayMs, () => {
           if (!this.attempts.delete(attempt)) {
             const { target: id, bornAt } = to;
             this.dispatch({ kind: 'statementsRead', target: id, bornAt, statements });
@@ -307,7 +313,7 @@
       },
     };
     this.attempts.set(attempt, { target, work });
-    clock.after(plan.oneWayDelayMs, () => {
+    clock.after(delayMs, () => {
       onArrival({ target: to.target, vm: name, at: clock.now() });
       target.acceptRequest(work);
     });
@@ -315,10 +321,16 @@
 
   /** @internal */
   private cancel(attempt: number): void {
-    const { clock, plan } = this.parts;
+    const { clock, plan, zone } = this.parts;
     const out = this.attempts.get(attempt);
     this.attempts.delete(attempt);
-    if (out !== undefined) clock.after(plan.oneWayDelayMs, () => out.target.cancelWork(out.work));
+    if (out === undefined) return;
+    clock.after(getDelayMs(plan, zone, out.target.zone), () => out.target.cancelWork(out.work));
+  }
+
+  /** @internal */
+  private countBytes(traffic: Traffic, otherZone: string): void {
+    if (otherZone !== this.parts.zone) this.zoneBytes += TRAFFIC_BYTES[traffic];
   }
 
   /** @internal */
--- a/src/lab/playLab.ts
+++ b/src/lab/playLab.ts
@@ -11,10 +11,14 @@
 import { scoreLab } from './LabRecord.js';
 import { LabTarget } from './LabTarget.js';
 import { LAB_HOST, LabVm } from './LabVm.js';
+import { listOrganisations } from './labOrganisations.js';
+import { getZoneName } from './labZones.js';
 import { playCeiling } from './playCeiling.js';
+import type { DemandSummary } from './summarizeDemand.js';
+import { describeQuotaExcess, summarizeDemand } from './summarizeDemand.js';
 
 /** Result of one run. */
-export interface LabResult {
+export interface LabResult extends DemandSummary {
   readonly score: LabScore;
   /** Score of an omniscient scheduler with the same arrivals. */
   readonly ceiling: LabScore;
@@ -43,7 +47,7 @@
       pathPrefix: `/${route.name}/`,
       isIdempotent: route.isIdempotent,
       objectiveMs: route.objectiveMs,
-      priority: i,
+      priority: route.priority ?? i,
       services: [{ service: route.service, weight: 1 }],
       timeoutMs: route.timeoutMs,
       maxTargets: 2,
@@ -55,6 +59,7 @@
       coldRequestsPerSecond: 10,
     })),
     limits: { bodyBytes: 1_000_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+    organisations: listOrganisations(plan),
   };
 }
 
@@ -64,7 +69,7 @@
       id: `${service}-${i + 1}`,
       service,
       address: `10.0.${s}.${i + 1}:8080`,
-      zone: 'zone-1',
+      zone: getZoneName(plan, i),
       version: 'v1',
       bornAt: 1,
       slots,
@@ -213,6 +218,21 @@
   return allowedCount === 0 ? 0 : receivedCount / allowedCount;
 }
 
+function createTargets(
+  plan: LabPlan,
+  entries: readonly TargetRegistration[],
+  clock: VirtualClock,
+  random: () => number,
+): ReadonlyMap<string, LabTarget> {
+  const planOf = new Map(plan.targets.map((each) => [each.service, each]));
+  return new Map(
+    entries.map(({ id, service, zone }) => [
+      id,
+      new LabTarget(planOf.get(service) as LabPlan['targets'][number], clock, random, zone),
+    ]),
+  );
+}
+
 /**
  * Simulates a deployment in virtual time with the production balancing logic on every VM, and the
  * same arrivals with an omniscient scheduler.
@@ -226,13 +246,7 @@
   const arrivals = drawArrivals(plan, createRandom(seed));
   const random = createRandom(seed + 1);
   const entries = makeRegistrations(plan);
-  const planOf = new Map(plan.targets.map((each) => [each.service, each]));
-  const targets = new Map(
-    entries.map(({ id, service }) => [
-      id,
-      new LabTarget(planOf.get(service) as LabPlan['targets'][number], clock, random),
-    ]),
-  );
+  const targets = createTargets(plan, entries, clock, random);
   const names = Array.from({ length: plan.vms }, (_, i) => `vm-${i + 1}`);
   const arrived: LimitArrival[] = [];
   const forwardedLimits: LimitArrival[] = [];
@@ -240,9 +254,10 @@
   const drainsReceived: LimitArrival[] = [];
   const peers = new Map<string, LabVm>();
   const vms = names.map(
-    (name) =>
+    (name, i) =>
       new LabVm({
         name,
+        zone: getZoneName(plan, i),
         plan,
         clock,
         random,
@@ -272,6 +287,7 @@
     forwardedLimits,
     excused,
   });
+  const demand = summarizeDemand(plan, callers, vms, endsAt);
   const stated = { arrivals: arrived, pauses, drainsReceived, excused };
   return {
     score: scoreLab(records),
@@ -283,9 +299,11 @@
     limits,
     limitUse: getLimitUse(plan, entries, arrived),
     pauses: pauses.length,
+    ...demand,
     broken: [
       ...findViolations(records, (probes / entries.length / endsAt) * 1_000, plan.probesPerSecond),
       ...limits.filter(({ got, allowed }) => got > allowed).map(describeExcess),
+      ...demand.quotas.filter(({ got, allowed }) => got > allowed).map(describeQuotaExcess),
       ...findBrokenPauses(stated),
       ...findLateArrivals(stated),
     ],
