--- a/src/organisations/KeyDirectory.ts
+++ b/src/organisations/KeyDirectory.ts
@@ -1,7 +1,21 @@
 import type { Organisation } from '../balancing/model.js';
 
-function hasSameKeys(a: readonly Organisation[], b: readonly Organisation[]): boolean {
-  return JSON.stringify(a) === JSON.stringify(b);
+function isSameList(a: readonly string[], b: readonly string[]): boolean {
+  return a.length === b.length && a.every((value, i) => value === b[i]);
+}
+
+function isSameOrganisation(a: Organisation, b: Organisation): boolean {
+  return (
+    a.name === b.name &&
+    a.priority === b.priority &&
+    a.quota?.ratePerSecond === b.quota?.ratePerSecond &&
+    a.quota?.burst === b.quota?.burst &&
+    isSameList(a.keyDigests, b.keyDigests)
+  );
+}
+
+function areSame(a: readonly Organisation[], b: readonly Organisation[]): boolean {
+  return a === b || (a.length === b.length && a.every((each, i) => isSameOrganisation(each, b[i])));
 }
 
 /** The organisations of a configuration, by the digests of their API keys. */
@@ -52,7 +66,7 @@
    * @param organisations - Organisations of the newer configuration.
    */
   update(organisations: readonly Organisation[] | undefined): KeyDirectory {
-    const isSame = hasSameKeys(this.organisations ?? [], organisations ?? []);
+    const isSame = areSame(this.organisations ?? [], organisations ?? []);
     return isSame ? this : new KeyDirectory(organisations);
   }
 }
--- a/src/platform/decode.ts
+++ b/src/platform/decode.ts
@@ -132,12 +132,12 @@
 }
 
 /** Characters that a header cannot carry, or not at its ends. */
-const UNSENDABLE_NAME_PATTERN = /[\u0000-\u001f\u007f]|^ | $/;
+const UNSENDABLE_NAME_PATTERN = /\p{Cc}|^ | $/u;
 
 function asOrganisationName(value: unknown, name: string): string {
   const text = asNonEmptyString(value, name);
   if (UNSENDABLE_NAME_PATTERN.test(text)) {
-    throw new DecodeError(`${name} has characters that a header cannot carry`);
+    throw new DecodeError(`${name} must have no control characters and no spaces at its ends`);
   }
   return text;
 }
--- a/src/platform/standIn/PlatformTarget.ts
+++ b/src/platform/standIn/PlatformTarget.ts
@@ -14,6 +14,8 @@
   RETRY_AFTER_HEADER,
   TARGET_ID_HEADER,
 } from '../headers.js';
+import type { ReceivedIdentity } from './storedObjects.js';
+import { readIdentity } from './storedObjects.js';
 
 /** How a target responds to requests; used to inject faults. */
 export type TargetBehaviour =
@@ -29,6 +31,8 @@
   readonly onRun: (requestId: string, source: string) => void;
   /** Called when a caller's request arrives for this target, also if it is rejected. */
   readonly onArrival?: (requestId: string) => void;
+  /** Called with `onArrival`, with what the request says about its caller. */
+  readonly onIdentity?: (requestId: string, identity: ReceivedIdentity) => void;
   /** Called when a request is rejected because the target has paused. */
   readonly onPause?: (requestId: string, source: string) => void;
   /** Whether the target crashes when it runs a request with this body. */
@@ -125,7 +129,7 @@
     const expected = req.headers[EXPECTED_TARGET_HEADER];
     const isMisdirected = expected !== undefined && expected !== id;
     const isFromCaller = callerRequestId !== undefined;
-    if (isFromCaller && !isMisdirected) this.options.onArrival?.(requestId);
+    if (isFromCaller && !isMisdirected) this.reportArrival(requestId, req);
     if (isMisdirected) res.writeHead(421).end();
     else if (this.pause !== undefined) this.reject(requestId, res, this.pause, source);
     else if (this.behaviour === 'sheds' || this.queue.length >= QUEUE_SIZE) {
@@ -134,6 +138,12 @@
     else this.queue.push(() => this.run(requestId, res, body, source));
   }
 
+  /** @internal */
+  private reportArrival(requestId: string, { rawHeaders }: IncomingMessage): void {
+    this.options.onArrival?.(requestId);
+    this.options.onIdentity?.(requestId, readIdentity(rawHeaders));
+  }
+
   /** @internal */
   private reject(requestId: string, res: ServerResponse, pause: string, source: string): void {
     this.options.onPause?.(requestId, source);
--- a/src/platform/standIn/index.ts
+++ b/src/platform/standIn/index.ts
@@ -2,6 +2,7 @@
 export { PlatformStore } from './PlatformStore.js';
 export type { TargetBehaviour } from './PlatformTarget.js';
 export { makeBody, PlatformTarget } from './PlatformTarget.js';
+export type { ConfiguredOrganisation, ReceivedIdentity } from './storedObjects.js';
 export {
   dropAnnouncements,
   getRolloutState,
@@ -9,9 +10,11 @@
   putRollout,
   putTarget,
   readAddresses,
+  readIdentity,
   removeTarget,
   setZoneOut,
   SIGNATURE_HEADER,
   writeAddressesPath,
   writeCallerHeaders,
+  writeClaimedOrganisations,
 } from './storedObjects.js';
--- a/src/platform/standIn/storedObjects.ts
+++ b/src/platform/standIn/storedObjects.ts
@@ -1,5 +1,11 @@
-import type { RoutingTable, TargetRegistration } from '../../balancing/index.js';
-import { DEADLINE_HEADER, REQUEST_ID_HEADER, RESPONSE_SIGNATURE_HEADER } from '../headers.js';
+import type { Organisation, RoutingTable, TargetRegistration } from '../../balancing/index.js';
+import {
+  API_KEY_HEADER,
+  DEADLINE_HEADER,
+  ORGANISATION_HEADER,
+  REQUEST_ID_HEADER,
+  RESPONSE_SIGNATURE_HEADER,
+} from '../headers.js';
 import { ADDRESSES_PATH } from '../pages.js';
 import type { PlatformStore, StoreCopy } from './PlatformStore.js';
 
@@ -10,12 +16,33 @@
   return `${ms}ms`;
 }
 
+/** An organisation as an operator configures it: with its keys in place of their digests. */
+export interface ConfiguredOrganisation extends Omit<Organisation, 'keyDigests'> {
+  readonly apiKeys: readonly string[];
+}
+
+/** Encodes organisations as they are stored; undefined without organisations. */
+function writeOrganisations(organisations: readonly ConfiguredOrganisation[] | undefined): unknown {
+  return organisations?.map(({ name, apiKeys, priority, quota }) => ({
+    name,
+    api_keys: apiKeys,
+    priority,
+    rate_per_s: quota?.ratePerSecond,
+    burst_size: quota?.burst,
+  }));
+}
+
 /**
  * Writes a configuration to a stand-in store, as operators do.
  * @param store - The store.
- * @param table - The configuration.
+ * @param table - The configuration; its organisations are not used, since they have no keys.
+ * @param organisations - Organisations with their keys; undefined if callers need none.
  */
-export function putConfiguration(store: PlatformStore, table: RoutingTable): void {
+export function putConfiguration(
+  store: PlatformStore,
+  table: RoutingTable,
+  organisations?: readonly ConfiguredOrganisation[],
+): void {
   const hosts = new Set(table.routes.map(({ host }) => host));
   const listeners = [...hosts].map((host) => ({
     host,
@@ -26,6 +53,7 @@
         kind: route.isIdempotent ? 'idempotent' : 'non_idempotent',
         target_latency: formatMs(route.objectiveMs),
         priority: route.priority,
+        auth_exempt: route.isAuthExempt,
         match: { path_prefix: route.pathPrefix },
         action: {
           traffic_split: route.services,
@@ -45,7 +73,13 @@
     header_timeout: formatMs(table.limits.headerTimeoutMs),
     idle_timeout: formatMs(table.limits.idleTimeoutMs),
   };
-  store.put('config', 'main', { version: `r${table.version}`, listeners, clusters, limits });
+  store.put('config', 'main', {
+    version: `r${table.version}`,
+    listeners,
+    clusters,
+    limits,
+    tenants: writeOrganisations(organisations),
+  });
 }
 
 /**
@@ -112,9 +146,51 @@
   return status?.state;
 }
 
-/** Builds the headers of a caller's request. */
-export function writeCallerHeaders(requestId: string, allowedMs: number): Record<string, string> {
-  return { [REQUEST_ID_HEADER]: requestId, [DEADLINE_HEADER]: String(allowedMs) };
+/**
+ * Builds the headers of a caller's request.
+ * @param requestId - Id of the request.
+ * @param allowedMs - Time that the caller allows, in milliseconds.
+ * @param apiKey - The caller's key; undefined if it sends none.
+ */
+export function writeCallerHeaders(
+  requestId: string,
+  allowedMs: number,
+  apiKey?: string,
+): Record<string, string> {
+  return {
+    [REQUEST_ID_HEADER]: requestId,
+    [DEADLINE_HEADER]: String(allowedMs),
+    ...(apiKey === undefined ? {} : { [API_KEY_HEADER]: apiKey }),
+  };
+}
+
+/** What a request that reached a target says about its caller, line by line. */
+export interface ReceivedIdentity {
+  /** Values of all headers that name an organisation; there must not be more than one. */
+  readonly organisations: readonly string[];
+  /** Values of all headers with an API key; there must be none. */
+  readonly apiKeys: readonly string[];
+}
+
+/**
+ * Reads what a request that reached a target says about its caller.
+ * @param rawHeaders - Headers as received, as alternating names and values.
+ */
+export function readIdentity(rawHeaders: readonly string[]): ReceivedIdentity {
+  const getValues = (name: string): string[] =>
+    rawHeaders.filter((_, i) => i % 2 === 1 && rawHeaders[i - 1].toLowerCase() === name);
+  return { organisations: getValues(ORGANISATION_HEADER), apiKeys: getValues(API_KEY_HEADER) };
+}
+
+/**
+ * Builds headers by which a caller claims to belong to an organisation.
+ * @param names - Names that it claims, one line each, in different letter case.
+ */
+export function writeClaimedOrganisations(names: readonly string[]): string[] {
+  return names.flatMap((name, i) => [
+    i % 2 === 0 ? ORGANISATION_HEADER : ORGANISATION_HEADER.toUpperCase(),
+    name,
+  ]);
 }
 
 /** Name of the header that proves that a target made an answer. */
--- a/src/tests/gateway/GatewayHarness.ts
+++ b/src/tests/gateway/GatewayHarness.ts
@@ -3,10 +3,11 @@
 import type { AddressInfo } from 'node:net';
 import { connect } from 'node:net';
 
-import type { CallerLimits } from '../../balancing/index.js';
+import type { CallerLimits, Route } from '../../balancing/index.js';
 import { parseGatewaySettings } from '../../config/readGatewaySettings.js';
 import { GatewayProcess } from '../../gateway/GatewayProcess.js';
 import { EventLog } from '../../logging/EventLog.js';
+import type { ConfiguredOrganisation } from '../../platform/standIn/index.js';
 import { PlatformStore, putConfiguration, putTarget } from '../../platform/standIn/index.js';
 import { findPorts } from '../../soak/findPorts.js';
 import { SystemClock } from '../../timing/index.js';
@@ -25,6 +26,13 @@
   idleTimeoutMs: 10_000,
 };
 
+/** What is configured besides the usual route and target. */
+export interface HarnessOptions {
+  /** Undefined if callers need no keys. */
+  readonly organisations?: readonly ConfiguredOrganisation[];
+  readonly extraRoutes?: readonly Route[];
+}
+
 /** A gateway on loopback with a store, and a target that holds requests until they are released. */
 export class GatewayHarness {
   /** Ids of the requests that the target has started, in that order. */
@@ -33,6 +41,15 @@
   /** Headers of the request that the target has started last. */
   lastHeaders: IncomingHttpHeaders = {};
 
+  /** The same, as alternating names and values. */
+  lastRawHeaders: readonly string[] = [];
+
+  /** Version of the configuration that was published last. @internal */
+  private version = 1;
+
+  /** Further gateways that tests have started. @internal */
+  private readonly others: GatewayProcess[] = [];
+
   /** Ids of the requests whose connection to the target was closed before they were answered. */
   readonly abortedIds: string[] = [];
 
@@ -50,14 +67,14 @@
 
   /** @internal */
   private constructor(
-    private readonly store: PlatformStore,
+    readonly store: PlatformStore,
     private readonly target: Server,
-    private readonly callersPort: number,
+    readonly ports: readonly number[],
     readonly gateway: GatewayProcess,
   ) {}
 
   /** Starts store, target and gateway; resolves once the gateway is ready. */
-  static async start(): Promise<GatewayHarness> {
+  static async start(options: HarnessOptions = {}): Promise<GatewayHarness> {
     const store = new PlatformStore();
     await store.start();
     let harness: GatewayHarness | undefined;
@@ -66,44 +83,86 @@
       target.listen(0, '127.0.0.1', resolve);
     });
     const address = `127.0.0.1:${(target.address() as AddressInfo).port}`;
-    GatewayHarness.configure(store, address);
+    GatewayHarness.configure(store, address, options);
     const ports = await findPorts(LISTENERS.length);
-    const listen = LISTENERS.map((name, i) => `${name} = 127.0.0.1:${ports[i]}`).join('\n');
-    const text =
-      `[process]\nvm = vm-1\nzone = quai\nregion = here\nfirst-start = true\n[listen]\n${listen}\n` +
-      `[store]\naddress = ${store.address}\n[bounds]\nretry-slack = 60\ngrace = 4s\n`;
-    const log = new EventLog('vm-1', {
+    const log = GatewayHarness.createLog('vm-1', (line) => harness?.logLines.push(line));
+    const gateway = GatewayHarness.createGateway('vm-1', ports, store.address, log);
+    harness = new GatewayHarness(store, target, ports, gateway);
+    await gateway.start();
+    await waitUntil(() => gateway.isReady);
+    return harness;
+  }
+
+  /** Starts a further gateway that reaches the store at an address; resolves once it is ready. */
+  async startOther(storeAddress: string): Promise<readonly number[]> {
+    const ports = await findPorts(LISTENERS.length);
+    const log = GatewayHarness.createLog('vm-2', (line) => this.logLines.push(line));
+    const gateway = GatewayHarness.createGateway('vm-2', ports, storeAddress, log);
+    this.others.push(gateway);
+    await gateway.start();
+    await waitUntil(() => gateway.isReady);
+    return ports;
+  }
+
+  /** @internal */
+  private static createLog(
+    vm: string,
+    add: (line: GatewayHarness['logLines'][number]) => void,
+  ): EventLog {
+    return new EventLog(vm, {
       write: (lines, done) => {
-        for (const line of lines.trim().split('\n')) harness?.logLines.push(JSON.parse(line));
+        for (const line of lines.trim().split('\n')) add(JSON.parse(line));
         done();
       },
       now: () => performance.now(),
       wallNow: () => Date.now(),
     });
+  }
+
+  /** @internal */
+  private static createGateway(
+    vm: string,
+    ports: readonly number[],
+    storeAddress: string,
+    log: EventLog,
+  ): GatewayProcess {
+    const listen = LISTENERS.map((name, i) => `${name} = 127.0.0.1:${ports[i]}`).join('\n');
+    const text =
+      `[process]\nvm = ${vm}\nzone = quai\nregion = here\nfirst-start = true\n[listen]\n${listen}\n` +
+      `[store]\naddress = ${storeAddress}\n[bounds]\nretry-slack = 60\ngrace = 4s\n`;
     const settings = parseGatewaySettings('gateway.ini', text);
-    const gateway = new GatewayProcess({
-      settings,
-      clock: new SystemClock(),
-      log,
-      random: Math.random,
-    });
-    harness = new GatewayHarness(store, target, ports[0], gateway);
-    await gateway.start();
-    await waitUntil(() => gateway.isReady);
-    return harness;
+    const clock = new SystemClock();
+    return new GatewayProcess({ settings, clock, log, random: Math.random });
+  }
+
+  /** Publishes a later configuration. */
+  publish(options: HarnessOptions): void {
+    this.version += 1;
+    GatewayHarness.putTable(this.store, options, this.version);
   }
 
   /** @internal */
-  private static configure(store: PlatformStore, address: string): void {
-    putConfiguration(store, {
-      version: 1,
-      // Requests must not time out, however long a test takes on a busy machine.
-      routes: [{ ...ROUTE, objectiveMs: ALLOWED_MS, timeoutMs: ALLOWED_MS }],
+  private static putTable(
+    store: PlatformStore,
+    { organisations, extraRoutes = [] }: HarnessOptions,
+    version: number,
+  ): void {
+    // Requests must not time out, however long a test takes on a busy machine.
+    const times = { objectiveMs: ALLOWED_MS, timeoutMs: ALLOWED_MS };
+    const table = {
+      version,
+      routes: [ROUTE, ...extraRoutes].map((route) => ({ ...route, ...times })),
       services: [
         { name: 'horaires', healthPath: '/health', maxConnections: 220, coldRequestsPerSecond: 2 },
       ],
       limits: LIMITS,
-    });
+    };
+    putConfiguration(store, table, organisations);
+  }
+
+  /** @internal */
+  private static configure(store: PlatformStore, address: string, options: HarnessOptions): void {
+    GatewayHarness.putTable(store, options, 1);
     putTarget(store, {
       id: TARGET,
       service: 'horaires',
@@ -118,8 +177,8 @@
   }
 
   /** Opens a caller's connection. */
-  async connect(): Promise<CallerSocket> {
-    const socket = connect(this.callersPort, '127.0.0.1');
+  async connect(port = this.ports[0]): Promise<CallerSocket> {
+    const socket = connect(port, '127.0.0.1');
     await new Promise((resolve) => {
       socket.once('connect', resolve);
     });
@@ -163,6 +222,7 @@
   async stop(): Promise<void> {
     await this.stopped;
     this.gateway.close();
+    for (const gateway of this.others) gateway.close();
     this.target.close();
     this.target.closeAllConnections();
     await this.store.stop();
@@ -180,6 +240,7 @@
     req.resume();
     this.startedIds.push(id);
     this.lastHeaders = req.headers;
+    this.lastRawHeaders = req.rawHeaders;
     this.heldAnswers.set(id, res);
     res.once('close', () => {
       if (!res.writableFinished) this.abortedIds.push(id);
