--- a/src/balancing/placing.ts
+++ b/src/balancing/placing.ts
@@ -10,7 +10,7 @@
 import type { PendingRequest, ProbeRound, PendingAttempt } from './PendingRequest.js';
 import { forwardRequest, hasHelper, isForwardable } from './forwarding.js';
 import { usePermit } from './limits.js';
-import { ensureQuota, getQuotaOverdueAt } from './quotas.js';
+import { ensureQuota, getQuotaOverdueAt, hasQuota } from './quotas.js';
 import { getReachVerdict } from './reachability.js';
 import { startProbeRound, toDestination } from './probing.js';
 import {
@@ -159,11 +159,6 @@
   return roundCount < PREFERRED_ROUND_COUNT ? 0 : ROUND_PAUSE_MS;
 }
 
-/** Whether the quota of a request's organisation lets it be sent. */
-function hasQuota({ quota }: PendingRequest): boolean {
-  return quota === 'unlimited' || quota === 'granted';
-}
-
 /** Places a request by the readings at hand without probing, or schedules the next round. */
 function placeWithoutProbing(
   state: BalancerState,
@@ -171,7 +166,7 @@
   context: BalancerContext,
 ): BalancerEffect[] {
   const { now } = context;
-  if (!hasQuota(pending)) {
+  if (!hasQuota(pending, now)) {
     return [{ kind: 'wake', request: pending.id, at: getNextWakeAt(pending) }];
   }
   const best = chooseCandidate(state, pending, context, true);
@@ -234,7 +229,7 @@
       pending.service === service &&
       pending.attempts.size === 0 &&
       pending.forward === undefined &&
-      hasQuota(pending) &&
+      hasQuota(pending, now) &&
       pending.roundCount >= PREFERRED_ROUND_COUNT &&
       !isRefusedForCrashes(state, pending.fingerprint, now) &&
       // Probes in flight may find a better target shortly.
@@ -297,10 +292,10 @@
   }
   const elsewhere = placeOutOfReach(state, pending, context);
   if (elsewhere !== undefined) return elsewhere;
-  if (!hasQuota(pending)) {
+  if (!hasQuota(pending, now)) {
     const asked = ensureQuota(state, pending, context);
     if (!state.pendingRequests.has(pending.id)) return asked;
-    if (!hasQuota(pending)) return [...asked, ...probeWhileAsking(state, pending, context)];
+    if (!hasQuota(pending, now)) return [...asked, ...probeWhileAsking(state, pending, context)];
   }
   const { round } = pending;
   const hasRound = round !== undefined;
--- a/src/balancing/quotaPermits.ts
+++ b/src/balancing/quotaPermits.ts
@@ -61,15 +61,29 @@
   state.quotaIssuer.reclaim(organisation, quota, state.announcedVms.length, now);
 }
 
+/**
+ * Applies the list of VMs: the uncoordinated share is divided by them, and a VM that no longer issues
+ * an organisation's permits must not keep its bucket, which would be full if it issued again.
+ * @param state - State of this entry VM.
+ * @param now - Monotonic milliseconds.
+ */
+export function recordListedVms(state: BalancerState, now: number): void {
+  const { announcedVms, areVmsKnown, quotaPool, quotaIssuer, settings } = state;
+  quotaPool.recordVms(announcedVms.length, now, areVmsKnown && announcedVms.includes(settings.vm));
+  quotaIssuer.keepOnly((organisation) => {
+    const quota = getQuota(state, organisation);
+    return quota !== undefined && mayIssue(state, organisation, quota);
+  });
+}
+
 /**
  * Removes the state of quotas that the configuration no longer has.
  * @param state - State of this entry VM; its keys are those of the new configuration.
  * @param context - Clock and random source.
  */
-export function applyQuotas(state: BalancerState, _context: BalancerContext): void {
-  const { quotaPool, quotaIssuer } = state;
-  quotaPool.applyQuotas((organisation) => getQuota(state, organisation));
-  quotaIssuer.keepOnly((organisation) => getQuota(state, organisation) !== undefined);
+export function applyQuotas(state: BalancerState, { now }: BalancerContext): void {
+  state.quotaPool.applyQuotas((organisation) => getQuota(state, organisation));
+  recordListedVms(state, now);
 }
 
 /** Returns a permit to the VM that issued it; one of the uncoordinated share stays used. */
--- a/src/balancing/quotas.ts
+++ b/src/balancing/quotas.ts
@@ -1,12 +1,12 @@
 import { ISSUER_TIMEOUT_MS } from '../limits/index.js';
 import type { AskHistory } from '../quotas/index.js';
-import { NO_ASKS } from '../quotas/index.js';
+import { NO_ASKS, QUOTA_PERMIT_TTL_MS } from '../quotas/index.js';
 import type { BalancerContext, BalancerState } from './BalancerState.js';
 import type { BalancerEffect } from './effects.js';
 import { refuseOrFail } from './endings.js';
 import type { Quota } from './model.js';
 import type { PendingRequest } from './PendingRequest.js';
-import { getQuota, issueQuotaPermit } from './quotaPermits.js';
+import { getQuota, issueQuotaPermit, returnQuotaPermit } from './quotaPermits.js';
 
 /** Issuers without a permit that one request asks before it is refused. */
 const MAX_DENIALS = 2;
@@ -114,6 +114,23 @@
   return quotaPermit.askedAt + ISSUER_TIMEOUT_MS;
 }
 
+/**
+ * Whether the quota of a request's organisation lets it be sent. A permit is valid for a short time:
+ * permits of requests that wait for a target's slot would be used together in a later window.
+ * @param pending - The request.
+ * @param now - Monotonic milliseconds.
+ */
+export function hasQuota(
+  { quota, quotaPermit, triedTargets }: PendingRequest,
+  now: number,
+): boolean {
+  if (quota === 'unlimited') return true;
+  if (quota !== 'granted') return false;
+  // A request that was sent has used its permit; it needs no second one for another target.
+  if (quotaPermit === undefined || triedTargets.size > 0) return true;
+  return now - quotaPermit.askedAt <= QUOTA_PERMIT_TTL_MS;
+}
+
 /**
  * Asks for the permit that a request needs, or asks another VM if the answer is overdue. Refuses the
  * request if its organisation has used up its quota; the request is then no longer pending.
@@ -129,7 +146,8 @@
   const { now } = context;
   const { quotaPool } = state;
   if (pending.quota !== 'awaited' || pending.quotaPermit === undefined) {
-    return askForPermit(state, pending, NO_ASKS, context);
+    const returned = returnQuotaPermit(state, pending, now);
+    return [...returned, ...askForPermit(state, pending, NO_ASKS, context)];
   }
   if (now < getQuotaOverdueAt(pending)) return [];
   const { vm, ask } = pending.quotaPermit;
--- a/src/quotas/QuotaPool.ts
+++ b/src/quotas/QuotaPool.ts
@@ -67,8 +67,10 @@
   quota: Quota;
   /** VMs that may issue, in the order in which they do. */
   owners: readonly string[];
-  /** VMs that `owners` was selected from. */
-  vms: readonly string[];
+  /** Number of them that issue while all of them answer. */
+  issuers: number;
+  /** VMs that `owners` was selected from; undefined if it has to be selected again. */
+  vms: readonly string[] | undefined;
   /** When each issuer may be asked again; monotonic milliseconds. */
   readonly retryAt: Map<string, number>;
   /** Decides which issuer is asked next. */
@@ -109,6 +111,12 @@
   /** @internal */
   private lastAsk: number | undefined;
 
+  /** VMs that are up, as last named. @internal */
+  private live: { readonly names: readonly string[]; readonly set: ReadonlySet<string> } = {
+    names: [],
+    set: new Set(),
+  };
+
   /** Number of VMs that the uncoordinated share is divided by. @internal */
   private readonly share: SlackShare;
 
@@ -145,13 +153,7 @@
    * @param vms - Names of the listed entry VMs.
    */
   getOwners(organisation: string, quota: Quota, vms: readonly string[]): readonly string[] {
-    const permits = this.getOrCreate(organisation, quota);
-    if (permits.vms !== vms) {
-      permits.vms = vms;
-      const { maxIssuers } = getQuotaBucket(quota, this.bound, vms.length);
-      permits.owners = getOwners(organisation, vms, maxIssuers);
-    }
-    return permits.owners;
+    return this.selectOwners(organisation, quota, vms).owners;
   }
 
   /**
@@ -162,7 +164,7 @@
    * @param now - Monotonic milliseconds.
    */
   chooseIssuer(query: IssuerQuery, vm: string, now: number): IssuerChoice {
-    const { organisation, quota, vms, history } = query;
+    const { organisation, quota, history } = query;
     const issuers = this.getResponsive(query, now);
     if (issuers.length === 0) return { kind: 'unreachable' };
     const permits = this.getOrCreate(organisation, quota);
@@ -171,7 +173,7 @@
     const next = inTurn.find(
       (each) => (permits.retryAt.get(each) ?? 0) <= now && !history.asked.includes(each),
     );
-    if (next === undefined || vms.length === 0) return { kind: 'wait' };
+    if (next === undefined) return { kind: 'wait' };
     permits.turn += 1;
     return { kind: 'ask', vm: next };
   }
@@ -298,12 +300,28 @@
     { organisation, quota, vms, liveVms }: IssuerQuery,
     now: number,
   ): readonly string[] {
-    const { issuers } = getQuotaBucket(quota, this.bound, vms.length);
-    return this.getOwners(organisation, quota, vms)
-      .filter((vm) => (this.unresponsiveUntil.get(vm) ?? 0) <= now && liveVms.includes(vm))
+    if (this.live.names !== liveVms) this.live = { names: liveVms, set: new Set(liveVms) };
+    const { owners, issuers } = this.selectOwners(organisation, quota, vms);
+    return owners
+      .filter((vm) => (this.unresponsiveUntil.get(vm) ?? 0) <= now && this.live.set.has(vm))
       .slice(0, issuers);
   }
 
+  /** @internal */
+  private selectOwners(
+    organisation: string,
+    quota: Quota,
+    vms: readonly string[],
+  ): Pick<OrganisationPermits, 'owners' | 'issuers'> {
+    const permits = this.getOrCreate(organisation, quota);
+    if (permits.vms === vms) return permits;
+    const { issuers, maxIssuers } = getQuotaBucket(quota, this.bound, vms.length);
+    permits.vms = vms;
+    permits.issuers = issuers;
+    permits.owners = getOwners(organisation, vms, maxIssuers);
+    return permits;
+  }
+
   /** @internal */
   private removeExpired(now: number): void {
     for (const [id, { expiresAt }] of this.endedAsks) {
@@ -317,7 +335,7 @@
     const { ratePerSecond, burst } = permits.quota;
     if (quota.ratePerSecond === ratePerSecond && quota.burst === burst) return;
     permits.quota = quota;
-    permits.vms = [];
+    permits.vms = undefined;
     permits.retryAt.clear();
   }
 
@@ -328,7 +346,8 @@
       permits = {
         quota,
         owners: [],
-        vms: [],
+        issuers: 0,
+        vms: undefined,
         retryAt: new Map(),
         turn: 0,
         uncoordinated: [],
