Soak with organisations: keys, exempt routes and quotas are checked

The soak had callers without API keys, so nothing showed whether targets are told the right organisation, keys stay inside the gateways, and quotas hold over processes that are killed or cut off. The checks excuse gateways that are out of touch only for keys that change; quotas bind all.

--- a/src/soak/SoakCallers.ts
+++ b/src/soak/SoakCallers.ts
@@ -8,7 +8,9 @@
   writeCallerHeaders,
 } from '../platform/standIn/index.js';
 import { PipelinedCaller } from './PipelinedCaller.js';
+import { writeApiKey, writeClaims } from './organisationStandIn.js';
 import type { GatewayPorts } from './SoakGateway.js';
+import type { SoakIdentity, SoakOrganisations } from './SoakOrganisations.js';
 
 /** A request and its result, as the caller saw them. */
 export interface CallerRecord {
@@ -19,6 +21,12 @@
   readonly port: number;
   /** Name of its route, if the sender names it. */
   readonly route?: string;
+  /** API key that it carried; undefined if it carried none. */
+  readonly apiKey?: string;
+  /** Whether its route needs no API key. */
+  readonly isExempt?: boolean;
+  /** Whether it may be refused while no fault is active, for its key or its quota. */
+  readonly mayBeRefused?: boolean;
   endedAt?: number;
   /** HTTP status; 0 if the connection closed without an answer. */
   status?: number;
@@ -50,6 +58,18 @@
   return body === undefined ? 'GET' : 'PUT';
 }
 
+/** Builds the headers of a request, as alternating names and values if some are repeated. */
+function writeHeaders(
+  id: string,
+  timeoutMs: number,
+  identity: SoakIdentity | undefined,
+): Record<string, string> | string[] {
+  const { apiKey, claims = [] } = identity ?? {};
+  const headers = { Host: HOST, ...writeCallerHeaders(id, timeoutMs), ...writeApiKey(apiKey) };
+  if (claims.length === 0) return headers;
+  return [...Object.entries(headers).flat(), ...writeClaims(claims)];
+}
+
 /** How a request is sent. */
 export interface SendOptions {
   /** Whether it has a connection of its own, which is not kept. */
@@ -58,6 +78,8 @@
   readonly timeoutMs?: number;
   /** Name of its route, for the record. */
   readonly route?: string;
+  /** How its caller identifies itself; with a permanent key by default, if there are organisations. */
+  readonly identity?: SoakIdentity;
 }
 
 /** Load generator whose callers cache gateway addresses and reuse their connections. */
@@ -82,10 +104,12 @@
   /**
    * @param gateways - Ports of all gateways.
    * @param random - Uniform in [0, 1).
+   * @param organisations - Organisations of the callers; undefined if they need no keys.
    */
   constructor(
     private readonly gateways: readonly GatewayPorts[],
     private readonly random: () => number,
+    private readonly organisations?: SoakOrganisations,
   ) {}
 
   /** Starts sending requests. */
@@ -110,9 +134,11 @@
     path: string,
     isIdempotent: boolean,
     body?: string,
-    { hasOwnConnection = false, timeoutMs = REQUEST_TIMEOUT_MS, route }: SendOptions = {},
+    options: SendOptions = {},
   ): Promise<CallerRecord> {
-    const record = this.createRecord(port, isIdempotent, route);
+    const { hasOwnConnection = false, timeoutMs = REQUEST_TIMEOUT_MS, route } = options;
+    const { identity = this.steadyIdentity } = options;
+    const record = this.createRecord(port, isIdempotent, route, identity);
     const { id } = record;
     return new Promise((resolve) => {
       const finish = (status: number, isSound: boolean): void => {
@@ -126,7 +152,7 @@
         path,
         method: getMethod(isIdempotent, body),
         agent: hasOwnConnection ? false : this.agent,
-        headers: { Host: HOST, ...writeCallerHeaders(id, timeoutMs) },
+        headers: writeHeaders(id, timeoutMs, identity),
       });
       req.setTimeout(timeoutMs, () => req.destroy());
       req.on('error', () => finish(0, false));
@@ -146,22 +172,39 @@
 
   /** Sends several pipelined requests on one connection. */
   sendPipelined(port: number, path: string, count: number): void {
-    const records = Array.from({ length: count }, () => this.createRecord(port, true));
+    const records = Array.from({ length: count }, () =>
+      this.createRecord(port, true, undefined, this.steadyIdentity),
+    );
     const caller = new PipelinedCaller(records, {
       port,
       host: HOST,
       path,
       allowedMs: REQUEST_TIMEOUT_MS,
+      headers: writeApiKey(this.steadyIdentity?.apiKey),
     });
     this.pipelines.add(caller);
     caller.onEnd = () => this.pipelines.delete(caller);
   }
 
   /** @internal */
-  private createRecord(port: number, isIdempotent: boolean, route?: string): CallerRecord {
+  private get steadyIdentity(): SoakIdentity | undefined {
+    if (this.organisations === undefined) return undefined;
+    const { steadyKey: apiKey } = this.organisations;
+    return { apiKey, claims: [], isExempt: false, mayBeRefused: false };
+  }
+
+  /** @internal */
+  private createRecord(
+    port: number,
+    isIdempotent: boolean,
+    route?: string,
+    identity?: SoakIdentity,
+  ): CallerRecord {
     // The random part alone has 32 bits, and repeats among some thousand requests now and then.
     const id = `${Math.floor(this.random() * 2 ** 48).toString(16)}.${this.records.length}`;
-    const record: CallerRecord = { id, isIdempotent, sentAt: Date.now(), port, route };
+    const { apiKey, isExempt, mayBeRefused } = identity ?? {};
+    const access = { apiKey, isExempt, mayBeRefused };
+    const record: CallerRecord = { id, isIdempotent, sentAt: Date.now(), port, route, ...access };
     this.records.push(record);
     return record;
   }
@@ -176,7 +219,12 @@
       return;
     }
     const isIdempotent = this.random() < 0.6;
-    this.send(port, isIdempotent ? '/read/x' : '/book/x', isIdempotent);
+    const identity = this.organisations?.drawIdentity();
+    if (identity?.isExempt === true) {
+      this.send(port, '/open/x', true, undefined, { identity });
+      return;
+    }
+    this.send(port, isIdempotent ? '/read/x' : '/book/x', isIdempotent, undefined, { identity });
   }
 
   /** @internal */
--- a/src/soak/SoakGateway.ts
+++ b/src/soak/SoakGateway.ts
@@ -56,6 +56,9 @@
   /** Time until which an injected fault may affect the gateway, in Unix milliseconds. */
   disturbedUntil = 0;
 
+  /** Periods in which it need not be in touch with the store or other gateways, in Unix ms. */
+  readonly disturbances: { readonly from: number; readonly until: number }[] = [];
+
   /** Periods in which its process was stopped, paused, killed or starting, in Unix milliseconds. */
   readonly excused: { readonly from: number; readonly until: number }[] = [];
 
--- a/src/soak/SoakWorld.ts
+++ b/src/soak/SoakWorld.ts
@@ -6,17 +6,20 @@
 import {
   PlatformStore,
   PlatformTarget,
-  putConfiguration,
   putTarget,
   removeTarget,
 } from '../platform/standIn/index.js';
+import type { IdentityRecord } from './checkOrganisations.js';
 import type { Ban, CrashRecord, PauseRecord, RunRecord } from './checkSoak.js';
 import type { LinkMode } from './FaultProxy.js';
 import { FaultProxy } from './FaultProxy.js';
 import { findPorts } from './findPorts.js';
+import type { ReceivedIdentity } from './organisationStandIn.js';
+import { putOrganisations } from './organisationStandIn.js';
 import type { ArrivalRecord, RetryLimit } from './retryWindows.js';
 import type { GatewayPorts } from './SoakGateway.js';
 import { SoakGateway } from './SoakGateway.js';
+import type { SoakOrganisations } from './SoakOrganisations.js';
 
 export const ZONES = ['z-1', 'z-2', 'z-3'] as const;
 
@@ -61,6 +64,8 @@
   readonly services: RoutingTable['routes'][number]['services'];
   readonly objectiveMs: number;
   readonly timeoutMs: number;
+  /** Whether its requests need no API key. */
+  readonly isAuthExempt?: boolean;
 }
 
 /** Size and settings of a soak's platform. */
@@ -74,6 +79,8 @@
   readonly retryLimit?: RetryLimit;
   /** Programs that the gateways run, in turn; that of this build by default. */
   readonly gatewayMains?: readonly string[];
+  /** Organisations of the callers; undefined if they need no keys. */
+  readonly organisations?: SoakOrganisations;
 }
 
 /** A target and the proxy in front of it. */
@@ -93,6 +100,9 @@
   createRoute('book', false),
 ];
 
+/** Route whose requests need no API key, in soaks with organisations. */
+const EXEMPT_ROUTE: SoakRoute = { ...createRoute('open', true), isAuthExempt: true };
+
 function toPublishedRoute(route: SoakRoute, maxTargets: number): RoutingTable['routes'][number] {
   const { name } = route;
   return { ...route, host: 'soak.example', pathPrefix: `/${name}/`, priority: 1, maxTargets };
@@ -115,6 +125,9 @@
   /** Routes that a trial may replace; `publishConfiguration` puts them in force. */
   routes: readonly SoakRoute[];
 
+  /** Organisations of the callers; undefined if they need no keys. */
+  readonly organisations: SoakOrganisations | undefined;
+
   /** Content of the store before the gateways have started. */
   contentBeforeStart: StoreCopy | undefined;
 
@@ -130,6 +143,9 @@
   /** Requests that reached a target, in order of time. */
   readonly arrivals: ArrivalRecord[] = [];
 
+  /** What requests that reached a target said about their callers, in order of time. */
+  readonly identities: IdentityRecord[] = [];
+
   readonly bans: Ban[] = [];
 
   /** Zones that a fault has taken out. */
@@ -190,7 +206,9 @@
     private readonly options: SoakWorldOptions = {},
   ) {
     this.services = options.services ?? [DEFAULT_SERVICE];
-    this.routes = options.routes ?? DEFAULT_ROUTES;
+    this.organisations = options.organisations;
+    const exemptRoutes = options.organisations === undefined ? [] : [EXEMPT_ROUTE];
+    this.routes = [...(options.routes ?? DEFAULT_ROUTES), ...exemptRoutes];
   }
 
   /** Starts the store, the targets and the gateways. */
@@ -253,6 +271,9 @@
   ): Promise<SoakTarget> {
     this.startedTargets += 1;
     const id = `t-${this.startedTargets}`;
+    const onIdentity = (requestId: string, identity: ReceivedIdentity): void => {
+      this.identities.push({ id: requestId, target: id, identity });
+    };
     const model: PlatformTarget = new PlatformTarget({
       id,
       slots,
@@ -260,6 +281,8 @@
       onRun: (requestId, source) =>
         this.runs.push({ id: requestId, target: id, version, source, at: Date.now() }),
       onArrival: (requestId) => this.arrivals.push({ id: requestId, service, at: Date.now() }),
+      // Spread, since not every version of the stand-in target takes it.
+      ...{ onIdentity },
       onPause: (requestId, source) =>
         this.pauses.push({
           id: requestId,
@@ -342,7 +365,7 @@
     this.configurationVersion += 1;
     const { maxTargets = DEFAULT_MAX_TARGETS } = this.options;
     const extraRoutes = this.extraRoutes.map((name) => createRoute(name, true));
-    putConfiguration(this.store, {
+    const table = {
       version: this.configurationVersion,
       routes: [...this.routes, ...extraRoutes].map((route) => toPublishedRoute(route, maxTargets)),
       services: this.services.map(({ name }) => ({
@@ -352,7 +375,8 @@
         coldRequestsPerSecond: 5,
       })),
       limits: { bodyBytes: 1_000_000, headerTimeoutMs: 3_000, idleTimeoutMs: 10_000 },
-    });
+    };
+    putOrganisations(this.store, table, this.organisations?.list());
   }
 
   /** @internal */
--- a/src/soak/checkSoak.ts
+++ b/src/soak/checkSoak.ts
@@ -1,5 +1,7 @@
 import type { LimitChange } from '../lab/index.js';
 import { findBrokenPauses, findLateArrivals, findWorstWindows } from '../lab/index.js';
+import type { OrganisationObservations } from './checkOrganisations.js';
+import { checkOrganisations } from './checkOrganisations.js';
 import type { ArrivalRecord } from './retryWindows.js';
 import { findWorstRetryWindow } from './retryWindows.js';
 import type { CallerRecord } from './SoakCallers.js';
@@ -69,6 +71,8 @@
     readonly from: number;
     readonly until: number;
   }[];
+  /** Set if callers need API keys. */
+  readonly organisations?: OrganisationObservations;
   /** Violations that faults recorded while they ran. */
   readonly noticed: readonly string[];
   /** Time from which no fault was active. */
@@ -202,7 +206,12 @@
     }
   }
   broken.push(...checkRetries(seen), ...checkLimits(seen), ...checkStatements(seen));
-  const calm = seen.callers.filter(({ sentAt }) => sentAt >= seen.calmFrom);
+  if (seen.organisations !== undefined) {
+    broken.push(...checkOrganisations(seen.organisations, seen));
+  }
+  const calm = seen.callers.filter(
+    ({ sentAt, mayBeRefused }) => sentAt >= seen.calmFrom && mayBeRefused !== true,
+  );
   const served = calm.filter(({ status }) => status === 200).length;
   if (calm.length > 0 && served < MIN_SERVED_SHARE * calm.length) {
     broken.push(`only ${served} of ${calm.length} requests were served after the last fault`);
--- a/src/soak/faults.ts
+++ b/src/soak/faults.ts
@@ -43,7 +43,9 @@
  * @param ms - Duration of the fault, in milliseconds.
  */
 export function markDisturbed(gateway: SoakGateway, ms: number): void {
-  gateway.disturbedUntil = Math.max(gateway.disturbedUntil, Date.now() + ms + SETTLE_MS);
+  const until = Date.now() + ms + SETTLE_MS;
+  gateway.disturbances.push({ from: Date.now(), until });
+  gateway.disturbedUntil = Math.max(gateway.disturbedUntil, until);
 }
 
 /** Marks a gateway as disturbed by a fault of its process, which also excuses it from limits. */
--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -22,6 +22,7 @@
   const hasCuts = process.argv.includes('--cuts');
   const hasFailures = process.argv.includes('--failures');
   const hasExpiries = process.argv.includes('--expiries');
+  const hasOrganisations = process.argv.includes('--organisations');
   let failed = 0;
   for (let seed = first; seed < first + seeds; seed++) {
     const { broken, requests, served, faults, dir } = await runSoak({
@@ -35,6 +36,7 @@
       hasCuts,
       hasFailures,
       hasExpiries,
+      hasOrganisations,
       onFault: (name, atMs) => {
         if (isVerbose) process.stdout.write(`  ${(atMs / 1_000).toFixed(2)} s ${name}\n`);
       },
--- a/src/soak/runSoak.ts
+++ b/src/soak/runSoak.ts
@@ -3,6 +3,7 @@
 import { join } from 'node:path';
 
 import { createRandom } from '../standIns/models/index.js';
+import type { OrganisationObservations } from './checkOrganisations.js';
 import { checkSoak } from './checkSoak.js';
 import { countKnownTargets } from './countKnownTargets.js';
 import { repeatFatalRequest } from './crashFault.js';
@@ -12,9 +13,11 @@
 import type { Fault, FaultContext } from './faults.js';
 import { FAULTS } from './faults.js';
 import { nameLimit } from './limitFault.js';
+import { changeKeys, exceedQuota } from './organisationFault.js';
 import { restoreStore } from './restoreFault.js';
 import { orderRollout } from './rolloutFault.js';
 import { SoakCallers } from './SoakCallers.js';
+import { SOAK_ORGANISATIONS, SoakOrganisations } from './SoakOrganisations.js';
 import { SoakWorld } from './SoakWorld.js';
 import { announceDrain, askForPauses } from './statementFaults.js';
 
@@ -39,6 +42,8 @@
   readonly hasFailures?: boolean;
   /** Whether the registrations of all targets expire and return while the store is away. */
   readonly hasExpiries?: boolean;
+  /** Whether callers need API keys of organisations with limits, which change among the faults. */
+  readonly hasOrganisations?: boolean;
   /** Called when a fault starts. */
   readonly onFault?: (name: string, atMs: number) => void;
 }
@@ -79,7 +84,7 @@
 /** Returns the faults that the options add, by name. */
 function getOptionalFaults(options: SoakOptions): Readonly<Record<string, Fault>> {
   const { hasRollouts, hasLimits, hasStatements, hasRestores } = options;
-  const { hasCrashes, hasCuts, hasFailures, hasExpiries } = options;
+  const { hasCrashes, hasCuts, hasFailures, hasExpiries, hasOrganisations } = options;
   return {
     ...(hasRollouts === true ? { orderRollout } : {}),
     ...(hasLimits === true ? { nameLimit } : {}),
@@ -89,6 +94,7 @@
     ...(hasCuts === true ? { cutPaths } : {}),
     ...(hasFailures === true ? { failWhileRestarting } : {}),
     ...(hasExpiries === true ? { expireWhileAway } : {}),
+    ...(hasOrganisations === true ? { changeKeys, exceedQuota } : {}),
   };
 }
 
@@ -130,6 +136,20 @@
   );
 }
 
+function observeOrganisations(world: SoakWorld): OrganisationObservations | undefined {
+  if (world.organisations === undefined) return undefined;
+  const disturbed = world.gateways.flatMap(({ disturbances, options }) =>
+    disturbances.map((each) => ({
+      port: options.ports.callers,
+      source: options.source,
+      ...each,
+    })),
+  );
+  const { identities } = world;
+  const { keys } = world.organisations;
+  return { organisations: SOAK_ORGANISATIONS, keys, identities, disturbed };
+}
+
 /**
  * Waits until all gateways know all targets: faults are to meet gateways that are up.
  * @returns A message for each gateway that is not up in time.
@@ -155,11 +175,15 @@
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const random = createRandom(options.seed);
   const dir = mkdtempSync(join(tmpdir(), `masticlink-soak-${options.seed}-`));
-  const world = new SoakWorld(dir);
+  const organisations =
+    options.hasOrganisations === true
+      ? new SoakOrganisations(createRandom(options.seed + 2))
+      : undefined;
+  const world = new SoakWorld(dir, { organisations });
   const noticed: string[] = [];
   await world.start();
   const ports = world.gateways.map((gateway) => gateway.options.ports);
-  const callers = new SoakCallers(ports, createRandom(options.seed + 1));
+  const callers = new SoakCallers(ports, createRandom(options.seed + 1), organisations);
   try {
     noticed.push(...(await waitForGateways(world)));
     callers.start();
@@ -194,6 +218,7 @@
       drains,
       linkFaults,
       excused,
+      organisations: observeOrganisations(world),
       noticed,
       calmFrom,
     });
