--- a/src/lab/quotaLab.ts
+++ b/src/lab/quotaLab.ts
@@ -15,6 +15,8 @@
 /** Result of one run. */
 export interface QuotaLabResult {
   readonly requests: number;
+  /** Requests refused at VMs that were not cut off, as a share. */
+  readonly refused: number;
   /** Requests refused although their organisation never exceeded rate and burst, as a share. */
   readonly refusedBelow: number;
   /** Requests refused of those that arrived at VMs which were cut off, as a share. */
@@ -201,6 +203,13 @@
   return values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length);
 }
 
+/** Refused requests of organisations, as a share of their requests. */
+function getRefused(organisations: readonly Organisation[]): number {
+  const refused = organisations.reduce((sum, each) => sum + each.refused, 0);
+  const arrived = organisations.reduce((sum, each) => sum + each.arrived, 0);
+  return arrived === 0 ? 0 : refused / arrived;
+}
+
 /** Adds up refusals of organisations that never exceeded their quota, as a share of requests. */
 function getRefusedBelow(
   organisations: readonly { readonly organisation: Organisation; readonly isBelow: boolean }[],
@@ -209,9 +218,7 @@
   const counted = organisations
     .filter(({ organisation, isBelow }) => isBelow && isCounted(organisation))
     .map(({ organisation }) => organisation);
-  const refused = counted.reduce((sum, each) => sum + each.refused, 0);
-  const arrived = counted.reduce((sum, each) => sum + each.arrived, 0);
-  return arrived === 0 ? 0 : refused / arrived;
+  return getRefused(counted);
 }
 
 /**
@@ -277,6 +284,7 @@
   const vmSeconds = (plan.vms * plan.untilMs) / 1_000;
   return {
     requests: organisations.reduce((sum, { arrivedAt }) => sum + arrivedAt.length, 0),
+    refused: getRefused(organisations),
     refusedBelow: getRefusedBelow(judged, () => true),
     refusedBelowSmall: getRefusedBelow(judged, ({ perSecond }) => perSecond < SMALL_PER_SECOND),
     shortfall: getMean(lacking),
--- a/src/lab/quotaMain.ts
+++ b/src/lab/quotaMain.ts
@@ -15,6 +15,7 @@
   const worst = Math.max(...results.map(({ worstExcess }) => worstExcess));
   return [
     name.padEnd(18),
+    mean(({ refused }) => refused * 100, 2),
     mean(({ refusedBelow }) => refusedBelow * 100, 3),
     mean(({ refusedBelowSmall }) => refusedBelowSmall * 100, 3),
     mean(({ refusedCutOff }) => refusedCutOff * 100, 2),
@@ -31,7 +32,7 @@
 function main(): void {
   const [seeds = '3', ...names] = process.argv.slice(2);
   process.stdout.write(
-    'plan               below, %  small, %    cut, %  short, %    excess  msg/VM/s    B/VM/s  wait, ms 99.9%, ms\n',
+    'plan                 all, %  below, %  small, %    cut, %  short, %    excess  msg/VM/s    B/VM/s  wait, ms 99.9%, ms\n',
   );
   for (const name of names.length > 0 ? names : Object.keys(QUOTA_PLANS)) {
     for (const scheme of SCHEMES) {
--- a/src/quotas/QuotaPool.ts
+++ b/src/quotas/QuotaPool.ts
@@ -16,6 +16,11 @@
 /** Ask ids of a process start below this number, drawn at random. */
 const FIRST_ASK_RANGE = 2 ** 31;
 
+/**
+ * After how long a caller may retry if this VM reaches no issuer, in milliseconds; most other VMs do.
+ */
+const UNREACHABLE_RETRY_MS = 50;
+
 const MS_PER_SECOND = 1_000;
 
 /** What a request has met while it asked for a permit. */
@@ -277,7 +282,7 @@
     if (permits === undefined) return 0;
     const times = [...permits.retryAt.values()].filter((at) => at > now).sort((a, b) => a - b);
     const intervalMs = MS_PER_SECOND / permits.quota.ratePerSecond;
-    const firstMs = (times.at(0) ?? now) - now;
+    const firstMs = (times.at(0) ?? now + UNREACHABLE_RETRY_MS) - now;
     const lastMs = Math.max((times.at(-1) ?? now) - now, firstMs + intervalMs);
     return Math.ceil(firstMs + (lastMs - firstMs) * chance);
   }
--- a/src/tests/balancing/quotas.test.ts
+++ b/src/tests/balancing/quotas.test.ts
@@ -209,6 +209,20 @@
   t.true(sent <= 15);
 });
 
+// Guards against a VM that is just cut off and asks all of its many issuers, one after the other.
+test('a request gives up after three silent issuers', (t) => {
+  const scene = new QuotaScene({ ratePerSecond: 100, burst: 100 });
+  const { request } = scene.sendAsking();
+  for (let i = 0; i < 3; i++) {
+    t.true(scene.state.pendingRequests.has(request));
+    scene.answerProbes();
+    scene.wait(61, request);
+  }
+  const refusal = scene.all('answer').find((each) => each.request === request);
+  t.is(refusal?.status, 429);
+  t.true((refusal?.retryAfterMs ?? 0) >= 50);
+});
+
 // Guards against an issuer whose restart or late start fills its bucket.
 test('restart makes no permits, and a limit in force makes them with time', (t) => {
   const issuer = makeIssuer();
