--- a/src/soak/SoakGateway.ts
+++ b/src/soak/SoakGateway.ts
@@ -28,6 +28,8 @@
   readonly retryLimit?: RetryLimit;
   /** Program that it runs; that of this build by default. */
   readonly main?: string;
+  /** Whether it can be cut off from other gateways. */
+  readonly canBeCutOff?: boolean;
 }
 
 /** Time from SIGTERM to SIGKILL, in milliseconds. */
@@ -41,6 +43,7 @@
 export const RETRY_LIMIT: RetryLimit = { ratio: 0.2, slack: 60, windowMs: 10_000 };
 
 const BIND_SOURCE = new URL('./bindSource.js', import.meta.url).pathname;
+const CUT_PEERS = new URL('./cutPeers.js', import.meta.url).pathname;
 const GATEWAY_MAIN = new URL('../gateway/main.js', import.meta.url).pathname;
 
 /** How a process that was asked to stop has ended. */
@@ -95,14 +98,17 @@
   start(): void {
     if (this.isRunning) return;
     this.startCount += 1;
-    const { dir, source, main = GATEWAY_MAIN } = this.options;
+    const { dir, source, main = GATEWAY_MAIN, canBeCutOff = false } = this.options;
     const log = createWriteStream(join(dir, `gateway.log`), { flags: 'a' });
     const env = {
       PATH: process.env.PATH,
       MASTICLINK_CONFIG: join(dir, 'gateway.ini'),
       MASTICLINK_SOAK_SOURCE: source,
+      MASTICLINK_SOAK_CUT: this.cutFile,
     };
-    this.child = spawn(process.execPath, ['--import', BIND_SOURCE, main], {
+    const imports = canBeCutOff ? [BIND_SOURCE, CUT_PEERS] : [BIND_SOURCE];
+    const args = [...imports.flatMap((each) => ['--import', each]), main];
+    this.child = spawn(process.execPath, args, {
       env,
       stdio: ['ignore', 'pipe', 'pipe'],
     });
@@ -110,6 +116,20 @@
     this.child.stderr?.pipe(log, { end: false });
   }
 
+  /** File that lists the peer ports of gateways that it cannot reach. @internal */
+  private get cutFile(): string {
+    return join(this.options.dir, 'cut.json');
+  }
+
+  /**
+   * Cuts it off from other gateways in its direction; needs `canBeCutOff`.
+   * @param peers - Gateways that it cannot reach from now on.
+   */
+  cutOffFrom(peers: readonly SoakGateway[]): void {
+    const ports = peers.map(({ options }) => options.ports.peers);
+    writeFileSync(this.cutFile, JSON.stringify(ports));
+  }
+
   /** Sends a signal to the process that this object started. */
   sendSignal(signal: NodeJS.Signals): void {
     this.child?.kill(signal);
--- a/src/soak/SoakWorld.ts
+++ b/src/soak/SoakWorld.ts
@@ -81,6 +81,8 @@
   readonly gatewayMains?: readonly string[];
   /** Organisations of the callers; undefined if they need no keys. */
   readonly organisations?: SoakOrganisations;
+  /** Whether gateways can be cut off from each other. */
+  readonly hasPeerCuts?: boolean;
 }
 
 /** A target and the proxy in front of it. */
@@ -340,6 +342,17 @@
     for (const { link } of this.targets) link.setModeFor(source, mode);
   }
 
+  /**
+   * Cuts gateways off from all others, in both directions; they still reach each other, the store and
+   * the targets. Replaces an earlier cut.
+   * @param apart - The gateways; none to restore all paths.
+   */
+  cutOffPeers(apart: readonly SoakGateway[]): void {
+    const others = this.gateways.filter((each) => !apart.includes(each));
+    for (const gateway of apart) gateway.cutOffFrom(others);
+    for (const gateway of others) gateway.cutOffFrom(apart);
+  }
+
   /**
    * Crashes a target without a request, and replaces it after a while.
    * @param target - The target.
@@ -388,10 +401,20 @@
     const dir = join(this.dir, name);
     const zone = ZONES[index % ZONES.length];
     const source = `127.0.0.${FIRST_SOURCE + index}`;
-    const { retryLimit, gatewayMains = [] } = this.options;
+    const { retryLimit, gatewayMains = [], hasPeerCuts: canBeCutOff } = this.options;
     const main = gatewayMains[index % gatewayMains.length];
     this.gateways.push(
-      new SoakGateway({ name, zone, ports, storeAddress, source, dir, retryLimit, main }),
+      new SoakGateway({
+        name,
+        zone,
+        ports,
+        storeAddress,
+        source,
+        dir,
+        retryLimit,
+        main,
+        canBeCutOff,
+      }),
     );
   }
 }
--- a/src/soak/checkOrganisations.ts
+++ b/src/soak/checkOrganisations.ts
@@ -41,7 +41,7 @@
 const TRANSIT_MS = 200;
 
 /** Bound of quotas, as in the gateways' default settings. */
-const QUOTA_BOUND = { windowMs: 5_000, overage: 0.1, slack: 20 };
+export const QUOTA_BOUND = { windowMs: 5_000, overage: 0.1, slack: 20 };
 
 const UNAUTHORIZED = 401;
 
