--- a/src/balancing/quotaPermits.ts
+++ b/src/balancing/quotaPermits.ts
@@ -63,17 +63,24 @@
 
 /**
  * Applies the list of VMs: the uncoordinated share is divided by them, and a VM that no longer issues
- * an organisation's permits must not keep its bucket, which would be full if it issued again.
+ * an organisation's permits must not keep its bucket, which would be full if it issued again. Buckets
+ * of this VM fill from now on, not only from the first ask: that would be refused.
  * @param state - State of this entry VM.
  * @param now - Monotonic milliseconds.
  */
 export function recordListedVms(state: BalancerState, now: number): void {
   const { announcedVms, areVmsKnown, quotaPool, quotaIssuer, settings } = state;
   quotaPool.recordVms(announcedVms.length, now, areVmsKnown && announcedVms.includes(settings.vm));
-  quotaIssuer.keepOnly((organisation) => {
+  const issued = [...state.keys.names].filter((organisation) => {
     const quota = getQuota(state, organisation);
     return quota !== undefined && mayIssue(state, organisation, quota);
   });
+  const issuedNames = new Set(issued);
+  quotaIssuer.keepOnly((organisation) => issuedNames.has(organisation));
+  for (const organisation of issued) {
+    const quota = getQuota(state, organisation);
+    if (quota !== undefined) quotaIssuer.start(organisation, quota, announcedVms.length, now);
+  }
 }
 
 /**
--- a/src/balancing/quotas.ts
+++ b/src/balancing/quotas.ts
@@ -8,8 +8,11 @@
 import type { PendingRequest } from './PendingRequest.js';
 import { getQuota, issueQuotaPermit, returnQuotaPermit } from './quotaPermits.js';
 
-/** Issuers without a permit that one request asks before it is refused. */
-const MAX_DENIALS = 2;
+/**
+ * Issuers without a permit that one request asks before it is refused: all issuers of a small
+ * organisation, whose permits lie at whichever of them was asked least.
+ */
+const MAX_DENIALS = 3;
 
 /**
  * Issuers that one request finds silent before it gives up, each for `ISSUER_TIMEOUT_MS`. A VM that
--- a/src/limits/PermitBuckets.ts
+++ b/src/limits/PermitBuckets.ts
@@ -34,6 +34,16 @@
   /** @param bounds - Longest times that a VM is told to wait. */
   constructor(private readonly bounds: WaitBounds) {}
 
+  /**
+   * Begins to fill a bucket, unless there is one.
+   * @param key - Key of the bucket.
+   * @param config - Refill rate and capacity.
+   * @param now - Monotonic milliseconds.
+   */
+  start(key: string, config: BucketConfig, now: number): void {
+    this.buckets.getTokens(key, config, now);
+  }
+
   /**
    * Grants a permit for one request or says when to ask again. Waiting VMs are given different
    * retry times, since the issuer would be flooded if all of them came back for the next permit.
--- a/src/quotas/QuotaIssuer.ts
+++ b/src/quotas/QuotaIssuer.ts
@@ -33,6 +33,17 @@
     this.bound = bound ?? DEFAULT_QUOTA_BOUND;
   }
 
+  /**
+   * Begins to fill the bucket of an organisation, unless it has one.
+   * @param organisation - Name of the organisation.
+   * @param quota - Its quota.
+   * @param vmCount - Number of listed entry VMs.
+   * @param now - Monotonic milliseconds.
+   */
+  start(organisation: string, quota: Quota, vmCount: number, now: number): void {
+    this.buckets.start(organisation, getQuotaBucket(quota, this.bound, vmCount), now);
+  }
+
   /**
    * Grants a permit for one request, or states when there will be one.
    * @param organisation - Name of the organisation.
--- a/src/quotas/getQuotaBucket.ts
+++ b/src/quotas/getQuotaBucket.ts
@@ -28,6 +28,9 @@
 
 const MS_PER_SECOND = 1_000;
 
+/** Tolerance for sums of fractions. */
+const EPSILON = 1e-9;
+
 /** How the permits of an organisation are divided among issuers. */
 export interface QuotaBucket extends BucketConfig {
   /** VMs that issue permits while all of them answer. */
@@ -48,13 +51,20 @@
 function createBucket(
   issuers: number,
   maxIssuers: number,
-  ratePerSecond: number,
+  { ratePerSecond, burst }: Quota,
   issuedPerWindow: number,
   windowMs: number,
 ): QuotaBucket {
-  const perSecond = ratePerSecond / issuers;
-  const refilled = (perSecond * (windowMs + QUOTA_PERMIT_TTL_MS)) / MS_PER_SECOND;
-  return { issuers, maxIssuers, perSecond, burst: issuedPerWindow / maxIssuers - refilled };
+  const windowSeconds = (windowMs + QUOTA_PERMIT_TTL_MS) / MS_PER_SECOND;
+  const each = issuedPerWindow / maxIssuers;
+  // What the burst does not need goes into the refill, which decides how soon there are permits after
+  // a restart.
+  const capacity = Math.max(MIN_CAPACITY, burst / issuers);
+  const rate = ratePerSecond / issuers;
+  const spareRate = (each - capacity) / windowSeconds;
+  return spareRate > rate
+    ? { issuers, maxIssuers, perSecond: spareRate, burst: capacity }
+    : { issuers, maxIssuers, perSecond: rate, burst: each - rate * windowSeconds };
 }
 
 function getTotalBurst({ issuers, burst }: QuotaBucket): number {
@@ -82,11 +92,11 @@
   const vms = Math.max(1, vmCount);
   const counts = ISSUER_COUNTS.map((count) => Math.min(count, vms));
   const create = (issuers: number, maxIssuers: number): QuotaBucket =>
-    createBucket(issuers, maxIssuers, ratePerSecond, issuedPerWindow, windowMs);
+    createBucket(issuers, maxIssuers, { ratePerSecond, burst }, issuedPerWindow, windowMs);
   const replaceable = counts
     .map((count) => create(count, Math.min(count + 1, vms)))
     .filter((bucket) => bucket.burst >= MIN_CAPACITY);
-  const sufficient = replaceable.find((bucket) => getTotalBurst(bucket) >= burst);
+  const sufficient = replaceable.find((bucket) => getTotalBurst(bucket) >= burst - EPSILON);
   if (sufficient !== undefined) return sufficient;
   if (replaceable.length > 0) {
     return replaceable.reduce((best, each) =>
