--- a/src/balancing/PendingRequest.ts
+++ b/src/balancing/PendingRequest.ts
@@ -66,6 +66,8 @@
   readonly service: ServiceName;
   /** Name of the caller's organisation; undefined if it has none. */
   readonly organisation: string | undefined;
+  /** Digest of the API key by which it was admitted; undefined if it needs none. */
+  readonly keyDigest: string | undefined;
   /** Priority of its organisation, or else of its route; 0 is the most urgent. */
   readonly priority: number;
   quota: QuotaState;
--- a/src/balancing/createPendingRequest.ts
+++ b/src/balancing/createPendingRequest.ts
@@ -47,6 +47,7 @@
     route,
     service,
     organisation: organisation?.name,
+    keyDigest: event.keyDigest,
     priority: organisation?.priority ?? route.priority,
     quota: organisation?.quota === undefined ? 'unlimited' : 'unasked',
     quotaPermit: undefined,
--- a/src/balancing/endings.ts
+++ b/src/balancing/endings.ts
@@ -45,6 +45,7 @@
 const REFUSAL_REASONS: ReadonlySet<LocalAnswerReason> = new Set([
   'notConfigured',
   'stopping',
+  'unknownKey',
   'overQuota',
   'noTarget',
   'limited',
@@ -182,7 +183,10 @@
   const cancelled = cancelAttempts(state, pending);
   state.pendingRequests.delete(pending.id);
   const isRefusal = REFUSAL_REASONS.has(reason);
-  const retryAfterMs = isRefusal ? chooseRetryAfterMs(state, pending, reason, context) : undefined;
+  const invitesRetry = isRefusal && reason !== 'unknownKey';
+  const retryAfterMs = invitesRetry
+    ? chooseRetryAfterMs(state, pending, reason, context)
+    : undefined;
   const { id: request } = pending;
   const status = STATUS_BY_REASON[reason];
   return [
--- a/src/balancing/forwarding.ts
+++ b/src/balancing/forwarding.ts
@@ -35,6 +35,7 @@
   'limited',
   'paused',
   'crashesTargets',
+  'unknownKey',
   'rejected',
   'rejectedWithRoom',
 ];
@@ -164,6 +165,7 @@
           objectiveMs: route.objectiveMs,
           sinceFirstMs: pending.sinceFirstMs,
           targetMs: Math.round(now - sentAt),
+          ...(pending.organisation === undefined ? {} : { organisation: pending.organisation }),
         },
       },
     ];
--- a/src/balancing/keyChecks.ts
+++ b/src/balancing/keyChecks.ts
@@ -23,23 +23,11 @@
 export function isKeyUnknown(state: BalancerState, head: ArrivalHead, now: number): boolean {
   const { table, keys } = state;
   if (table === undefined || !keys.isRequired) return false;
-  if (shouldHold(state, head as RequestArrived, now)) return false;
+  if (shouldHold(state, head, now)) return false;
   const route = findRoute(table, head.host, head.path);
   return route !== undefined && authenticate(keys, route, head.keyDigest).kind === 'unknown';
 }
 
-/** Digests of the API keys by which pending requests were admitted. */
-const digestsByRequest = new WeakMap<PendingRequest, string>();
-
-/**
- * Remembers the API key by which a request was admitted.
- * @param pending - The request.
- * @param keyDigest - Digest of the key; undefined if it was admitted without one.
- */
-export function rememberKey(pending: PendingRequest, keyDigest: string | undefined): void {
-  if (keyDigest !== undefined) digestsByRequest.set(pending, keyDigest);
-}
-
 /** Whether nothing of a request has been sent to a target or is being sent to another VM. */
 function isUnsent({ attempts, triedTargets, forward, hasPossiblyRun }: PendingRequest): boolean {
   return attempts.size === 0 && triedTargets.size === 0 && forward === undefined && !hasPossiblyRun;
@@ -47,7 +35,7 @@
 
 function isKeyRemoved({ keys }: BalancerState, pending: PendingRequest): boolean {
   if (pending.organisation === undefined || pending.route.isAuthExempt === true) return false;
-  const digest = digestsByRequest.get(pending);
+  const { keyDigest: digest } = pending;
   return keys.isRequired && (digest === undefined || keys.find(digest) === undefined);
 }
 
--- a/src/balancing/placing.ts
+++ b/src/balancing/placing.ts
@@ -105,6 +105,7 @@
         allowedMs: Math.round(pending.deadlineAt - now),
         sinceFirstMs: pending.sinceFirstMs,
         failures: Number(getScores(record, now).failures.toFixed(2)),
+        ...(pending.organisation === undefined ? {} : { organisation: pending.organisation }),
       },
     },
     { kind: 'wake', request: pending.id, at: getNextWakeAt(pending) },
--- a/src/balancing/requestHandlers.ts
+++ b/src/balancing/requestHandlers.ts
@@ -6,7 +6,6 @@
 import { answerLocally, refuseOrFail, removeRequest, removeAttempt } from './endings.js';
 import type { AttemptResult, AttemptEnded, CallerLeft, RequestArrived, WakeDue } from './events.js';
 import { isHelpingAtLimit } from './forwarding.js';
-import { rememberKey } from './keyChecks.js';
 import type { PendingRequest, PendingAttempt } from './PendingRequest.js';
 import { learnFromAttempt } from './learning.js';
 import { getNextWakeAt, placeRequest, placeWaitingRequests } from './placing.js';
@@ -61,7 +60,6 @@
   if (access.kind === 'unknown') return refuseAtOnce(event, 401, 'unknownKey');
   const pending = createPendingRequest(state, event, route, context, access.organisation);
   state.pendingRequests.set(pending.id, pending);
-  rememberKey(pending, event.keyDigest);
   // The VM that passed a request on has counted it.
   if (!pending.isForwarded) state.retryBudget.recordRequest(pending.service, now);
   if (pending.isForwarded && isHelpingAtLimit(state)) {
--- a/src/balancing/starting.ts
+++ b/src/balancing/starting.ts
@@ -15,8 +15,11 @@
  */
 const MIN_TARGETS_WHILE_READING = 8;
 
+/** What a route is found by. */
+type RequestLine = Pick<RequestArrived, 'host' | 'path'>;
+
 /** Whether enough targets have been read to place a request. */
-function hasEnoughTargets(state: BalancerState, { host, path }: RequestArrived): boolean {
+function hasEnoughTargets(state: BalancerState, { host, path }: RequestLine): boolean {
   const { table, targets, targetsByService, isTargetListPartial } = state;
   if (table === undefined || targets.size === 0) return false;
   if (!isTargetListPartial) return true;
@@ -37,7 +40,7 @@
  * @param event - The request.
  * @param now - Monotonic milliseconds.
  */
-export function shouldHold(state: BalancerState, event: RequestArrived, now: number): boolean {
+export function shouldHold(state: BalancerState, event: RequestLine, now: number): boolean {
   if (now >= state.startedAt + MAX_STARTUP_MS) return false;
   const { versions } = state;
   return !hasEnoughTargets(state, event) || (versions.isEnabled && !versions.hasReadOrders);
--- a/src/gateway/classifyForwardHead.ts
+++ b/src/gateway/classifyForwardHead.ts
@@ -5,6 +5,7 @@
 /** Statuses by which a VM states that a request has not run and will not run. */
 const REFUSAL_STATUSES: ReadonlySet<number> = new Set([429, 503]);
 
+const UNAUTHORIZED = 401;
 const NOT_FOUND = 404;
 const FIRST_SUCCESS = 200;
 const FIRST_REDIRECT = 300;
@@ -26,7 +27,8 @@
   if (isSigned) return undefined;
   if (REFUSAL_STATUSES.has(status)) return { kind: 'refused', reason };
   // The VM has another configuration, and has not sent the request.
-  if (status === NOT_FOUND && reason !== undefined) return { kind: 'refused', reason };
+  const hasOtherConfiguration = status === NOT_FOUND || status === UNAUTHORIZED;
+  if (hasOtherConfiguration && reason !== undefined) return { kind: 'refused', reason };
   if (reason !== undefined) return { kind: 'failed', reason };
   const isSuccess = status >= FIRST_SUCCESS && status < FIRST_REDIRECT;
   return isSuccess ? { kind: 'broken' } : undefined;
--- a/src/report/explainRequest.ts
+++ b/src/report/explainRequest.ts
@@ -47,6 +47,7 @@
 export const REASON_DESCRIPTIONS: Readonly<Record<string, string>> = {
   notConfigured: 'this VM had no configuration yet',
   noRoute: 'no route of the configuration in force matches its host and path',
+  unknownKey: 'its API key is missing or belongs to no organisation of the configuration in force',
   stopping: 'the VM was stopping as planned and accepted no more requests',
   overQuota: 'its organisation had used up its quota',
   noTarget: 'no target of the service was usable',
