Less urgent requests leave slots of targets free for more urgent ones of the same service

A route's priority was read by no decision, so under overload a request was served the better the longer its objective was. Where routes of a service differ in priority, a less urgent request now takes a slot only while enough slots of the target stay free by its own load report, and waiting requests of a VM are placed in the order of their priority. Other configurations are unaffected.

--- /dev/null
+++ b/src/admission/ServiceAdmission.ts
@@ -0,0 +1,37 @@
+import type { ServiceRanks } from './getServiceRanks.js';
+import { getReservedSlots } from './slotReserve.js';
+import { WorkShares } from './WorkShares.js';
+
+/** Decisions between more and less urgent requests of one service at this VM. */
+export class ServiceAdmission {
+  /** @internal */
+  private readonly shares: WorkShares;
+
+  /**
+   * @param ranks - Priorities of the service.
+   * @param initialWorkMs - Work time of the routes of each rank.
+   * @param now - Monotonic milliseconds.
+   */
+  constructor(
+    readonly ranks: ServiceRanks,
+    initialWorkMs: readonly number[],
+    now: number,
+  ) {
+    this.shares = new WorkShares(initialWorkMs, now);
+  }
+
+  /** Counts a request that has arrived from a caller. */
+  recordArrival(rank: number, workMs: number, now: number): void {
+    this.shares.recordArrival(rank, workMs, now);
+  }
+
+  /**
+   * Returns the mean number of slots of each target that requests of a rank leave free.
+   * @param rank - The rank.
+   * @param bestOccupancy - Slots that a target fills without slowing down.
+   */
+  getReservedSlots(rank: number, bestOccupancy: number): number {
+    if (rank === 0) return 0;
+    return getReservedSlots(this.shares.getMoreUrgentShare(rank), bestOccupancy, 0);
+  }
+}
--- a/src/balancing/BalancerState.ts
+++ b/src/balancing/BalancerState.ts
@@ -1,6 +1,7 @@
 import type { AttemptId, RequestId, ServiceName, TargetId, ZoneName } from '../core/model/index.js';
 import { CallerTimes } from './CallerTimes.js';
 import { ColdAllowance } from './ColdAllowance.js';
+import type { ServiceAdmission } from '../admission/index.js';
 import { CrashLedger } from '../crashes/index.js';
 import type { BrokenRun } from './crashes.js';
 import { CRASH_LEDGER_OPTIONS } from './settings.js';
@@ -90,6 +91,8 @@
   /** What has been learnt about each service's targets. */
   readonly serviceCurves: Map<ServiceName, ServiceCurve>;
   readonly callerTimes: CallerTimes;
+  /** Decisions by priority, for services whose requests differ in it. */
+  readonly admissions: Map<ServiceName, ServiceAdmission>;
   /** Versions of targets that requests may be sent to. */
   readonly versions: ServiceVersions;
   /** When a graceful shutdown began, monotonic milliseconds; undefined if none did. */
@@ -140,6 +143,7 @@
     workTimes: new WorkTimes(),
     serviceCurves: new Map(),
     callerTimes: new CallerTimes(),
+    admissions: new Map(),
     versions: new ServiceVersions(settings.rollouts !== undefined),
     shutdownStartedAt: undefined,
   };
--- a/src/balancing/candidates.ts
+++ b/src/balancing/candidates.ts
@@ -6,6 +6,7 @@
 import { estimateResponse } from './expectedTime.js';
 import type { PendingRequest } from './PendingRequest.js';
 import { isWithinLimit, isLimitExhausted } from './limits.js';
+import { isOpenToPriority } from './priorities.js';
 import { FRESH_READING_MAX_AGE_MS, MAX_HEALTHY_FAILURES, MAX_NORMAL_SLOWDOWN } from './settings.js';
 import type { TargetRecord } from './TargetRecord.js';
 import { getScores, isDraining, isPaused } from './TargetRecord.js';
@@ -95,6 +96,7 @@
     if (isBlockedWhileCold(state, record, now) || !isWithinLimit(state, record, now)) continue;
     const estimate = estimateResponse(record, pending.route, workMs, curve, now);
     if (!isAdmitted(pending, { record, estimate }, workMs, now)) continue;
+    if (!isOpenToPriority(state, pending, { record, estimate }, now)) continue;
     if (!isSoundEnough(pending, estimate, fewestFailures, now)) continue;
     // Jitter breaks ties, so that not all entry VMs choose the same target.
     const jitter = 1 + 0.05 * context.random();
--- a/src/balancing/expectedTime.ts
+++ b/src/balancing/expectedTime.ts
@@ -32,6 +32,8 @@
   readonly slot: SlotKind;
   /** Whether enough slots stay free for requests that can still meet their objective. */
   readonly hasSpareSlots: boolean;
+  /** Slots that the target fills for such requests without completing less in time. */
+  readonly bestOccupancy: number;
   /** Load that the estimate is based on. */
   readonly load: LoadSnapshot;
 }
@@ -88,6 +90,7 @@
     costMs: adjustedMs + failureMs,
     slot,
     hasSpareSlots: occupied <= Math.max(1, Math.floor(bestOccupancy * LATE_SLOT_SHARE)),
+    bestOccupancy,
     load,
   };
 }
--- a/src/balancing/placing.ts
+++ b/src/balancing/placing.ts
@@ -241,7 +241,7 @@
       pending.round === undefined &&
       now < pending.deadlineAt,
   );
-  waiting.sort((a, b) => b.dueAt - a.dueAt);
+  waiting.sort((a, b) => a.priority - b.priority || b.dueAt - a.dueAt);
   return waiting.flatMap((pending) => {
     const best = findBestCandidate(state, pending, context);
     if (best === undefined || !isWorthSending(pending, best, now)) return [];
--- a/src/balancing/requestHandlers.ts
+++ b/src/balancing/requestHandlers.ts
@@ -9,6 +9,7 @@
 import type { PendingRequest, PendingAttempt } from './PendingRequest.js';
 import { learnFromAttempt } from './learning.js';
 import { getNextWakeAt, placeRequest, placeWaitingRequests } from './placing.js';
+import { recordPriorityArrival } from './priorities.js';
 import { hasHeardSince } from './reachability.js';
 import { findRoute } from './routes.js';
 import { authenticate } from '../organisations/index.js';
@@ -61,7 +62,10 @@
   const pending = createPendingRequest(state, event, route, context, access.organisation);
   state.pendingRequests.set(pending.id, pending);
   // The VM that passed a request on has counted it.
-  if (!pending.isForwarded) state.retryBudget.recordRequest(pending.service, now);
+  if (!pending.isForwarded) {
+    state.retryBudget.recordRequest(pending.service, now);
+    recordPriorityArrival(state, pending, now);
+  }
   if (pending.isForwarded && isHelpingAtLimit(state)) {
     return refuseOrFail(state, pending, 'overloaded', context);
   }
