Refused callers return when a start is still useful; less urgent retries stop first under pressure

Callers that could no longer be in time were invited back and nearly all refused again. Where requests differ in priority and a service is under pressure, a caller is now told a time before its latest useful start, or one past its timeout.

--- a/src/admission/ServiceAdmission.ts
+++ b/src/admission/ServiceAdmission.ts
@@ -1,9 +1,17 @@
 import type { ServiceRanks } from './getServiceRanks.js';
-import { getReservedSlots } from './slotReserve.js';
+import { OrganisationTurns } from './OrganisationTurns.js';
+import { ServicePressure } from './ServicePressure.js';
+import { getGuaranteedSlots, getReservedSlots } from './slotReserve.js';
 import { WorkShares } from './WorkShares.js';
 
 /** Decisions between more and less urgent requests of one service at this VM. */
 export class ServiceAdmission {
+  /** Whether requests of the service are late or refused. */
+  readonly pressure: ServicePressure;
+
+  /** Requests sent for each organisation. */
+  readonly turns = new OrganisationTurns();
+
   /** @internal */
   private readonly shares: WorkShares;
 
@@ -18,6 +26,7 @@
     now: number,
   ) {
     this.shares = new WorkShares(initialWorkMs, now);
+    this.pressure = new ServicePressure(now);
   }
 
   /** Counts a request that has arrived from a caller. */
@@ -32,6 +41,19 @@
    */
   getReservedSlots(rank: number, bestOccupancy: number): number {
     if (rank === 0) return 0;
-    return getReservedSlots(this.shares.getMoreUrgentShare(rank), bestOccupancy, 0);
+    return getReservedSlots(this.shares.getMoreUrgentShare(rank), bestOccupancy);
+  }
+
+  /**
+   * Returns the mean number of slots of each target that requests of a rank leave to less urgent
+   * ones while the service is under pressure.
+   * @param rank - The rank.
+   * @param bestOccupancy - Slots that a target fills without slowing down.
+   * @param now - Monotonic milliseconds.
+   */
+  getGuaranteedSlots(rank: number, bestOccupancy: number, now: number): number {
+    if (rank === this.ranks.priorities.length - 1 || !this.pressure.isRaised(now)) return 0;
+    const lessUrgentShare = 1 - this.shares.getMoreUrgentShare(rank + 1);
+    return getGuaranteedSlots(lessUrgentShare, bestOccupancy);
   }
 }
--- a/src/admission/index.ts
+++ b/src/admission/index.ts
@@ -1,5 +1,18 @@
 export type { ServiceRanks } from './getServiceRanks.js';
 export { getRank, getServiceRanks } from './getServiceRanks.js';
+export { OrganisationTurns } from './OrganisationTurns.js';
+export type { ReturnTerms } from './retryTimes.js';
+export { getReturnMs } from './retryTimes.js';
 export { ServiceAdmission } from './ServiceAdmission.js';
-export { getReservedSlots, isOutsideReserve, wouldHoldSlotLong } from './slotReserve.js';
+export type { PressureChange, PressureLevel } from './ServicePressure.js';
+export { ServicePressure } from './ServicePressure.js';
+export type { SlotTerms } from './slotReserve.js';
+export {
+  getGuaranteedSlots,
+  getReservedSlots,
+  isSlotOpen,
+  wouldHoldSlotLong,
+} from './slotReserve.js';
+export type { WaitingRequest } from './waitingOrder.js';
+export { compareWaiting } from './waitingOrder.js';
 export { WorkShares } from './WorkShares.js';
--- a/src/balancing/effects.ts
+++ b/src/balancing/effects.ts
@@ -83,6 +83,7 @@
   | 'target.headerUnread'
   | 'permit.issuerSilent'
   | 'quota.issuerSilent'
+  | 'admission.level'
   | 'service.learnt'
   | 'config.adopted'
   | 'zones.out'
--- a/src/balancing/endings.ts
+++ b/src/balancing/endings.ts
@@ -1,9 +1,11 @@
 import { getLatestStartAt } from './admission.js';
+import { getReturnMs } from '../admission/index.js';
 import { getNextAvailableAt } from './availability.js';
 import type { BalancerContext, BalancerState } from './BalancerState.js';
 import type { BalancerEffect, LocalAnswerReason } from './effects.js';
 import type { PendingRequest, PendingAttempt } from './PendingRequest.js';
 import { returnPermits } from './limits.js';
+import { getRequestRank, getServiceAdmission, recordPriorityEnd } from './priorities.js';
 import { getQuotaRetryMs, returnQuotaPermit } from './quotaPermits.js';
 
 /**
@@ -55,6 +57,12 @@
   'rejectedWithRoom',
 ]);
 
+/** Reasons that mean that targets had no capacity for the request. */
+const CAPACITY_REASONS: ReadonlySet<LocalAnswerReason> = new Set(['overloaded', 'rejected']);
+
+/** Reasons that mean that an answer did not arrive in time. */
+const LATE_REASONS: ReadonlySet<LocalAnswerReason> = new Set(['timedOut']);
+
 /**
  * Removes an attempt from the state.
  * @param state - State of this entry VM.
@@ -115,6 +123,15 @@
   const canStillBeOnTime =
     now + earlyMs < getLatestStartAt(pending, state.workTimes.get(pending.route));
   if (reason === 'rejectedWithRoom' && canStillBeOnTime) return Math.round(earlyMs);
+  const admission = getServiceAdmission(state, pending.service, now);
+  if (admission !== undefined && CAPACITY_REASONS.has(reason) && admission.pressure.isRaised(now)) {
+    return getReturnMs({
+      rank: getRequestRank(admission, pending),
+      usefulMs: getLatestStartAt(pending, state.workTimes.get(pending.route)) - now,
+      remainingMs: pending.callerTimeoutAt - now,
+      chance: random(),
+    });
+  }
   const usualMs = getRetryAfterMs(pending.callerTimeoutAt - now, random());
   if (reason === 'overQuota') return getQuotaRetryMs(state, pending, now, random());
   if (reason === 'crashesTargets') {
@@ -162,6 +179,23 @@
   return organisation === undefined ? {} : { organisation, priority };
 }
 
+/** Fields that are logged only where requests differ in priority. */
+function getPriorityFields(
+  state: BalancerState,
+  pending: PendingRequest,
+  now: number,
+): Readonly<Record<string, unknown>> {
+  const admission = getServiceAdmission(state, pending.service, now);
+  if (admission === undefined) return {};
+  const usefulMs = getLatestStartAt(pending, state.workTimes.get(pending.route)) - now;
+  return {
+    priority: pending.priority,
+    rank: getRequestRank(admission, pending),
+    isUnderPressure: admission.pressure.isRaised(now),
+    usefulMs: Math.round(usefulMs),
+  };
+}
+
 /**
  * Answers a request locally, without an answer from a target, and removes it.
  * @param state - State of this entry VM.
@@ -183,11 +217,14 @@
   state.pendingRequests.delete(pending.id);
   const isRefusal = REFUSAL_REASONS.has(reason);
   const retryAfterMs = isRefusal ? chooseRetryAfterMs(state, pending, reason, context) : undefined;
+  const isLackOfCapacity = CAPACITY_REASONS.has(reason) || LATE_REASONS.has(reason);
+  const levelChange = isLackOfCapacity ? recordPriorityEnd(state, pending, false, context.now) : [];
   const { id: request } = pending;
   const status = STATUS_BY_REASON[reason];
   return [
     ...permitReturns,
     ...cancelled,
+    ...levelChange,
     { kind: 'answer', request, status, reason, retryAfterMs },
     {
       kind: 'log',
@@ -199,6 +236,7 @@
         route: pending.route.name,
         service: pending.service,
         ...getOrganisationFields(pending),
+        ...getPriorityFields(state, pending, context.now),
         tookMs: Math.round(context.now - pending.arrivedAt),
         objectiveMs: pending.route.objectiveMs,
         sinceFirstMs: pending.sinceFirstMs,
--- a/src/balancing/placing.ts
+++ b/src/balancing/placing.ts
@@ -11,6 +11,7 @@
 import { forwardRequest, hasHelper, isForwardable } from './forwarding.js';
 import { usePermit } from './limits.js';
 import { ensureQuota, getQuotaOverdueAt } from './quotas.js';
+import { recordPrioritySent, sortWaiting } from './priorities.js';
 import { getReachVerdict } from './reachability.js';
 import { startProbeRound, toDestination } from './probing.js';
 import {
@@ -57,6 +58,7 @@
   const { id, service } = record.entry;
   const isCold = record.coldUntil > now;
   if (isCold) state.coldRate.take(id, state.services.get(service)?.coldRequestsPerSecond ?? 0, now);
+  recordPrioritySent(state, pending, now);
   state.lastAttemptId += 1;
   const overdueMs = Math.max(HEDGE_MIN_DELAY_MS, estimate.expectedMs * HEDGE_DELAY_FACTOR);
   const attempt: PendingAttempt = {
@@ -218,7 +220,7 @@
  * a slot which an answer frees would stay idle until then. The load report in the answer shows the
  * free slot without a probe. Requests are served newest first: all wait for the same slots, and the
  * newest one is the most likely to meet its objective. Served oldest first, each would be late in
- * turn.
+ * turn. Where requests differ in priority, the more urgent ones come first.
  * @param state - State of this entry VM.
  * @param service - Service whose target has reported its load.
  * @param context - Clock and random source.
@@ -241,7 +243,7 @@
       pending.round === undefined &&
       now < pending.deadlineAt,
   );
-  waiting.sort((a, b) => a.priority - b.priority || b.dueAt - a.dueAt);
+  sortWaiting(state, service, waiting, now);
   return waiting.flatMap((pending) => {
     const best = findBestCandidate(state, pending, context);
     if (best === undefined || !isWorthSending(pending, best, now)) return [];
--- a/src/balancing/priorities.ts
+++ b/src/balancing/priorities.ts
@@ -1,13 +1,17 @@
 import type { ServiceName } from '../core/model/index.js';
+import type { WaitingRequest } from '../admission/index.js';
 import {
+  compareWaiting,
   getRank,
   getServiceRanks,
-  isOutsideReserve,
+  isSlotOpen,
   ServiceAdmission,
   wouldHoldSlotLong,
 } from '../admission/index.js';
+import { getLatestStartAt } from './admission.js';
 import type { BalancerState } from './BalancerState.js';
 import type { Candidate } from './candidates.js';
+import type { BalancerEffect } from './effects.js';
 import type { PendingRequest } from './PendingRequest.js';
 
 /**
@@ -76,11 +80,102 @@
   const admission = getServiceAdmission(state, pending.service, now);
   if (admission === undefined) return true;
   const rank = getRequestRank(admission, pending);
-  if (rank === 0) return true;
   const { bestOccupancy, load, expectedMs } = estimate;
-  if (hasNormalTarget && wouldHoldSlotLong(expectedMs, state.workTimes.get(pending.route))) {
+  if (
+    rank > 0 &&
+    hasNormalTarget &&
+    wouldHoldSlotLong(expectedMs, state.workTimes.get(pending.route))
+  ) {
     return false;
   }
-  const reserved = admission.getReservedSlots(rank, bestOccupancy);
-  return isOutsideReserve(load.occupied, bestOccupancy, reserved, record.idHash);
+  return isSlotOpen({
+    occupied: load.occupied,
+    bestOccupancy,
+    reserved: admission.getReservedSlots(rank, bestOccupancy),
+    guaranteed: admission.getGuaranteedSlots(rank, bestOccupancy, now),
+    idHash: record.idHash,
+  });
+}
+
+/**
+ * Sorts requests that wait at this VM for slots of a service: the one to be sent first comes first.
+ * @param state - State of this entry VM.
+ * @param service - The service.
+ * @param waiting - The requests; sorted in place.
+ * @param now - Monotonic milliseconds.
+ */
+export function sortWaiting(
+  state: BalancerState,
+  service: ServiceName,
+  waiting: PendingRequest[],
+  now: number,
+): void {
+  const admission = getServiceAdmission(state, service, now);
+  if (admission === undefined) {
+    waiting.sort((a, b) => b.dueAt - a.dueAt);
+    return;
+  }
+  const described = new Map<PendingRequest, WaitingRequest>();
+  for (const pending of waiting) {
+    described.set(pending, {
+      rank: getRequestRank(admission, pending),
+      latestStartAt: getLatestStartAt(pending, state.workTimes.get(pending.route)),
+      sentByOrganisation: admission.turns.getSent(pending.organisation, now),
+    });
+  }
+  const describe = (pending: PendingRequest): WaitingRequest =>
+    described.get(pending) as WaitingRequest;
+  waiting.sort((a, b) => compareWaiting(describe(a), describe(b), now));
+}
+
+/** Counts a request that was sent to a target for its organisation. */
+export function recordPrioritySent(
+  state: BalancerState,
+  { service, organisation }: PendingRequest,
+  now: number,
+): void {
+  if (organisation === undefined) return;
+  getServiceAdmission(state, service, now)?.turns.recordSent(organisation, now);
+}
+
+/**
+ * Records how a request has ended; returns a line to log if the service's level has changed.
+ * @param state - State of this entry VM.
+ * @param pending - The request.
+ * @param isInTime - Whether it was answered within its objective.
+ * @param now - Monotonic milliseconds.
+ */
+export function recordPriorityEnd(
+  state: BalancerState,
+  { service }: PendingRequest,
+  isInTime: boolean,
+  now: number,
+): BalancerEffect[] {
+  const pressure = getServiceAdmission(state, service, now)?.pressure;
+  if (pressure === undefined) return [];
+  const before = pressure.takeChange(now);
+  pressure.recordEnd(isInTime, now);
+  const change = pressure.takeChange(now) ?? before;
+  if (change === undefined) return [];
+  const fields = {
+    service,
+    level: change.level,
+    share: Number(change.share.toFixed(2)),
+    requests: Number(change.requests.toFixed(1)),
+    previousMs: Math.round(change.previousMs),
+    configuration: state.table?.version,
+  };
+  return [{ kind: 'log', event: 'admission.level', fields }];
+}
+
+/**
+ * Whether a request is held back because its service is under pressure and others are more urgent.
+ * @param state - State of this entry VM.
+ * @param pending - The request.
+ * @param now - Monotonic milliseconds.
+ */
+export function isHeldBack(state: BalancerState, pending: PendingRequest, now: number): boolean {
+  const admission = getServiceAdmission(state, pending.service, now);
+  if (admission === undefined || getRequestRank(admission, pending) === 0) return false;
+  return admission.pressure.isRaised(now);
 }
--- a/src/balancing/requestHandlers.ts
+++ b/src/balancing/requestHandlers.ts
@@ -9,7 +9,7 @@
 import type { PendingRequest, PendingAttempt } from './PendingRequest.js';
 import { learnFromAttempt } from './learning.js';
 import { getNextWakeAt, placeRequest, placeWaitingRequests } from './placing.js';
-import { recordPriorityArrival } from './priorities.js';
+import { recordPriorityArrival, recordPriorityEnd } from './priorities.js';
 import { hasHeardSince } from './reachability.js';
 import { findRoute } from './routes.js';
 import { authenticate } from '../organisations/index.js';
@@ -127,6 +127,7 @@
   return [
     { kind: 'deliver', request, attempt: attempt.id },
     ...removeRequest(state, pending, now),
+    ...recordPriorityEnd(state, pending, now <= pending.dueAt, now),
     {
       kind: 'log',
       event: 'request.answered',
--- a/src/balancing/retries.ts
+++ b/src/balancing/retries.ts
@@ -1,6 +1,7 @@
 import type { BalancerState } from './BalancerState.js';
 import type { BalancerEffect } from './effects.js';
 import type { PendingRequest } from './PendingRequest.js';
+import { isHeldBack } from './priorities.js';
 import { HEDGE_BUDGET_SHARE } from './settings.js';
 
 /** Why a request is sent again: its last attempt has failed, or takes too long. */
@@ -8,6 +9,9 @@
 
 const BUDGET_SHARES: Readonly<Record<RetryKind, number>> = { retry: 1, hedge: HEDGE_BUDGET_SHARE };
 
+/** The same for less urgent requests while their service is under pressure. */
+const HELD_BACK_BUDGET_SHARES: Readonly<Record<RetryKind, number>> = { retry: 0.5, hedge: 0 };
+
 /** Whether a request may be sent again, and the line to log. */
 export interface RetryDecision {
   readonly isGranted: boolean;
@@ -25,14 +29,16 @@
  * const { isGranted, effects } = takeRetry(state, pending, 'hedge', now);
  */
 export function takeRetry(
-  { retryBudget, startedAt }: BalancerState,
+  state: BalancerState,
   pending: PendingRequest,
   retry: RetryKind,
   now: number,
 ): RetryDecision {
+  const { retryBudget, startedAt } = state;
   if (pending.hasUnsentRetry) return { isGranted: true, effects: [] };
   const { callerRequestId: id, service } = pending;
-  const share = BUDGET_SHARES[retry];
+  const shares = isHeldBack(state, pending, now) ? HELD_BACK_BUDGET_SHARES : BUDGET_SHARES;
+  const share = shares[retry];
   const usage = retryBudget.getUsage(service, now, share);
   const isGranted = retryBudget.take(service, now, share);
   pending.hasUnsentRetry = isGranted;
