--- a/src/lab/priorityPlans.ts
+++ b/src/lab/priorityPlans.ts
@@ -10,8 +10,8 @@
 
 const SERVICE = 'ledger';
 
-/** Changes to the usual rates of a service's routes. */
-interface PriorityLoad {
+/** Multiples of the usual rates of a service's routes. */
+export interface PriorityLoad {
   readonly urgent?: number;
   readonly patient?: number;
 }
@@ -45,7 +45,12 @@
   ];
 }
 
-function makePriorityPlan(load: PriorityLoad, changes: Partial<LabPlan> = {}): LabPlan {
+/**
+ * Makes a deployment in which a more urgent route shares its service with a patient one.
+ * @param load - Multiples of the routes' usual rates.
+ * @param changes - Overrides of the defaults.
+ */
+export function makePriorityPlan(load: PriorityLoad, changes: Partial<LabPlan> = {}): LabPlan {
   return makePlan({
     vms: 98,
     targets: [makeTargets(SERVICE, { count: 82, slots: 4, queue: 8, spellShare: 0.3 })],
--- /dev/null
+++ b/src/tests/balancing/priorities.test.ts
@@ -0,0 +1,66 @@
+import test from 'ava';
+
+import { makeReading, makeTarget, ROUTE, Scene } from './scene.js';
+
+const URGENT = { ...ROUTE, name: 'urgent', pathPrefix: '/urgent/', priority: 0 };
+const TARGETS = ['t-1', 't-2', 't-3', 't-4', 't-5', 't-6'].map((id) => makeTarget(id));
+const SLOTS = 2;
+
+/** Lets a request find all targets full in two rounds, so that it waits for a free slot. */
+function arriveAndWait(scene: Scene, path: string): number {
+  scene.now += 50;
+  const request = scene.arrive(path);
+  scene.answerProbes(() => SLOTS);
+  scene.wait(1, request);
+  scene.answerProbes(() => SLOTS);
+  return request;
+}
+
+function getSentFirst(routes: readonly (typeof ROUTE)[]): { sent: number; urgent: number } {
+  const scene = new Scene(TARGETS, routes);
+  scene.arrive('/urgent/x');
+  scene.answerProbes();
+  const urgent = arriveAndWait(scene, '/urgent/x');
+  arriveAndWait(scene, '/horaires/today');
+  const reading = makeReading(scene.now, 0);
+  scene.end({ kind: 'answered', status: 200, reading });
+  return { sent: scene.all('sendAttempt')[1].request, urgent };
+}
+
+test('a free slot goes to the most urgent waiting request, not to the newest', (t) => {
+  const { sent, urgent } = getSentFirst([URGENT, ROUTE]);
+  t.is(sent, urgent);
+});
+
+test('where all routes have the same priority the newest waiting request goes first', (t) => {
+  const { sent, urgent } = getSentFirst([{ ...URGENT, priority: ROUTE.priority }, ROUTE]);
+  t.not(sent, urgent);
+});
+
+/** Fills a scene's service with refused requests; returns the last refusal's Retry-After. */
+function refuseMany(priority: number): { retryAfterMs?: number; fields: Record<string, unknown> } {
+  const scene = new Scene(TARGETS, [{ ...URGENT, priority }, ROUTE]);
+  for (let i = 0; i < 12; i++) {
+    const request = arriveAndWait(scene, '/horaires/today');
+    for (let round = 0; round < 60 && scene.all('answer').length <= i; round++) {
+      scene.wait(25, request);
+      scene.answerProbes(() => SLOTS);
+    }
+  }
+  const refused = scene.all('log').filter(({ event }) => event === 'request.refused');
+  const { retryAfterMs } = scene.all('answer').at(-1) ?? {};
+  return { retryAfterMs, fields: refused.at(-1)?.fields ?? {} };
+}
+
+test('a caller that cannot return in time is not invited back under pressure', (t) => {
+  // It would be refused a second time.
+  const { retryAfterMs = 0, fields } = refuseMany(0);
+  t.is(fields.isUnderPressure, true);
+  t.true(retryAfterMs > ROUTE.timeoutMs);
+});
+
+test('without priorities a refused caller is told the usual time', (t) => {
+  const { retryAfterMs = 0, fields } = refuseMany(ROUTE.priority);
+  t.false('isUnderPressure' in fields);
+  t.true(retryAfterMs > 0 && retryAfterMs < ROUTE.timeoutMs);
+});
