--- a/src/balancing/priorities.ts
+++ b/src/balancing/priorities.ts
@@ -1,5 +1,5 @@
 import type { ServiceName } from '../core/model/index.js';
-import type { WaitingRequest } from '../admission/index.js';
+import type { PressureLevel, WaitingRequest } from '../admission/index.js';
 import {
   compareWaiting,
   getRank,
@@ -128,6 +128,39 @@
   waiting.sort((a, b) => compareWaiting(describe(a), describe(b), now));
 }
 
+/** State of a service's admission, for metrics. */
+export interface AdmissionFigures {
+  readonly level: PressureLevel;
+  /** Mean number of slots of each target with three useful ones that the least urgent leave free. */
+  readonly reservedSlots: number;
+}
+
+/** Number of useful slots for which the reserve is stated. */
+const STATED_OCCUPANCY = 3;
+
+/**
+ * Returns the state of admission by service; empty where requests do not differ in priority.
+ * @param state - State of this entry VM.
+ * @param now - Monotonic milliseconds.
+ */
+export function getAdmissionFigures(
+  state: BalancerState,
+  now: number,
+): ReadonlyMap<ServiceName, AdmissionFigures> {
+  const figures = new Map<ServiceName, AdmissionFigures>();
+  for (const service of state.services.keys()) {
+    const admission = getServiceAdmission(state, service, now);
+    if (admission !== undefined) {
+      const lowest = admission.ranks.priorities.length - 1;
+      figures.set(service, {
+        level: admission.pressure.isRaised(now) ? 'raised' : 'normal',
+        reservedSlots: admission.getReservedSlots(lowest, STATED_OCCUPANCY),
+      });
+    }
+  }
+  return figures;
+}
+
 /** Counts a request that was sent to a target for its organisation. */
 export function recordPrioritySent(
   state: BalancerState,
