--- /dev/null
+++ b/src/balancing/priorities.ts
@@ -0,0 +1,214 @@
+import type { ServiceName } from '../core/model/index.js';
+import type { PressureLevel, WaitingRequest } from '../admission/index.js';
+import {
+  compareWaiting,
+  getRank,
+  getServiceRanks,
+  isSlotOpen,
+  ServiceAdmission,
+  wouldHoldSlotLong,
+} from '../admission/index.js';
+import { getLatestStartAt } from './admission.js';
+import type { BalancerState } from './BalancerState.js';
+import type { Candidate } from './candidates.js';
+import type { BalancerEffect } from './effects.js';
+import type { PendingRequest } from './PendingRequest.js';
+
+/**
+ * Returns the decisions between more and less urgent requests of a service; undefined where the
+ * configuration makes no difference between them.
+ * @param state - State of this entry VM.
+ * @param service - The service.
+ * @param now - Monotonic milliseconds.
+ */
+export function getServiceAdmission(
+  state: BalancerState,
+  service: ServiceName,
+  now: number,
+): ServiceAdmission | undefined {
+  const ranks = getServiceRanks(state.table, service);
+  if (ranks === undefined) return undefined;
+  let admission = state.admissions.get(service);
+  if (admission?.ranks !== ranks) {
+    const workByRank = ranks.priorities.map(() => 0);
+    for (const route of ranks.routes) {
+      workByRank[getRank(ranks, route.priority)] += state.workTimes.get(route);
+    }
+    admission = new ServiceAdmission(ranks, workByRank, now);
+    state.admissions.set(service, admission);
+  }
+  return admission;
+}
+
+/**
+ * Returns the rank of a request among those of its service; 0 is the most urgent.
+ * @param admission - Decisions of its service.
+ * @param pending - The request.
+ */
+export function getRequestRank({ ranks }: ServiceAdmission, { priority }: PendingRequest): number {
+  return getRank(ranks, priority);
+}
+
+/** Counts a request that has arrived from a caller. */
+export function recordPriorityArrival(
+  state: BalancerState,
+  pending: PendingRequest,
+  now: number,
+): void {
+  const admission = getServiceAdmission(state, pending.service, now);
+  if (admission === undefined) return;
+  const workMs = state.workTimes.get(pending.route);
+  admission.recordArrival(getRequestRank(admission, pending), workMs, now);
+}
+
+/**
+ * Whether a request leaves enough slots of a target free for more urgent ones, and does not hold one
+ * for long while other targets have normal speed.
+ * @param state - State of this entry VM.
+ * @param pending - The request.
+ * @param candidate - The target, with its estimate.
+ * @param hasNormalTarget - Whether a usable target was last read to have normal speed.
+ * @param now - Monotonic milliseconds.
+ */
+export function isOpenToPriority(
+  state: BalancerState,
+  pending: PendingRequest,
+  { record, estimate }: Pick<Candidate, 'record' | 'estimate'>,
+  hasNormalTarget: boolean,
+  now: number,
+): boolean {
+  const admission = getServiceAdmission(state, pending.service, now);
+  if (admission === undefined) return true;
+  const rank = getRequestRank(admission, pending);
+  const { bestOccupancy, load, expectedMs } = estimate;
+  if (
+    rank > 0 &&
+    hasNormalTarget &&
+    wouldHoldSlotLong(expectedMs, state.workTimes.get(pending.route))
+  ) {
+    return false;
+  }
+  return isSlotOpen({
+    occupied: load.occupied,
+    bestOccupancy,
+    reserved: admission.getReservedSlots(rank, bestOccupancy),
+    guaranteed: admission.getGuaranteedSlots(rank, bestOccupancy, now),
+    idHash: record.idHash,
+  });
+}
+
+/**
+ * Sorts requests that wait at this VM for slots of a service: the one to be sent first comes first.
+ * @param state - State of this entry VM.
+ * @param service - The service.
+ * @param waiting - The requests; sorted in place.
+ * @param now - Monotonic milliseconds.
+ */
+export function sortWaiting(
+  state: BalancerState,
+  service: ServiceName,
+  waiting: PendingRequest[],
+  now: number,
+): void {
+  const admission = getServiceAdmission(state, service, now);
+  if (admission === undefined) {
+    waiting.sort((a, b) => b.dueAt - a.dueAt);
+    return;
+  }
+  const described = new Map<PendingRequest, WaitingRequest>();
+  for (const pending of waiting) {
+    described.set(pending, {
+      rank: getRequestRank(admission, pending),
+      latestStartAt: getLatestStartAt(pending, state.workTimes.get(pending.route)),
+      sentByOrganisation: admission.turns.getSent(pending.organisation, now),
+    });
+  }
+  const describe = (pending: PendingRequest): WaitingRequest =>
+    described.get(pending) as WaitingRequest;
+  waiting.sort((a, b) => compareWaiting(describe(a), describe(b), now));
+}
+
+/** State of a service's admission, for metrics. */
+export interface AdmissionFigures {
+  readonly level: PressureLevel;
+  /** Mean number of slots of each target with three useful ones that the least urgent leave free. */
+  readonly reservedSlots: number;
+}
+
+/** Number of useful slots for which the reserve is stated. */
+const STATED_OCCUPANCY = 3;
+
+/**
+ * Returns the state of admission by service; empty where requests do not differ in priority.
+ * @param state - State of this entry VM.
+ * @param now - Monotonic milliseconds.
+ */
+export function getAdmissionFigures(
+  state: BalancerState,
+  now: number,
+): ReadonlyMap<ServiceName, AdmissionFigures> {
+  const figures = new Map<ServiceName, AdmissionFigures>();
+  for (const service of state.services.keys()) {
+    const admission = getServiceAdmission(state, service, now);
+    if (admission !== undefined) {
+      const lowest = admission.ranks.priorities.length - 1;
+      figures.set(service, {
+        level: admission.pressure.isRaised(now) ? 'raised' : 'normal',
+        reservedSlots: admission.getReservedSlots(lowest, STATED_OCCUPANCY),
+      });
+    }
+  }
+  return figures;
+}
+
+/** Counts a request that was sent to a target for its organisation. */
+export function recordPrioritySent(
+  state: BalancerState,
+  { service, organisation }: PendingRequest,
+  now: number,
+): void {
+  if (organisation === undefined) return;
+  getServiceAdmission(state, service, now)?.turns.recordSent(organisation, now);
+}
+
+/**
+ * Records how a request has ended; returns a line to log if the service's level has changed.
+ * @param state - State of this entry VM.
+ * @param pending - The request.
+ * @param isInTime - Whether it was answered within its objective.
+ * @param now - Monotonic milliseconds.
+ */
+export function recordPriorityEnd(
+  state: BalancerState,
+  { service }: PendingRequest,
+  isInTime: boolean,
+  now: number,
+): BalancerEffect[] {
+  const pressure = getServiceAdmission(state, service, now)?.pressure;
+  if (pressure === undefined) return [];
+  const before = pressure.takeChange(now);
+  pressure.recordEnd(isInTime, now);
+  const change = pressure.takeChange(now) ?? before;
+  if (change === undefined) return [];
+  const fields = {
+    service,
+    level: change.level,
+    share: Number(change.share.toFixed(2)),
+    requests: Number(change.requests.toFixed(1)),
+    previousMs: Math.round(change.previousMs),
+    configuration: state.table?.version,
+  };
+  return [{ kind: 'log', event: 'admission.level', fields }];
+}
+
+/**
+ * Whether a request is held back because its service is under pressure and others are more urgent.
+ * @param state - State of this entry VM.
+ * @param pending - The request.
+ * @param now - Monotonic milliseconds.
+ */
+export function isHeldBack(state: BalancerState, pending: PendingRequest, now: number): boolean {
+  const admission = getServiceAdmission(state, pending.service, now);
+  if (admission === undefined || getRequestRank(admission, pending) === 0) return false;
+  return admission.pressure.isRaised(now);
+}
