Urgency is the organisation's priority and then the route's; unused routes reserve nothing

Nearly all organisations of a deployment may have the same priority, which made all their requests equal. Routes that nobody uses counted as urgent work at first, and each change of the configuration forgot what was learnt.

--- a/src/admission/ServiceAdmission.ts
+++ b/src/admission/ServiceAdmission.ts
@@ -1,9 +1,11 @@
-import type { ServiceRanks } from './getServiceRanks.js';
 import { OrganisationTurns } from './OrganisationTurns.js';
 import { ServicePressure } from './ServicePressure.js';
 import { getGuaranteedSlots, getReservedSlots } from './slotReserve.js';
 import { WorkShares } from './WorkShares.js';
 
+/** Share of the work above which more urgent requests count; below it they find a slot anyway. */
+const MIN_MORE_URGENT_SHARE = 0.005;
+
 /** Decisions between more and less urgent requests of one service at this VM. */
 export class ServiceAdmission {
   /** Whether requests of the service are late or refused. */
@@ -15,45 +17,44 @@
   /** @internal */
   private readonly shares: WorkShares;
 
-  /**
-   * @param ranks - Priorities of the service.
-   * @param initialWorkMs - Work time of the routes of each rank.
-   * @param now - Monotonic milliseconds.
-   */
-  constructor(
-    readonly ranks: ServiceRanks,
-    initialWorkMs: readonly number[],
-    now: number,
-  ) {
-    this.shares = new WorkShares(initialWorkMs, now);
+  /** @param now - Monotonic milliseconds. */
+  constructor(now: number) {
+    this.shares = new WorkShares(now);
     this.pressure = new ServicePressure(now);
   }
 
   /** Counts a request that has arrived from a caller. */
-  recordArrival(rank: number, workMs: number, now: number): void {
-    this.shares.recordArrival(rank, workMs, now);
+  recordArrival(urgency: number, workMs: number, now: number): void {
+    this.shares.recordArrival(urgency, workMs, now);
+  }
+
+  /**
+   * Whether there are more urgent requests that one has to leave capacity to.
+   * @param urgency - Urgency of the request.
+   */
+  isLessUrgent(urgency: number): boolean {
+    return this.shares.getMoreUrgentShare(urgency) >= MIN_MORE_URGENT_SHARE;
   }
 
   /**
-   * Returns the mean number of slots of each target that requests of a rank leave free.
-   * @param rank - The rank.
+   * Returns the mean number of slots of each target that requests leave free for more urgent ones.
+   * @param urgency - Their urgency.
    * @param bestOccupancy - Slots that a target fills without slowing down.
    */
-  getReservedSlots(rank: number, bestOccupancy: number): number {
-    if (rank === 0) return 0;
-    return getReservedSlots(this.shares.getMoreUrgentShare(rank), bestOccupancy);
+  getReservedSlots(urgency: number, bestOccupancy: number): number {
+    if (!this.isLessUrgent(urgency)) return 0;
+    return getReservedSlots(this.shares.getMoreUrgentShare(urgency), bestOccupancy);
   }
 
   /**
-   * Returns the mean number of slots of each target that requests of a rank leave to less urgent
-   * ones while the service is under pressure.
-   * @param rank - The rank.
+   * Returns the mean number of slots of each target that requests leave to less urgent ones while the
+   * service is under pressure.
+   * @param urgency - Their urgency.
    * @param bestOccupancy - Slots that a target fills without slowing down.
    * @param now - Monotonic milliseconds.
    */
-  getGuaranteedSlots(rank: number, bestOccupancy: number, now: number): number {
-    if (rank === this.ranks.priorities.length - 1 || !this.pressure.isRaised(now)) return 0;
-    const lessUrgentShare = 1 - this.shares.getMoreUrgentShare(rank + 1);
-    return getGuaranteedSlots(lessUrgentShare, bestOccupancy);
+  getGuaranteedSlots(urgency: number, bestOccupancy: number, now: number): number {
+    if (!this.pressure.isRaised(now)) return 0;
+    return getGuaranteedSlots(this.shares.getLessUrgentShare(urgency), bestOccupancy);
   }
 }
--- a/src/admission/index.ts
+++ b/src/admission/index.ts
@@ -1,5 +1,5 @@
-export type { ServiceRanks } from './getServiceRanks.js';
-export { getRank, getServiceRanks } from './getServiceRanks.js';
+export { combinePriorities } from './combinePriorities.js';
+export { hasPriorities } from './hasPriorities.js';
 export { OrganisationTurns } from './OrganisationTurns.js';
 export type { ReturnTerms } from './retryTimes.js';
 export { getReturnMs } from './retryTimes.js';
--- a/src/admission/retryTimes.ts
+++ b/src/admission/retryTimes.ts
@@ -1,6 +1,6 @@
 /**
- * Part of the time until the latest useful start after which callers return, by rank: the more
- * urgent ones sooner, each rank spread over a range of its own.
+ * Part of the time until the latest useful start after which callers return, the more
+ * urgent ones sooner, each spread over a range of its own.
  */
 const FIRST_RETURN_SHARES = { min: 0.1, max: 0.4 };
 const LATER_RETURN_SHARES = { min: 0.3, max: 0.7 };
@@ -16,7 +16,8 @@
 
 /** What the time of a caller's return depends on. */
 export interface ReturnTerms {
-  readonly rank: number;
+  /** Whether more urgent requests have to find capacity first. */
+  readonly isLessUrgent: boolean;
   /** Time until the latest start that meets the objective, in milliseconds; negative if past. */
   readonly usefulMs: number;
   /** Time until the caller's timeout, in milliseconds. */
@@ -33,13 +34,13 @@
  * remaining time at most.
  * @param terms - What the caller can still use.
  * @example
- * getReturnMs({ rank: 0, usefulMs: 120, remainingMs: 900, chance: 0.5 }); // 30
+ * getReturnMs({ isLessUrgent: false, usefulMs: 120, remainingMs: 900, chance: 0.5 }); // 30
  */
-export function getReturnMs({ rank, usefulMs, remainingMs, chance }: ReturnTerms): number {
+export function getReturnMs({ isLessUrgent, usefulMs, remainingMs, chance }: ReturnTerms): number {
   if (usefulMs < MIN_RETURN_WINDOW_MS) {
     return Math.ceil(Math.max(0, remainingMs) + 1 + PAST_TIMEOUT_SPREAD_MS * chance);
   }
-  const { min, max } = rank === 0 ? FIRST_RETURN_SHARES : LATER_RETURN_SHARES;
+  const { min, max } = isLessUrgent ? LATER_RETURN_SHARES : FIRST_RETURN_SHARES;
   const returnMs = usefulMs * (min + (max - min) * chance);
   return Math.ceil(Math.min(returnMs, remainingMs * MAX_CALLER_WAIT_SHARE));
 }
--- a/src/admission/waitingOrder.ts
+++ b/src/admission/waitingOrder.ts
@@ -3,7 +3,8 @@
 
 /** A request that waits for a slot. */
 export interface WaitingRequest {
-  readonly rank: number;
+  /** Order of urgency, by `combinePriorities`. */
+  readonly urgency: number;
   /** Latest start that meets the objective; monotonic milliseconds. */
   readonly latestStartAt: number;
   /** Requests of its organisation that were sent lately, with decay. */
@@ -23,7 +24,7 @@
   const stepB = Math.floor(b.latestStartAt / START_STEP_MS);
   return (
     isLateA - isLateB ||
-    a.rank - b.rank ||
+    a.urgency - b.urgency ||
     stepB - stepA ||
     a.sentByOrganisation - b.sentByOrganisation ||
     b.latestStartAt - a.latestStartAt
--- a/src/balancing/PendingRequest.ts
+++ b/src/balancing/PendingRequest.ts
@@ -70,6 +70,8 @@
   readonly keyDigest: string | undefined;
   /** Priority of its organisation, or else of its route; 0 is the most urgent. */
   readonly priority: number;
+  /** Order of urgency among requests, by `combinePriorities`. */
+  readonly urgency: number;
   quota: QuotaState;
   /** The permit that is awaited or held; undefined if there is none. */
   quotaPermit: QuotaPermit | undefined;
--- a/src/balancing/createPendingRequest.ts
+++ b/src/balancing/createPendingRequest.ts
@@ -1,4 +1,5 @@
 import type { ServiceName } from '../core/model/index.js';
+import { combinePriorities } from '../admission/index.js';
 import type { BalancerContext, BalancerState } from './BalancerState.js';
 import type { RequestArrived } from './events.js';
 import type { Organisation, Route } from './model.js';
@@ -49,6 +50,7 @@
     organisation: organisation?.name,
     keyDigest: event.keyDigest,
     priority: organisation?.priority ?? route.priority,
+    urgency: combinePriorities(organisation?.priority, route.priority),
     quota: organisation?.quota === undefined ? 'unlimited' : 'unasked',
     quotaPermit: undefined,
     track: drawTrack(state, service, route.name, context),
--- a/src/balancing/endings.ts
+++ b/src/balancing/endings.ts
@@ -5,7 +5,7 @@
 import type { BalancerEffect, LocalAnswerReason } from './effects.js';
 import type { PendingRequest, PendingAttempt } from './PendingRequest.js';
 import { returnPermits } from './limits.js';
-import { getRequestRank, getServiceAdmission, recordPriorityEnd } from './priorities.js';
+import { getServiceAdmission, recordPriorityEnd } from './priorities.js';
 import { getQuotaRetryMs, returnQuotaPermit } from './quotaPermits.js';
 
 /**
@@ -127,7 +127,7 @@
   const admission = getServiceAdmission(state, pending.service, now);
   if (admission !== undefined && CAPACITY_REASONS.has(reason) && admission.pressure.isRaised(now)) {
     return getReturnMs({
-      rank: getRequestRank(admission, pending),
+      isLessUrgent: admission.isLessUrgent(pending.urgency),
       usefulMs: getLatestStartAt(pending, state.workTimes.get(pending.route)) - now,
       remainingMs: pending.callerTimeoutAt - now,
       chance: random(),
@@ -191,7 +191,7 @@
   const usefulMs = getLatestStartAt(pending, state.workTimes.get(pending.route)) - now;
   return {
     priority: pending.priority,
-    rank: getRequestRank(admission, pending),
+    isLessUrgent: admission.isLessUrgent(pending.urgency),
     isUnderPressure: admission.pressure.isRaised(now),
     usefulMs: Math.round(usefulMs),
   };
--- a/src/balancing/priorities.ts
+++ b/src/balancing/priorities.ts
@@ -2,8 +2,7 @@
 import type { PressureLevel, WaitingRequest } from '../admission/index.js';
 import {
   compareWaiting,
-  getRank,
-  getServiceRanks,
+  hasPriorities,
   isSlotOpen,
   ServiceAdmission,
   wouldHoldSlotLong,
@@ -26,29 +25,15 @@
   service: ServiceName,
   now: number,
 ): ServiceAdmission | undefined {
-  const ranks = getServiceRanks(state.table, service);
-  if (ranks === undefined) return undefined;
+  if (!hasPriorities(state.table, service)) return undefined;
   let admission = state.admissions.get(service);
-  if (admission?.ranks !== ranks) {
-    const workByRank = ranks.priorities.map(() => 0);
-    for (const route of ranks.routes) {
-      workByRank[getRank(ranks, route.priority)] += state.workTimes.get(route);
-    }
-    admission = new ServiceAdmission(ranks, workByRank, now);
+  if (admission === undefined) {
+    admission = new ServiceAdmission(now);
     state.admissions.set(service, admission);
   }
   return admission;
 }
 
-/**
- * Returns the rank of a request among those of its service; 0 is the most urgent.
- * @param admission - Decisions of its service.
- * @param pending - The request.
- */
-export function getRequestRank({ ranks }: ServiceAdmission, { priority }: PendingRequest): number {
-  return getRank(ranks, priority);
-}
-
 /** Counts a request that has arrived from a caller. */
 export function recordPriorityArrival(
   state: BalancerState,
@@ -58,7 +43,7 @@
   const admission = getServiceAdmission(state, pending.service, now);
   if (admission === undefined) return;
   const workMs = state.workTimes.get(pending.route);
-  admission.recordArrival(getRequestRank(admission, pending), workMs, now);
+  admission.recordArrival(pending.urgency, workMs, now);
 }
 
 /**
@@ -79,10 +64,10 @@
 ): boolean {
   const admission = getServiceAdmission(state, pending.service, now);
   if (admission === undefined) return true;
-  const rank = getRequestRank(admission, pending);
+  const { urgency } = pending;
   const { bestOccupancy, load, expectedMs } = estimate;
   if (
-    rank > 0 &&
+    admission.isLessUrgent(urgency) &&
     hasNormalTarget &&
     wouldHoldSlotLong(expectedMs, state.workTimes.get(pending.route))
   ) {
@@ -91,8 +76,8 @@
   return isSlotOpen({
     occupied: load.occupied,
     bestOccupancy,
-    reserved: admission.getReservedSlots(rank, bestOccupancy),
-    guaranteed: admission.getGuaranteedSlots(rank, bestOccupancy, now),
+    reserved: admission.getReservedSlots(urgency, bestOccupancy),
+    guaranteed: admission.getGuaranteedSlots(urgency, bestOccupancy, now),
     idHash: record.idHash,
   });
 }
@@ -118,7 +103,7 @@
   const described = new Map<PendingRequest, WaitingRequest>();
   for (const pending of waiting) {
     described.set(pending, {
-      rank: getRequestRank(admission, pending),
+      urgency: pending.urgency,
       latestStartAt: getLatestStartAt(pending, state.workTimes.get(pending.route)),
       sentByOrganisation: admission.turns.getSent(pending.organisation, now),
     });
@@ -151,10 +136,9 @@
   for (const service of state.services.keys()) {
     const admission = getServiceAdmission(state, service, now);
     if (admission !== undefined) {
-      const lowest = admission.ranks.priorities.length - 1;
       figures.set(service, {
         level: admission.pressure.isRaised(now) ? 'raised' : 'normal',
-        reservedSlots: admission.getReservedSlots(lowest, STATED_OCCUPANCY),
+        reservedSlots: admission.getReservedSlots(Number.POSITIVE_INFINITY, STATED_OCCUPANCY),
       });
     }
   }
@@ -209,6 +193,6 @@
  */
 export function isHeldBack(state: BalancerState, pending: PendingRequest, now: number): boolean {
   const admission = getServiceAdmission(state, pending.service, now);
-  if (admission === undefined || getRequestRank(admission, pending) === 0) return false;
+  if (admission === undefined || !admission.isLessUrgent(pending.urgency)) return false;
   return admission.pressure.isRaised(now);
 }
