First probes go to other zones by how much busier the own zone is

A VM preferred eight targets of all zones, one of which was usually in another zone, so that requests and probes crossed between zones in calm times too, and no more of them went there in a wave. Now the first rounds probe the own zone's targets, and a share of the probes goes to other zones. The share moves in small steps by the occupancies that the readings at hand show (ZonePressure), with a margin and a dead band. VMs with fewer than eight targets in their zone, or without others, sample as before.

--- a/src/balancing/BalancerState.ts
+++ b/src/balancing/BalancerState.ts
@@ -20,6 +20,7 @@
 import type { BalancingSettings } from './settings.js';
 import type { TargetRecord } from './TargetRecord.js';
 import { WorkTimes } from './WorkTimes.js';
+import { ZonePressure } from './zonePressure.js';
 
 /** The clock and random source of a handler; nothing else reaches it from outside. */
 export interface BalancerContext {
@@ -87,6 +88,8 @@
   readonly loggedUnreadHeaders: Set<string>;
   readonly probeBudget: ProbeBudget;
   readonly workTimes: WorkTimes;
+  /** How far this VM looks for targets in other zones. */
+  readonly zonePressure: ZonePressure;
   /** What has been learnt about each service's targets. */
   readonly serviceCurves: Map<ServiceName, ServiceCurve>;
   readonly callerTimes: CallerTimes;
@@ -138,6 +141,7 @@
     loggedUnreadHeaders: new Set(),
     probeBudget: new ProbeBudget(settings.probesPerTargetAndSecond),
     workTimes: new WorkTimes(),
+    zonePressure: new ZonePressure(),
     serviceCurves: new Map(),
     callerTimes: new CallerTimes(),
     versions: new ServiceVersions(settings.rollouts !== undefined),
--- a/src/balancing/probing.ts
+++ b/src/balancing/probing.ts
@@ -1,4 +1,5 @@
 import type { BalancerContext, BalancerState } from './BalancerState.js';
+import { getServiceCurve } from './BalancerState.js';
 import { sampleTargets } from './sampling.js';
 import type { BalancerEffect, Destination } from './effects.js';
 import type { PendingRequest, ProbeRound } from './PendingRequest.js';
@@ -13,6 +14,7 @@
 } from './settings.js';
 import type { TargetRecord } from './TargetRecord.js';
 import { isDraining, isPaused } from './TargetRecord.js';
+import { getZoneOccupancy } from './zonePressure.js';
 
 /**
  * Maximum number of limited targets for which one round requests permits; unused ones are returned.
@@ -64,6 +66,44 @@
   return stale.slice(0, allowed).map((record) => startProbe(state, record, now));
 }
 
+/**
+ * Samples targets that this VM prefers, a share of them in other zones while its own zone is busier.
+ */
+function samplePreferred(
+  state: BalancerState,
+  { service, route }: PendingRequest,
+  usable: readonly TargetRecord[],
+  count: number,
+  context: BalancerContext,
+): TargetRecord[] {
+  const { settings, zonePressure, workTimes } = state;
+  const { zone } = settings;
+  const own = usable.filter((record) => record.entry.zone === zone);
+  const remote = usable.filter((record) => record.entry.zone !== zone);
+  // A VM that prefers targets of other zones anyway, for want of its own, has nothing to decide.
+  if (own.length < PREFERRED_TARGET_COUNT || remote.length === 0) {
+    return sampleTargets(usable.slice(0, PREFERRED_TARGET_COUNT), count, route, zone, context);
+  }
+  const preferredOwn = own.slice(0, PREFERRED_TARGET_COUNT);
+  const preferredRemote = remote.slice(0, PREFERRED_TARGET_COUNT);
+  const curve = getServiceCurve(state, service);
+  const relativeObjective = route.objectiveMs / workTimes.get(route);
+  const occupancy = getZoneOccupancy(
+    [...preferredOwn, ...preferredRemote],
+    zone,
+    (slots) => curve.getBestOccupancy(slots, relativeObjective),
+    context.now,
+  );
+  zonePressure.update(service, occupancy, remote.length / usable.length, context.now);
+  const share = zonePressure.getShare(service);
+  let remoteCount = 0;
+  if (share > 0) for (let i = 0; i < count; i++) if (context.random() < share) remoteCount += 1;
+  return [
+    ...sampleTargets(preferredOwn, count - remoteCount, route, zone, context),
+    ...sampleTargets(preferredRemote, remoteCount, route, zone, context),
+  ];
+}
+
 /**
  * Starts a round: samples some targets, probes them, and requests permits for those with a limit.
  * @param state - State of this entry VM.
@@ -82,16 +122,13 @@
   pending.round = round;
   const effects: BalancerEffect[] = [];
   const isFirst = pending.roundCount === 0;
-  const pool =
-    pending.roundCount < PREFERRED_ROUND_COUNT ? usable.slice(0, PREFERRED_TARGET_COUNT) : usable;
+  const isPreferredRound = pending.roundCount < PREFERRED_ROUND_COUNT;
   pending.roundCount += 1;
-  const drawn = sampleTargets(
-    pool,
-    isFirst ? FIRST_ROUND_PROBES : LATER_ROUND_PROBES,
-    pending.route,
-    state.settings.zone,
-    context,
-  );
+  const count = isFirst ? FIRST_ROUND_PROBES : LATER_ROUND_PROBES;
+  const { zone } = state.settings;
+  const drawn = isPreferredRound
+    ? samplePreferred(state, pending, usable, count, context)
+    : sampleTargets(usable, count, pending.route, zone, context);
   const awaitingPermit = drawn
     .filter((record) => !isWithinLimit(state, record, now))
     .slice(0, MAX_PERMITS_PER_ROUND)
