--- a/src/balancing/index.ts
+++ b/src/balancing/index.ts
@@ -5,6 +5,8 @@
 export { getLongestPauses } from './getLongestPauses.js';
 export * from './model.js';
 export { takeOutcomeReports } from './outcomes.js';
+export type { AdmissionFigures } from './priorities.js';
+export { getAdmissionFigures } from './priorities.js';
 export { reduceBalancer } from './reduceBalancer.js';
 export { ServiceCurve } from './ServiceCurve.js';
 export type { SlowdownEstimates } from './ServiceCurve.js';
--- a/src/gateway/GatewayMetrics.ts
+++ b/src/gateway/GatewayMetrics.ts
@@ -1,6 +1,7 @@
 import type { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
 import type {
+  AdmissionFigures,
   SlowdownEstimates,
   LogEffect,
   RolloutStats,
@@ -42,6 +43,8 @@
   readonly quotaRequests: Counter;
   readonly quotaPerSecond: Gauge;
   readonly quotaUse: Gauge;
+  readonly admissionRaised: Gauge;
+  readonly reservedSlots: Gauge;
 }
 
 interface Observation {
@@ -74,6 +77,8 @@
   getRolloutFigures(): ReadonlyMap<string, RolloutStats>;
   /** Requests of the organisations that have quotas, by name. */
   getQuotaFigures(): ReadonlyMap<string, QuotaFigures>;
+  /** State of the services whose requests differ in priority, by name. */
+  getAdmissionFigures(): ReadonlyMap<string, AdmissionFigures>;
   /** Monotonic time, in milliseconds. */
   now(): number;
   /** Age of the last confirmed view of the store, in milliseconds; infinite until the first. */
@@ -152,6 +157,26 @@
   };
 }
 
+function createAdmissionGauges(
+  prom: Prom,
+  registers: Registry[],
+): Pick<PrometheusMetrics, 'admissionRaised' | 'reservedSlots'> {
+  return {
+    admissionRaised: new prom.Gauge({
+      name: 'masticlink_gateway_admission_raised',
+      help: 'Whether requests of a service are late or refused at this VM, 1 or 0.',
+      labelNames: ['service'],
+      registers,
+    }),
+    reservedSlots: new prom.Gauge({
+      name: 'masticlink_gateway_reserved_slots',
+      help: 'Mean slots of each target that the least urgent requests leave free, of three useful ones.',
+      labelNames: ['service'],
+      registers,
+    }),
+  };
+}
+
 async function loadMetrics(): Promise<PrometheusMetrics> {
   const prom = await import('prom-client');
   const registry = new prom.Registry();
@@ -212,6 +237,7 @@
     ...createTargetGauges(prom, registers),
     ...createRolloutGauges(prom, registers),
     ...createQuotaGauges(prom, registers),
+    ...createAdmissionGauges(prom, registers),
   };
 }
 
@@ -264,6 +290,7 @@
     this.updateLearntCurves(promMetrics);
     this.updateRollouts(promMetrics);
     this.updateQuotas(promMetrics);
+    this.updateAdmission(promMetrics);
     const { registry } = promMetrics;
     return { type: registry.contentType, text: await registry.metrics() };
   }
@@ -317,6 +344,16 @@
     }
   }
 
+  /** @internal */
+  private updateAdmission({ admissionRaised, reservedSlots }: PrometheusMetrics): void {
+    admissionRaised.reset();
+    reservedSlots.reset();
+    for (const [service, figures] of this.sources.getAdmissionFigures()) {
+      admissionRaised.set({ service }, figures.level === 'raised' ? 1 : 0);
+      reservedSlots.set({ service }, figures.reservedSlots);
+    }
+  }
+
   /** @internal */
   private updateQuotas({ quotaRequests, quotaPerSecond, quotaUse }: PrometheusMetrics): void {
     quotaRequests.reset();
--- a/src/gateway/createStateSources.ts
+++ b/src/gateway/createStateSources.ts
@@ -1,5 +1,10 @@
 import type { BalancerState } from '../balancing/index.js';
-import { countTargets, getLongestPauses, getRolloutStats } from '../balancing/index.js';
+import {
+  countTargets,
+  getAdmissionFigures,
+  getLongestPauses,
+  getRolloutStats,
+} from '../balancing/index.js';
 import type { Clock } from '../timing/index.js';
 import type { MetricSources } from './GatewayMetrics.js';
 
@@ -18,6 +23,7 @@
   | 'getLearntCurves'
   | 'getRolloutFigures'
   | 'getQuotaFigures'
+  | 'getAdmissionFigures'
   | 'now'
 > {
   return {
@@ -27,6 +33,7 @@
       new Map([...state.serviceCurves].map(([name, { estimates }]) => [name, estimates])),
     now: () => clock.now(),
     getQuotaFigures: () => state.quotaPool.figures,
+    getAdmissionFigures: () => getAdmissionFigures(state, clock.now()),
     getRolloutFigures: () => getRolloutStats(state, clock.now()),
   };
 }
--- a/src/tests/gateway/GatewayMetrics.test.ts
+++ b/src/tests/gateway/GatewayMetrics.test.ts
@@ -39,6 +39,7 @@
         ],
       ]),
     getQuotaFigures: () => new Map(),
+    getAdmissionFigures: () => new Map([['horaires', { level: 'raised', reservedSlots: 0.5 }]]),
     now: () => 0,
     getStoreAgeMs: () => 250,
     getOpenRequestCount: () => 4,
@@ -62,6 +63,7 @@
     getLongestPauses: () => new Map(),
     getLearntCurves: () => new Map(),
     getRolloutFigures: () => new Map(),
+    getAdmissionFigures: () => new Map(),
     getQuotaFigures: () => new Map(),
     now: () => 0,
     getStoreAgeMs: () => Number.POSITIVE_INFINITY,
@@ -82,6 +84,7 @@
     getLongestPauses: () => new Map(),
     getRolloutFigures: () => new Map(),
     getLearntCurves: () => new Map(),
+    getAdmissionFigures: () => new Map(),
     getQuotaFigures: () =>
       new Map(
         Array.from({ length: 30 }, (_, i) => [
