--- a/src/admission/ServiceAdmission.ts
+++ b/src/admission/ServiceAdmission.ts
@@ -24,37 +24,37 @@
   }
 
   /** Counts a request that has arrived from a caller. */
-  recordArrival(urgency: number, workMs: number, now: number): void {
-    this.shares.recordArrival(urgency, workMs, now);
+  recordArrival(priority: number, workMs: number, now: number): void {
+    this.shares.recordArrival(priority, workMs, now);
   }
 
   /**
    * Whether there are more urgent requests that one has to leave capacity to.
-   * @param urgency - Urgency of the request.
+   * @param priority - Urgency of the request.
    */
-  isLessUrgent(urgency: number): boolean {
-    return this.shares.getMoreUrgentShare(urgency) >= MIN_MORE_URGENT_SHARE;
+  isLessUrgent(priority: number): boolean {
+    return this.shares.getMoreUrgentShare(priority) >= MIN_MORE_URGENT_SHARE;
   }
 
   /**
    * Returns the mean number of slots of each target that requests leave free for more urgent ones.
-   * @param urgency - Their urgency.
+   * @param priority - Their priority.
    * @param bestOccupancy - Slots that a target fills without slowing down.
    */
-  getReservedSlots(urgency: number, bestOccupancy: number): number {
-    if (!this.isLessUrgent(urgency)) return 0;
-    return getReservedSlots(this.shares.getMoreUrgentShare(urgency), bestOccupancy);
+  getReservedSlots(priority: number, bestOccupancy: number): number {
+    if (!this.isLessUrgent(priority)) return 0;
+    return getReservedSlots(this.shares.getMoreUrgentShare(priority), bestOccupancy);
   }
 
   /**
    * Returns the mean number of slots of each target that requests leave to less urgent ones while the
    * service is under pressure.
-   * @param urgency - Their urgency.
+   * @param priority - Their priority.
    * @param bestOccupancy - Slots that a target fills without slowing down.
    * @param now - Monotonic milliseconds.
    */
-  getGuaranteedSlots(urgency: number, bestOccupancy: number, now: number): number {
+  getGuaranteedSlots(priority: number, bestOccupancy: number, now: number): number {
     if (!this.pressure.isRaised(now)) return 0;
-    return getGuaranteedSlots(this.shares.getLessUrgentShare(urgency), bestOccupancy);
+    return getGuaranteedSlots(this.shares.getLessUrgentShare(priority), bestOccupancy);
   }
 }
--- a/src/admission/WorkShares.ts
+++ b/src/admission/WorkShares.ts
@@ -2,13 +2,13 @@
 const HALF_LIFE_MS = 30_000;
 
 /**
- * Estimates which share of a service's work each urgency has, from the requests that arrive at this
+ * Estimates which share of a service's work the routes of each priority have, from the requests that arrive at this
  * VM. Responds to the mix of arriving requests, not to their number. Routes that nobody uses have no
  * share, whatever their priority is.
  */
 export class WorkShares {
-  /** Decayed work by urgency, in milliseconds, as of `updatedAt`. @internal */
-  private readonly workByUrgency = new Map<number, number>();
+  /** Decayed work by priority, in milliseconds, as of `updatedAt`. @internal */
+  private readonly workByPriority = new Map<number, number>();
 
   /** @internal */
   private updatedAt: number;
@@ -20,40 +20,40 @@
 
   /**
    * Counts a request that has arrived.
-   * @param urgency - Its urgency, by `combinePriorities`.
+   * @param priority - Priority of its route.
    * @param workMs - Its estimated work time, in milliseconds.
    * @param now - Monotonic milliseconds.
    */
-  recordArrival(urgency: number, workMs: number, now: number): void {
+  recordArrival(priority: number, workMs: number, now: number): void {
     const decay = 0.5 ** (Math.max(0, now - this.updatedAt) / HALF_LIFE_MS);
     this.updatedAt = now;
-    for (const [each, work] of this.workByUrgency) this.workByUrgency.set(each, work * decay);
-    this.workByUrgency.set(urgency, (this.workByUrgency.get(urgency) ?? 0) + workMs);
+    for (const [each, work] of this.workByPriority) this.workByPriority.set(each, work * decay);
+    this.workByPriority.set(priority, (this.workByPriority.get(priority) ?? 0) + workMs);
   }
 
   /**
-   * Returns the share of the work that is more urgent than an urgency, from 0 to 1.
-   * @param urgency - The urgency.
+   * Returns the share of the work that is more urgent than an priority, from 0 to 1.
+   * @param priority - The priority.
    */
-  getMoreUrgentShare(urgency: number): number {
-    return this.getShare((each) => each < urgency);
+  getMoreUrgentShare(priority: number): number {
+    return this.getShare((each) => each < priority);
   }
 
   /**
-   * Returns the share of the work that is less urgent than an urgency, from 0 to 1.
-   * @param urgency - The urgency.
+   * Returns the share of the work that is less urgent than an priority, from 0 to 1.
+   * @param priority - The priority.
    */
-  getLessUrgentShare(urgency: number): number {
-    return this.getShare((each) => each > urgency);
+  getLessUrgentShare(priority: number): number {
+    return this.getShare((each) => each > priority);
   }
 
   /** @internal */
-  private getShare(isCounted: (urgency: number) => boolean): number {
+  private getShare(isCounted: (priority: number) => boolean): number {
     let total = 0;
     let counted = 0;
-    for (const [urgency, workMs] of this.workByUrgency) {
+    for (const [priority, workMs] of this.workByPriority) {
       total += workMs;
-      if (isCounted(urgency)) counted += workMs;
+      if (isCounted(priority)) counted += workMs;
     }
     return total > 0 ? counted / total : 0;
   }
--- a/src/balancing/endings.ts
+++ b/src/balancing/endings.ts
@@ -127,7 +127,7 @@
   const admission = getServiceAdmission(state, pending.service, now);
   if (admission !== undefined && CAPACITY_REASONS.has(reason) && admission.pressure.isRaised(now)) {
     return getReturnMs({
-      isLessUrgent: admission.isLessUrgent(pending.urgency),
+      isLessUrgent: admission.isLessUrgent(pending.route.priority),
       usefulMs: getLatestStartAt(pending, state.workTimes.get(pending.route)) - now,
       remainingMs: pending.callerTimeoutAt - now,
       chance: random(),
@@ -191,7 +191,7 @@
   const usefulMs = getLatestStartAt(pending, state.workTimes.get(pending.route)) - now;
   return {
     priority: pending.priority,
-    isLessUrgent: admission.isLessUrgent(pending.urgency),
+    isLessUrgent: admission.isLessUrgent(pending.route.priority),
     isUnderPressure: admission.pressure.isRaised(now),
     usefulMs: Math.round(usefulMs),
   };
--- a/src/balancing/priorities.ts
+++ b/src/balancing/priorities.ts
@@ -43,7 +43,7 @@
   const admission = getServiceAdmission(state, pending.service, now);
   if (admission === undefined) return;
   const workMs = state.workTimes.get(pending.route);
-  admission.recordArrival(pending.urgency, workMs, now);
+  admission.recordArrival(pending.route.priority, workMs, now);
 }
 
 /**
@@ -64,10 +64,10 @@
 ): boolean {
   const admission = getServiceAdmission(state, pending.service, now);
   if (admission === undefined) return true;
-  const { urgency } = pending;
+  const { priority } = pending.route;
   const { bestOccupancy, load, expectedMs } = estimate;
   if (
-    admission.isLessUrgent(urgency) &&
+    admission.isLessUrgent(priority) &&
     hasNormalTarget &&
     wouldHoldSlotLong(expectedMs, state.workTimes.get(pending.route))
   ) {
@@ -76,8 +76,8 @@
   return isSlotOpen({
     occupied: load.occupied,
     bestOccupancy,
-    reserved: admission.getReservedSlots(urgency, bestOccupancy),
-    guaranteed: admission.getGuaranteedSlots(urgency, bestOccupancy, now),
+    reserved: admission.getReservedSlots(priority, bestOccupancy),
+    guaranteed: admission.getGuaranteedSlots(priority, bestOccupancy, now),
     idHash: record.idHash,
   });
 }
@@ -193,6 +193,6 @@
  */
 export function isHeldBack(state: BalancerState, pending: PendingRequest, now: number): boolean {
   const admission = getServiceAdmission(state, pending.service, now);
-  if (admission === undefined || !admission.isLessUrgent(pending.urgency)) return false;
+  if (admission === undefined || !admission.isLessUrgent(pending.route.priority)) return false;
   return admission.pressure.isRaised(now);
 }
