--- a/src/tests/fleet/FleetScene.ts
+++ b/src/tests/fleet/FleetScene.ts
@@ -19,9 +19,6 @@
 /** Time after which a call of a VM that is cut off fails, on top of its own wait, in milliseconds. */
 const CUT_TIMEOUT_MS = 500;
 
-/** Interval of the measurement of stalls, in milliseconds; longer gaps between its ticks are stalls. */
-const TICK_MS = 10;
-
 /** One VM of the scene. */
 interface SceneVm {
   readonly name: string;
@@ -46,12 +43,6 @@
   /** @internal */
   private readonly clock = new SystemClock();
 
-  /** Time so far in which a busy machine did not let this process run, in milliseconds. */
-  stalledMs = 0;
-
-  /** @internal */
-  private ticks: NodeJS.Timeout | undefined;
-
   /** @internal */
   private version = 1;
 
@@ -61,7 +52,6 @@
    */
   static async start(count: number): Promise<FleetScene> {
     const scene = new FleetScene();
-    scene.measureStalls();
     await scene.store.start();
     putConfiguration(scene.store, { ...TABLE, version: 1, routes: [ROUTE] });
     for (let i = 0; i < 30; i++) putTarget(scene.store, makeTarget(`t-${i}`));
@@ -96,21 +86,10 @@
 
   /** Stops all VMs and the store. */
   async stop(): Promise<void> {
-    clearInterval(this.ticks);
     for (const vm of this.vms) vm.kill();
     await this.store.stop();
   }
 
-  /** @internal */
-  private measureStalls(): void {
-    let last = this.clock.now();
-    this.ticks = setInterval(() => {
-      const now = this.clock.now();
-      this.stalledMs += Math.max(0, now - last - 2 * TICK_MS);
-      last = now;
-    }, TICK_MS);
-  }
-
   /** @internal */
   private async waitForAll(isMet: (vm: SceneVm) => boolean): Promise<void> {
     await waitUntil(() => this.vms.every(isMet));
