--- a/src/fleet/FleetSync.ts
+++ b/src/fleet/FleetSync.ts
@@ -11,7 +11,6 @@
 import { logViewEvents } from './logViewEvents.js';
 import { Registrar } from './Registrar.js';
 import type { PropagationTimes } from './propagation.js';
-import { StandbyWatch } from './StandbyWatch.js';
 import { StoreFallback } from './StoreFallback.js';
 import { StoreWatcher } from './StoreWatcher.js';
 
@@ -52,9 +51,8 @@
 }
 
 /**
- * Keeps the local copy of the store up to date: one VM watches the store, another one stands by, all
- * others follow these directly or through other VMs, and a VM watches the store itself while its
- * sources are stale.
+ * Keeps the local copy of the store up to date: a few VMs watch the store, all others follow these
+ * directly or through other VMs, and a VM watches the store itself while its sources are stale.
  */
 export class FleetSync {
   /** @internal */
@@ -75,9 +73,6 @@
   /** Whether this VM is one of those that watch the store for all others. @internal */
   private isWatcher = false;
 
-  /** @internal */
-  private readonly standby: StandbyWatch;
-
   /** All VMs in tree order; undefined until computed again after a change. @internal */
   private sortedVms: readonly TreeVm[] | undefined;
 
@@ -94,7 +89,6 @@
   constructor(private readonly parts: FleetSyncParts) {
     const { view, log, store, clock, sections, random, propagation } = parts;
     this.fallback = new StoreFallback(propagation.sourceGraceMs);
-    this.standby = new StandbyWatch(propagation);
     this.storeWatcher = new StoreWatcher({
       store,
       sections,
@@ -154,29 +148,16 @@
     if (!this.hasBegun) return;
     const now = this.parts.clock.now();
     this.checkSource(now);
-    const { self } = this.parts;
-    const usableVms = this.getUsableVms(now);
-    const { isWatcher, source, hops } = findTreePosition(usableVms, self.name);
-    const isStandby = isWatcher && usableVms[0].name !== self.name;
+    const { isWatcher, source, hops } = findTreePosition(
+      this.getUsableVms(now),
+      this.parts.self.name,
+    );
     this.isWatcher = isWatcher;
+    if (isWatcher || this.fallback.shouldWatchStore(now)) this.startWatching(now);
+    else this.stopWatching();
     this.hops = hops;
-    const isFollowing = !isWatcher || isStandby || this.isOwnWatchStale(now);
-    if (source !== undefined && isFollowing) this.follow(source);
+    if (source !== undefined && (!isWatcher || this.isOwnWatchStale(now))) this.follow(source);
     else this.unfollow();
-    const isWatching = isStandby ? this.shouldStandbyWatch(now) : isWatcher;
-    if (isWatching || this.fallback.shouldWatchStore(now)) this.startWatching(now);
-    else this.stopWatching();
-  }
-
-  /** Whether this VM, which stands by, watches the store besides the VM that it follows. @internal */
-  private shouldStandbyWatch(now: number): boolean {
-    const { client } = this;
-    return this.standby.shouldWatch({
-      now,
-      isWatching: this.storeWatcher.isActive,
-      peerAgeMs: this.parts.view.confirmations.getPeerAgeMs(),
-      connectedMs: client === undefined ? undefined : now - client.startedAt,
-    });
   }
 
   /** Whether the data is stale although this VM has had the time to read the store. @internal */
--- a/src/fleet/FollowTree.ts
+++ b/src/fleet/FollowTree.ts
@@ -3,8 +3,7 @@
 
 /**
  * VMs that watch the store for all others. Each call to the store is billed, and so is each watch
- * that returns, so the second watcher follows the first one and takes over when that has no
- * confirmation in time (`StandbyWatch`).
+ * that returns; the second watcher takes over when the first one is lost.
  */
 const WATCHER_COUNT = 2;
 
--- a/src/fleet/StoreConfirmations.ts
+++ b/src/fleet/StoreConfirmations.ts
@@ -23,9 +23,6 @@
   /** @internal */
   private latestConfirmation: Confirmation | undefined;
 
-  /** When the store last confirmed data to another VM; monotonic milliseconds. @internal */
-  private peerConfirmedAt = Number.NEGATIVE_INFINITY;
-
   /** Number of the latest confirmation of each origin. @internal */
   private readonly latestCounts = new Map<string, number>();
 
@@ -69,22 +66,13 @@
     return this.clock.now() - oldest;
   }
 
-  /**
-   * Time since the latest confirmation by the store to another VM, in milliseconds; infinite if none
-   * is known. Confirmations to this VM that others pass back to it don't count.
-   */
-  getPeerAgeMs(): number {
-    return this.clock.now() - this.peerConfirmedAt;
-  }
-
   /**
    * Records that the store has just confirmed a section to this VM.
    * @param section - The section.
    */
   confirm(section: Section): void {
-    const previousAgeMs = this.getAgeMs();
     this.recordConfirmedAt(section, this.clock.now());
-    if (section !== 'targets' && this.getAgeMs() >= previousAgeMs) return;
+    if (section !== 'targets') return;
     const count = (this.latestCounts.get(this.origin) ?? 0) + 1;
     this.recordConfirmation({ origin: this.origin, count });
   }
@@ -107,7 +95,6 @@
   confirmFromPeer(confirmation: Confirmation, at: number): void {
     if (confirmation.count <= (this.latestCounts.get(confirmation.origin) ?? 0)) return;
     for (const section of FRESHNESS_SECTIONS) this.recordConfirmedAt(section, at);
-    this.peerConfirmedAt = Math.max(this.peerConfirmedAt, at);
     this.recordConfirmation(confirmation);
   }
 
--- a/src/fleet/StoreWatcher.ts
+++ b/src/fleet/StoreWatcher.ts
@@ -1,30 +1,18 @@
 import type { EventLog } from '../logging/EventLog.js';
-import type { CancelTimer, Clock } from '../timing/index.js';
+import type { Clock } from '../timing/index.js';
 import { sleep } from '../timing/index.js';
 import type { StorePosition } from '../core/model/index.js';
-import { comparePositions } from '../core/model/index.js';
 import type { FleetStore, Section, WatchAnswer } from './FleetStore.js';
 import { SECTIONS, StoreCallError } from './FleetStore.js';
 import type { FleetView } from './FleetView.js';
 import type { PropagationTimes } from './propagation.js';
 
 /**
- * Section whose watch waits only briefly. Its answers state the store's revision, which confirms all
- * other sections that are at this revision, so that their watches may wait longer.
+ * Time that a watch waits for changes, in milliseconds, of the sections whose changes have more time
+ * than those of `FRESHNESS_SECTIONS`. A dead connection is noticed only when a watch does not return
+ * in time. Each watch is a billed call, so the wait is as long as these changes allow.
  */
-const PACING_SECTION: Section = 'targets';
-
-/**
- * Time that the watches of all other sections wait for changes, in milliseconds. A change ends a
- * watch at once; a dead connection is noticed by the checks.
- */
-const LONG_WAIT_MS = 5_000;
-
-/**
- * Longest time without a confirmation after which a section is checked with a call of its own, in
- * milliseconds, of the sections whose changes have more time than those of `FRESHNESS_SECTIONS`.
- */
-const CHECK_INTERVAL_MS: Readonly<Record<Exclude<Section, 'configuration' | 'targets'>, number>> = {
+const WATCH_WAIT_MS: Readonly<Record<Exclude<Section, 'configuration' | 'targets'>, number>> = {
   zonesOut: 2_200,
   rollouts: 3_000,
   vms: 5_000,
@@ -81,12 +69,6 @@
   /** Positions to watch from; a section without one is listed first. @internal */
   private readonly positions = new Map<Section, StorePosition>();
 
-  /** When each section was last confirmed to this VM; monotonic milliseconds. @internal */
-  private readonly confirmedAt = new Map<Section, number>();
-
-  /** Watches that wait for a change while their section is checked. @internal */
-  private readonly openWatches = new Map<Section, Promise<WatchAnswer<Section>>>();
-
   /**
    * Delay that preceded the next watch of each section, in milliseconds.
    * @internal
@@ -122,8 +104,6 @@
     this.isRunning = true;
     this.generation += 1;
     this.positions.clear();
-    this.confirmedAt.clear();
-    this.openWatches.clear();
     const { sections = SECTIONS } = this.parts;
     for (const section of sections) this.startLoop(section, this.generation, mode);
   }
@@ -164,128 +144,46 @@
     }
   }
 
-  /** Lists the section, or waits for changes of it if its position is known. @internal */
+  /** Makes one call: lists the section, or watches it if its position is known. @internal */
   private async readOrWatch(section: Section, generation: number): Promise<void> {
     const { store, view } = this.parts;
-    if (!this.positions.has(section)) {
+    const known = this.positions.get(section);
+    if (known === undefined) {
       const { items, position } = await store.list(section);
       if (this.generation !== generation) return;
       this.checkEpoch(section, position);
       this.recordSuccess(section);
-      this.positions.set(section, position);
-      this.confirmSections(section, position);
+      view.confirmations.confirm(section);
       view.apply({ section, items, position, isWhole: true });
+      this.positions.set(section, position);
       return;
     }
-    const answer = await this.getNextAnswer(section, generation);
-    const known = this.positions.get(section);
-    if (this.generation !== generation || answer === undefined || known === undefined) return;
+    // The delay is taken off the wait, so that confirmations keep their interval.
+    const waitMs = this.getWatchWaitMs(section) - (this.batchDelays.get(section) ?? 0);
+    this.batchDelays.delete(section);
+    const answer = await store.watch(section, known, waitMs);
+    if (this.generation !== generation) return;
     if (answer !== 'historyGone') this.checkEpoch(section, answer.position);
     this.recordSuccess(section);
     if (answer === 'historyGone' || answer.position.epoch !== known.epoch) {
       this.positions.delete(section);
-      this.openWatches.delete(section);
       this.logLostHistory(section, known, answer);
       return;
     }
     const { items, position } = answer;
-    // A watch that was open during a check may have been answered before it.
-    if (comparePositions(position, known) < 0) return;
+    view.confirmations.confirm(section);
     this.positions.set(section, position);
-    this.confirmSections(section, position);
     view.apply({ section, items, position, isWhole: false });
     if (items.length === 0) return;
-    // If a check has found the changes, the open watch may have lost its connection.
-    this.openWatches.delete(section);
     this.batchDelays.set(section, BATCH_DELAY_MS[section]);
     await sleep(this.parts.clock, BATCH_DELAY_MS[section]);
   }
 
-  /**
-   * Waits for changes of a section. If nothing has confirmed the section in time, it is checked by a
-   * watch that does not wait, while the open one goes on.
-   * @returns The answer; undefined if this run has ended.
-   * @internal
-   */
-  private async getNextAnswer(
-    section: Section,
-    generation: number,
-  ): Promise<WatchAnswer<Section> | undefined> {
-    const { store } = this.parts;
-    const known = this.positions.get(section) as StorePosition;
-    if (section === PACING_SECTION) {
-      // The delay is taken off the wait, so that confirmations keep their interval.
-      const waitMs = this.parts.propagation.watchWaitMs - (this.batchDelays.get(section) ?? 0);
-      this.batchDelays.delete(section);
-      return store.watch(section, known, waitMs);
-    }
-    try {
-      if (this.getMsUntilCheck(section) > 0) {
-        const open = this.openWatches.get(section) ?? store.watch(section, known, LONG_WAIT_MS);
-        this.openWatches.set(section, open);
-        const answer = await this.waitUntilCheck(section, open);
-        if (this.generation !== generation) return undefined;
-        if (answer !== undefined) {
-          this.openWatches.delete(section);
-          return answer;
-        }
-      }
-      return await store.watch(section, known, 0);
-    } catch (err) {
-      if (this.generation === generation) this.openWatches.delete(section);
-      throw err;
-    }
-  }
-
-  /**
-   * Waits for the answer of an open watch.
-   * @returns Undefined once the section has to be checked.
-   * @internal
-   */
-  private waitUntilCheck(
-    section: Section,
-    open: Promise<WatchAnswer<Section>>,
-  ): Promise<WatchAnswer<Section> | undefined> {
-    return new Promise((resolve, reject) => {
-      let cancel: CancelTimer = () => {};
-      // Confirmations by other sections postpone the check.
-      const schedule = (): void => {
-        const delayMs = this.getMsUntilCheck(section);
-        if (delayMs <= 0) resolve(undefined);
-        else cancel = this.parts.clock.after(delayMs, schedule);
-      };
-      schedule();
-      open.then(resolve, reject).finally(() => cancel());
-    });
-  }
-
-  /** Time until a section has to be checked unless it is confirmed before, in ms. @internal */
-  private getMsUntilCheck(section: Section): number {
-    const { clock, propagation } = this.parts;
-    const intervalMs =
-      section === 'configuration' || section === 'targets'
-        ? // A slow store answers the watch of the pacing section somewhat late.
-          propagation.watchWaitMs + propagation.readMs
-        : CHECK_INTERVAL_MS[section];
-    const confirmedAt = this.confirmedAt.get(section) ?? Number.NEGATIVE_INFINITY;
-    return confirmedAt + intervalMs - clock.now();
-  }
-
-  /**
-   * Records that the store has confirmed a section, and all others that were read at the same
-   * revision: revisions grow with every change of the store, so these have not changed since.
-   * @internal
-   */
-  private confirmSections(section: Section, position: StorePosition): void {
-    const { view, clock, sections = SECTIONS } = this.parts;
-    for (const each of sections) {
-      const known = this.positions.get(each);
-      const isCurrent = known !== undefined && comparePositions(known, position) === 0;
-      if (each === section || isCurrent) {
-        this.confirmedAt.set(each, clock.now());
-        view.confirmations.confirm(each);
-      }
-    }
+  /** @internal */
+  private getWatchWaitMs(section: Section): number {
+    return section === 'configuration' || section === 'targets'
+      ? this.parts.propagation.watchWaitMs
+      : WATCH_WAIT_MS[section];
   }
 
   /**
--- a/src/fleet/propagation.ts
+++ b/src/fleet/propagation.ts
@@ -2,11 +2,6 @@
 export interface PropagationTimes {
   /** How long a watch of configuration or targets waits for a change. */
   readonly watchWaitMs: number;
-  /**
-   * The VM that stands by watches the store itself if the other watcher has had no confirmation for
-   * this long. It is then up to date before the data of others is stale.
-   */
-  readonly standbyMs: number;
   /** Data older than this is stale, and a more recent source is looked for. */
   readonly staleMs: number;
   /**
@@ -25,7 +20,6 @@
 /** Shares of the bound. Also a slow store answers a watch well before data counts as stale. */
 const SHARES: Readonly<Record<keyof PropagationTimes, number>> = {
   watchWaitMs: 0.375,
-  standbyMs: 0.475,
   staleMs: 0.6,
   stalePerHopMs: 0.065,
   checkMs: 0.05,
