--- a/src/balancing/priorities.ts
+++ b/src/balancing/priorities.ts
@@ -46,6 +46,22 @@
   admission.recordArrival(pending.route.priority, workMs, now);
 }
 
+/**
+ * Whether a request gives way to more urgent ones: only as long as it can wait for its own work time
+ * and still be in time. One that has no time to spare would be lost in favour of requests that may find
+ * a slot anyway.
+ */
+function givesWay(
+  state: BalancerState,
+  admission: ServiceAdmission,
+  pending: PendingRequest,
+  now: number,
+): boolean {
+  if (!admission.isLessUrgent(pending.route.priority)) return false;
+  const workMs = state.workTimes.get(pending.route);
+  return getLatestStartAt(pending, workMs) - now > workMs;
+}
+
 /**
  * Whether a request leaves enough slots of a target free for more urgent ones, and does not hold one
  * for long while other targets have normal speed.
@@ -63,14 +79,10 @@
   now: number,
 ): boolean {
   const admission = getServiceAdmission(state, pending.service, now);
-  if (admission === undefined) return true;
+  if (admission === undefined || !givesWay(state, admission, pending, now)) return true;
   const { priority } = pending.route;
   const { bestOccupancy, load, expectedMs } = estimate;
-  if (
-    admission.isLessUrgent(priority) &&
-    hasNormalTarget &&
-    wouldHoldSlotLong(expectedMs, state.workTimes.get(pending.route))
-  ) {
+  if (hasNormalTarget && wouldHoldSlotLong(expectedMs, state.workTimes.get(pending.route))) {
     return false;
   }
   return isSlotOpen({
@@ -193,6 +205,6 @@
  */
 export function isHeldBack(state: BalancerState, pending: PendingRequest, now: number): boolean {
   const admission = getServiceAdmission(state, pending.service, now);
-  if (admission === undefined || !admission.isLessUrgent(pending.route.priority)) return false;
+  if (admission === undefined || !givesWay(state, admission, pending, now)) return false;
   return admission.pressure.isRaised(now);
 }
