--- a/src/balancing/priorities.ts
+++ b/src/balancing/priorities.ts
@@ -79,16 +79,16 @@
   now: number,
 ): boolean {
   const admission = getServiceAdmission(state, pending.service, now);
-  if (admission === undefined || !givesWay(state, admission, pending, now)) return true;
+  if (admission === undefined) return true;
   const { priority } = pending.route;
   const { bestOccupancy, load, expectedMs } = estimate;
-  if (hasNormalTarget && wouldHoldSlotLong(expectedMs, state.workTimes.get(pending.route))) {
-    return false;
-  }
+  const isPatient = givesWay(state, admission, pending, now);
+  const wouldHoldLong = wouldHoldSlotLong(expectedMs, state.workTimes.get(pending.route));
+  if (isPatient && hasNormalTarget && wouldHoldLong) return false;
   return isSlotOpen({
     occupied: load.occupied,
     bestOccupancy,
-    reserved: admission.getReservedSlots(priority, bestOccupancy),
+    reserved: isPatient ? admission.getReservedSlots(priority, bestOccupancy) : 0,
     guaranteed: admission.getGuaranteedSlots(priority, bestOccupancy, now),
     idHash: record.idHash,
   });
