--- a/src/balancing/zonePressure.ts
+++ b/src/balancing/zonePressure.ts
@@ -8,8 +8,8 @@
 const MIN_READINGS = 3;
 
 /**
- * Occupancy of the own zone, as a share of its best one, from which other zones are looked at. Below
- * it, a target with spare slots is found in the own zone at once.
+ * Occupancy of the own zone, as a share of its best one, from which other zones are looked at. It is
+ * somewhat above `LATE_SLOT_SHARE`, up to which targets count as good enough.
  */
 const MIN_OWN_OCCUPANCY = 0.6;
 
@@ -17,15 +17,15 @@
 const RISE_MARGIN = 0.1;
 
 /**
- * Distance between the limits for a larger and a smaller share. The mean of eight readings varies by
- * about as much without any change of the load.
+ * Distance between the limits for a larger and a smaller share; the mean of a few readings varies
+ * without any change of the load. An assumption.
  */
 const HYSTERESIS = 0.08;
 
 /**
- * Change of the share per second and unit of difference. Full occupancy next to idle zones moves a
- * third of the requests in a second; readings follow the load within some 0.3 s, so that the share
- * settles instead of swinging.
+ * Change of the share per second and unit of difference. A difference of 0.4 above the limit moves a
+ * third of the probes in a second, which is slow against the time of work and quick against a wave
+ * of 15 s, so that the share settles instead of swinging. Assumptions.
  */
 const RISE_PER_SECOND = 0.8;
 const FALL_PER_SECOND = 1.6;
