--- a/src/admission/ServiceAdmission.ts
+++ b/src/admission/ServiceAdmission.ts
@@ -1,6 +1,7 @@
 import { OrganisationTurns } from './OrganisationTurns.js';
 import { ServicePressure } from './ServicePressure.js';
 import { getGuaranteedSlots, getReservedSlots } from './slotReserve.js';
+import type { RouteWork } from './WorkShares.js';
 import { WorkShares } from './WorkShares.js';
 
 /** Share of the work above which more urgent requests count; below it they find a slot anyway. */
@@ -17,9 +18,12 @@
   /** @internal */
   private readonly shares: WorkShares;
 
-  /** @param now - Monotonic milliseconds. */
-  constructor(now: number) {
-    this.shares = new WorkShares(now);
+  /**
+   * @param now - Monotonic milliseconds.
+   * @param routes - Priority and work time of the service's routes.
+   */
+  constructor(now: number, routes: readonly RouteWork[] = []) {
+    this.shares = new WorkShares(now, routes);
     this.pressure = new ServicePressure(now);
   }
 
--- a/src/admission/WorkShares.ts
+++ b/src/admission/WorkShares.ts
@@ -1,10 +1,20 @@
 /** Time after which an arrival counts half, in milliseconds. A VM sees a few requests a second. */
 const HALF_LIFE_MS = 30_000;
 
+/** Requests of each route that the first estimate counts for; few, as routes are used unequally. */
+const PRIOR_REQUESTS = 0.6;
+
+/** What is known of a route before its requests arrive. */
+export interface RouteWork {
+  readonly priority: number;
+  /** Work time of its requests, in milliseconds. */
+  readonly workMs: number;
+}
+
 /**
  * Estimates which share of a service's work the routes of each priority have, from the requests that arrive at this
- * VM. Responds to the mix of arriving requests, not to their number. Routes that nobody uses have no
- * share, whatever their priority is.
+ * VM. Responds to the mix of arriving requests, not to their number. Routes that nobody uses soon
+ * have no share, whatever their priority is.
  */
 export class WorkShares {
   /** Decayed work by priority, in milliseconds, as of `updatedAt`. @internal */
@@ -13,9 +23,17 @@
   /** @internal */
   private updatedAt: number;
 
-  /** @param now - Monotonic milliseconds. */
-  constructor(now: number) {
+  /**
+   * @param now - Monotonic milliseconds.
+   * @param routes - Priority and work time of the service's routes, for the estimate before requests
+   * arrive.
+   */
+  constructor(now: number, routes: readonly RouteWork[] = []) {
     this.updatedAt = now;
+    for (const { priority, workMs } of routes) {
+      const before = this.workByPriority.get(priority) ?? 0;
+      this.workByPriority.set(priority, before + workMs * PRIOR_REQUESTS);
+    }
   }
 
   /**
--- a/src/balancing/placing.ts
+++ b/src/balancing/placing.ts
@@ -169,7 +169,7 @@
   context: BalancerContext,
 ): BalancerEffect[] {
   const { now } = context;
-  if (!hasQuota(pending, now)) {
+  if (!hasQuota(pending)) {
     return [{ kind: 'wake', request: pending.id, at: getNextWakeAt(pending) }];
   }
   const best = chooseCandidate(state, pending, context, true);
@@ -232,7 +232,7 @@
       pending.service === service &&
       pending.attempts.size === 0 &&
       pending.forward === undefined &&
-      hasQuota(pending, now) &&
+      hasQuota(pending) &&
       pending.roundCount >= PREFERRED_ROUND_COUNT &&
       !isRefusedForCrashes(state, pending.fingerprint, now) &&
       // Probes in flight may find a better target shortly.
@@ -295,10 +295,10 @@
   }
   const elsewhere = placeOutOfReach(state, pending, context);
   if (elsewhere !== undefined) return elsewhere;
-  if (!hasQuota(pending, now)) {
+  if (!hasQuota(pending)) {
     const asked = ensureQuota(state, pending, context);
     if (!state.pendingRequests.has(pending.id)) return asked;
-    if (!hasQuota(pending, now)) return [...asked, ...probeWhileAsking(state, pending, context)];
+    if (!hasQuota(pending)) return [...asked, ...probeWhileAsking(state, pending, context)];
   }
   const { round } = pending;
   const hasRound = round !== undefined;
--- a/src/balancing/priorities.ts
+++ b/src/balancing/priorities.ts
@@ -25,23 +25,31 @@
   service: ServiceName,
   now: number,
 ): ServiceAdmission | undefined {
-  if (!hasPriorities(state.table, service)) return undefined;
+  if (!hasPriorities(state.table)) return undefined;
   let admission = state.admissions.get(service);
   if (admission === undefined) {
-    admission = new ServiceAdmission(now);
+    // Routes that need no key mostly carry tests.
+    const routes = (state.table?.routes ?? [])
+      .filter((route) => route.isAuthExempt !== true)
+      .filter(({ services }) => services.some((each) => each.service === service))
+      .map((route) => ({ priority: route.priority, workMs: state.workTimes.get(route) }));
+    admission = new ServiceAdmission(now, routes);
     state.admissions.set(service, admission);
   }
   return admission;
 }
 
-/** Counts a request that has arrived from a caller. */
+/**
+ * Counts a request that has arrived from a caller. Requests of no organisation, whose routes need no
+ * key, do not count as work that others have to give way to: they are mostly tests.
+ */
 export function recordPriorityArrival(
   state: BalancerState,
   pending: PendingRequest,
   now: number,
 ): void {
   const admission = getServiceAdmission(state, pending.service, now);
-  if (admission === undefined) return;
+  if (admission === undefined || pending.organisation === undefined) return;
   const workMs = state.workTimes.get(pending.route);
   admission.recordArrival(pending.route.priority, workMs, now);
 }
--- a/src/balancing/quotas.ts
+++ b/src/balancing/quotas.ts
@@ -1,6 +1,6 @@
 import { ISSUER_TIMEOUT_MS } from '../limits/index.js';
 import type { AskHistory } from '../quotas/index.js';
-import { NO_ASKS, QUOTA_PERMIT_TTL_MS } from '../quotas/index.js';
+import { NO_ASKS } from '../quotas/index.js';
 import type { BalancerContext, BalancerState } from './BalancerState.js';
 import type { BalancerEffect } from './effects.js';
 import { refuseOrFail } from './endings.js';
@@ -118,20 +118,12 @@
 }
 
 /**
- * Whether the quota of a request's organisation lets it be sent. A permit is valid for a short time:
- * permits of requests that wait for a target's slot would be used together in a later window.
- * @param pending - The request.
- * @param now - Monotonic milliseconds.
+ * Whether the quota of a request's organisation lets it be sent. A permit is valid as long as its
+ * request waits: a window counts requests that were sent by their callers and ran within it, and a
+ * permit is granted after its request was sent.
  */
-export function hasQuota(
-  { quota, quotaPermit, triedTargets }: PendingRequest,
-  now: number,
-): boolean {
-  if (quota === 'unlimited') return true;
-  if (quota !== 'granted') return false;
-  // A request that was sent has used its permit; it needs no second one for another target.
-  if (quotaPermit === undefined || triedTargets.size > 0) return true;
-  return now - quotaPermit.askedAt <= QUOTA_PERMIT_TTL_MS;
+export function hasQuota({ quota }: Pick<PendingRequest, 'quota'>): boolean {
+  return quota === 'unlimited' || quota === 'granted';
 }
 
 /**
--- a/src/lab/priorityPlans.ts
+++ b/src/lab/priorityPlans.ts
@@ -1,4 +1,4 @@
-import type { LabPlan, RoutePlan } from './LabPlan.js';
+import type { LabPlan, OrganisationsPlan, RoutePlan } from './LabPlan.js';
 import { makePlan, makeRoute, makeTargets } from './LabPlan.js';
 
 /** Requests a second of a service's two routes in usual operation, with 98 VMs and 82 targets. */
@@ -10,6 +10,17 @@
 
 const SERVICE = 'ledger';
 
+/** A few organisations far below their limits: requests have priorities only where there are any. */
+const ORGANISATIONS: OrganisationsPlan = {
+  count: 4,
+  exponent: 0,
+  limitFactor: 100,
+  burstSeconds: 10,
+  minBurst: 10,
+  surges: [],
+  bound: { windowMs: 5_000, overage: 0.1, slack: 20 },
+};
+
 /** Multiples of the usual rates of a service's routes. */
 export interface PriorityLoad {
   readonly urgent?: number;
@@ -56,6 +67,7 @@
     targets: [makeTargets(SERVICE, { count: 82, slots: 4, queue: 8, spellShare: 0.3 })],
     routes: makeRoutes(load),
     surges: [],
+    organisations: ORGANISATIONS,
     untilMs: 12_000,
     ...changes,
   });
--- a/src/quotas/getQuotaBucket.ts
+++ b/src/quotas/getQuotaBucket.ts
@@ -17,8 +17,8 @@
 /** Share of the slack that VMs use without asking while they reach no issuer. */
 const UNCOORDINATED_SHARE = 0.1;
 
-/** A permit may be used this long after it was granted, in milliseconds. */
-export const QUOTA_PERMIT_TTL_MS = 100;
+/** Longest time between the arrival of a request and the grant that counts for it, in milliseconds. */
+const GRANT_DELAY_MS = 100;
 
 /**
  * Minimum number of permits that a bucket holds. One that holds less than one never grants any, and
@@ -55,7 +55,7 @@
   issuedPerWindow: number,
   windowMs: number,
 ): QuotaBucket {
-  const windowSeconds = (windowMs + QUOTA_PERMIT_TTL_MS) / MS_PER_SECOND;
+  const windowSeconds = (windowMs + GRANT_DELAY_MS) / MS_PER_SECOND;
   const each = issuedPerWindow / maxIssuers;
   // What the burst does not need goes into the refill, which decides how soon there are permits after
   // a restart.
--- a/src/quotas/index.ts
+++ b/src/quotas/index.ts
@@ -1,5 +1,5 @@
 export type { QuotaBucket } from './getQuotaBucket.js';
-export { getQuotaBucket, QUOTA_PERMIT_TTL_MS } from './getQuotaBucket.js';
+export { getQuotaBucket } from './getQuotaBucket.js';
 export type { QuotaAnswer, QuotaAsk, QuotaBound } from './model.js';
 export { DEFAULT_QUOTA_BOUND } from './model.js';
 export { QuotaIssuer } from './QuotaIssuer.js';
