--- a/src/admission/ServiceAdmission.ts
+++ b/src/admission/ServiceAdmission.ts
@@ -34,7 +34,7 @@
 
   /**
    * Whether there are more urgent requests that one has to leave capacity to.
-   * @param priority - Urgency of the request.
+   * @param priority - Priority of the request's route.
    */
   isLessUrgent(priority: number): boolean {
     return this.shares.getMoreUrgentShare(priority) >= MIN_MORE_URGENT_SHARE;
@@ -42,7 +42,7 @@
 
   /**
    * Returns the mean number of slots of each target that requests leave free for more urgent ones.
-   * @param priority - Their priority.
+   * @param priority - Priority of their route.
    * @param bestOccupancy - Slots that a target fills without slowing down.
    */
   getReservedSlots(priority: number, bestOccupancy: number): number {
@@ -53,7 +53,7 @@
   /**
    * Returns the mean number of slots of each target that requests leave to less urgent ones while the
    * service is under pressure.
-   * @param priority - Their priority.
+   * @param priority - Priority of their route.
    * @param bestOccupancy - Slots that a target fills without slowing down.
    * @param now - Monotonic milliseconds.
    */
--- a/src/admission/WorkShares.ts
+++ b/src/admission/WorkShares.ts
@@ -12,9 +12,9 @@
 }
 
 /**
- * Estimates which share of a service's work the routes of each priority have, from the requests that arrive at this
- * VM. Responds to the mix of arriving requests, not to their number. Routes that nobody uses soon
- * have no share, whatever their priority is.
+ * Estimates which share of a service's work the routes of each priority have, from the requests that
+ * arrive at this VM. Responds to the mix of arriving requests, not to their number. Routes that nobody
+ * uses soon have no share, whatever their priority is.
  */
 export class WorkShares {
   /** Decayed work by priority, in milliseconds, as of `updatedAt`. @internal */
@@ -50,7 +50,7 @@
   }
 
   /**
-   * Returns the share of the work that is more urgent than an priority, from 0 to 1.
+   * Returns the share of the work that is more urgent than a priority, from 0 to 1.
    * @param priority - The priority.
    */
   getMoreUrgentShare(priority: number): number {
@@ -58,7 +58,7 @@
   }
 
   /**
-   * Returns the share of the work that is less urgent than an priority, from 0 to 1.
+   * Returns the share of the work that is less urgent than a priority, from 0 to 1.
    * @param priority - The priority.
    */
   getLessUrgentShare(priority: number): number {
