Crash trials: targets that return at the same address or fail requests, gateways that hear of none

Trials for the hypotheses of the incident: replacements at the address of a target that is still registered (healthy, or unhealthy without an id at first), targets that answer 500 to a share of all requests before they run them, copies that arrive in the same moment, gateways cut off from each other.

--- a/src/platform/standIn/PlatformTarget.ts
+++ b/src/platform/standIn/PlatformTarget.ts
@@ -39,6 +39,8 @@
   readonly isFatal?: (body: string) => boolean;
   /** Called when a request has crashed the target. */
   readonly onCrash?: (requestId: string) => void;
+  /** Whether the target answers 500 to the next request, without running it. */
+  readonly failsNext?: () => boolean;
 }
 
 /** Factor by which the work of a slow target takes longer. */
@@ -47,6 +49,9 @@
 /** A failing target fails one of this many requests. */
 const FAILURE_INTERVAL = 2;
 
+const INTERNAL_ERROR = 500;
+const UNAVAILABLE = 503;
+
 /** Number of requests that may wait for a slot before the target rejects further ones. */
 const QUEUE_SIZE = 4;
 
@@ -75,6 +80,9 @@
   /** Whether all answers state that the target is shutting down. */
   isLeaving = false;
 
+  /** Whether the target states that it is unhealthy, without its id. */
+  isUnhealthy = false;
+
   /** @internal */
   private running = 0;
 
@@ -96,10 +104,13 @@
     });
   }
 
-  /** Listens on a free loopback port; returns the IP address and port. */
-  async start(): Promise<string> {
+  /**
+   * Listens on loopback; returns the IP address and port.
+   * @param requestedPort - The port; any free one by default.
+   */
+  async start(requestedPort = 0): Promise<string> {
     await new Promise<void>((resolve) => {
-      this.server.listen(0, '127.0.0.1', resolve);
+      this.server.listen(requestedPort, '127.0.0.1', resolve);
     });
     const { port } = this.server.address() as AddressInfo;
     return `127.0.0.1:${port}`;
@@ -115,12 +126,11 @@
   private handle(req: IncomingMessage, res: ServerResponse, body: string): void {
     const { id, slots } = this.options;
     res.setHeader(LOAD_HEADER, `${this.running},${this.queue.length},${slots},100`);
-    res.setHeader(TARGET_ID_HEADER, id);
     if (req.url === '/health') {
-      res.setHeader(COLD_HEADER, '0');
-      res.writeHead(200).end();
+      this.answerProbe(res);
       return;
     }
+    res.setHeader(TARGET_ID_HEADER, id);
     if (this.limit !== undefined) res.setHeader(LIMIT_HEADER, this.limit);
     if (this.isLeaving) res.setHeader(LEAVING_HEADER, '1');
     const { [REQUEST_ID_HEADER]: callerRequestId } = req.headers;
@@ -132,12 +142,30 @@
     if (isFromCaller && !isMisdirected) this.reportArrival(requestId, req);
     if (isMisdirected) res.writeHead(421).end();
     else if (this.pause !== undefined) this.reject(requestId, res, this.pause, source);
-    else if (this.behaviour === 'sheds' || this.queue.length >= QUEUE_SIZE) {
-      res.writeHead(503, { [NOT_EXECUTED_HEADER]: '1' }).end();
-    } else if (this.running < slots) this.run(requestId, res, body, source);
+    else this.accept(requestId, res, body, source);
+  }
+
+  /** @internal */
+  private accept(requestId: string, res: ServerResponse, body: string, source: string): void {
+    if (this.behaviour === 'sheds' || this.queue.length >= QUEUE_SIZE) {
+      res.writeHead(UNAVAILABLE, { [NOT_EXECUTED_HEADER]: '1' }).end();
+    } else if (this.options.failsNext?.() === true) {
+      res.writeHead(INTERNAL_ERROR, this.describeAnswer(requestId, '')).end();
+    } else if (this.running < this.options.slots) this.run(requestId, res, body, source);
     else this.queue.push(() => this.run(requestId, res, body, source));
   }
 
+  /** @internal */
+  private answerProbe(res: ServerResponse): void {
+    if (this.isUnhealthy) {
+      res.writeHead(UNAVAILABLE).end();
+      return;
+    }
+    res.setHeader(TARGET_ID_HEADER, this.options.id);
+    res.setHeader(COLD_HEADER, '0');
+    res.writeHead(200).end();
+  }
+
   /** @internal */
   private reportArrival(requestId: string, { rawHeaders }: IncomingMessage): void {
     this.options.onArrival?.(requestId);
@@ -147,7 +175,7 @@
   /** @internal */
   private reject(requestId: string, res: ServerResponse, pause: string, source: string): void {
     this.options.onPause?.(requestId, source);
-    res.writeHead(503, { [NOT_EXECUTED_HEADER]: '1', [RETRY_AFTER_HEADER]: pause }).end();
+    res.writeHead(UNAVAILABLE, { [NOT_EXECUTED_HEADER]: '1', [RETRY_AFTER_HEADER]: pause }).end();
   }
 
   /** @internal */
@@ -177,6 +205,15 @@
     });
   }
 
+  /** @internal */
+  private describeAnswer(requestId: string, body: string): Record<string, string | number> {
+    return {
+      [REQUEST_ID_HEADER]: requestId,
+      [RESPONSE_SIGNATURE_HEADER]: `s.${requestId}`,
+      'Content-Length': body.length,
+    };
+  }
+
   /** @internal */
   private get isSlow(): boolean {
     const isFull = this.running >= this.options.slots;
@@ -189,11 +226,7 @@
     const body = makeBody(requestId);
     if (this.isLeaving) res.setHeader(LEAVING_HEADER, '1');
     const hasFailed = behaviour === 'fails' && this.runCount % FAILURE_INTERVAL === 0;
-    res.writeHead(hasFailed ? 500 : 200, {
-      [REQUEST_ID_HEADER]: requestId,
-      [RESPONSE_SIGNATURE_HEADER]: `s.${requestId}`,
-      'Content-Length': body.length,
-    });
+    res.writeHead(hasFailed ? INTERNAL_ERROR : 200, this.describeAnswer(requestId, body));
     if (behaviour !== 'cuts') {
       res.end(body);
       return;
--- a/src/soak/FaultProxy.ts
+++ b/src/soak/FaultProxy.ts
@@ -60,6 +60,11 @@
     this.server = createServer({ pauseOnConnect: true }, (near) => this.accept(near));
   }
 
+  /** Port that connections are forwarded to. */
+  get targetPort(): number {
+    return Number(this.target.split(':')[1]);
+  }
+
   /** Listens on a free loopback port and returns its address: IP address and port. */
   async start(): Promise<string> {
     await new Promise<void>((resolve) => {
--- a/src/soak/SoakWorld.ts
+++ b/src/soak/SoakWorld.ts
@@ -15,6 +15,8 @@
 import type { LinkMode } from './FaultProxy.js';
 import { FaultProxy } from './FaultProxy.js';
 import { findPorts } from './findPorts.js';
+import type { CrashReplacement } from './replaceCrashedTarget.js';
+import { CRASH_RECOVERY_MS, replaceCrashedTarget } from './replaceCrashedTarget.js';
 import type { ArrivalRecord, RetryLimit } from './retryWindows.js';
 import type { GatewayPorts } from './SoakGateway.js';
 import { SoakGateway } from './SoakGateway.js';
@@ -32,9 +34,6 @@
 /** Last part of the loopback address that the connections of the first gateway come from. */
 const FIRST_SOURCE = 11;
 
-/** Time until a target that a request has crashed is replaced by a new one, in milliseconds. */
-const CRASH_RECOVERY_MS = 3_000;
-
 /** Pauses that targets ask for, in milliseconds; undefined for values that are no seconds. */
 export const PAUSES_MS: Readonly<Record<string, number | undefined>> = {
   3: 3_000,
@@ -82,6 +81,10 @@
   readonly organisations?: SoakOrganisations;
   /** Whether gateways can be cut off from each other. */
   readonly hasPeerCuts?: boolean;
+  /** How targets that requests have crashed are replaced; at other addresses by default. */
+  readonly replacement?: CrashReplacement;
+  /** Whether a target answers 500 to the next request, without running it. */
+  readonly failsNext?: () => boolean;
 }
 
 /** A target and the proxy in front of it. */
@@ -268,14 +271,47 @@
   async addTarget(
     zone: string,
     version = this.version,
-    { name: service, slots, workMs } = this.services[0],
+    service: SoakService = this.services[0],
   ): Promise<SoakTarget> {
+    const { id, bornAt, model } = this.createModel(version, service);
+    const link = new FaultProxy(await model.start());
+    for (const [source, mode] of this.pathModes) link.setModeFor(source, mode);
+    const address = await link.start();
+    const entry: TargetRegistration = {
+      id,
+      service: service.name,
+      address,
+      zone,
+      version,
+      bornAt,
+      slots: service.slots,
+      isDraining: false,
+      coldMs: 0,
+    };
+    const target = { entry, model, link };
+    this.targets.push(target);
+    putTarget(this.store, entry);
+    return target;
+  }
+
+  /**
+   * Creates a target that is neither started nor registered.
+   * @param version - Version of its software.
+   * @param service - Its service.
+   */
+  createModel(
+    version: string,
+    { name: service, slots, workMs }: SoakService,
+  ): { readonly id: string; readonly bornAt: number; readonly model: PlatformTarget } {
     this.startedTargets += 1;
-    const id = `t-${this.startedTargets}`;
+    const bornAt = this.startedTargets;
+    const id = `t-${bornAt}`;
+    const { failsNext } = this.options;
     const model: PlatformTarget = new PlatformTarget({
       id,
       slots,
       workMs,
+      failsNext,
       onRun: (requestId, source) =>
         this.runs.push({ id: requestId, target: id, version, source, at: Date.now() }),
       onArrival: (requestId) => this.arrivals.push({ id: requestId, service, at: Date.now() }),
@@ -292,24 +328,7 @@
       isFatal: (body) => this.fatalBodies.has(body),
       onCrash: (requestId) => this.replaceCrashed(id, requestId),
     });
-    const link = new FaultProxy(await model.start());
-    for (const [source, mode] of this.pathModes) link.setModeFor(source, mode);
-    const address = await link.start();
-    const entry: TargetRegistration = {
-      id,
-      service,
-      address,
-      zone,
-      version,
-      bornAt: this.startedTargets,
-      slots,
-      isDraining: false,
-      coldMs: 0,
-    };
-    const target = { entry, model, link };
-    this.targets.push(target);
-    putTarget(this.store, entry);
-    return target;
+    return { id, bornAt, model };
   }
 
   /**
@@ -349,6 +368,14 @@
     for (const gateway of others) gateway.cutOffFrom(apart);
   }
 
+  /**
+   * Cuts a gateway off from all others, in both directions.
+   * @param gateway - The gateway.
+   */
+  cutOffFromAll(gateway: SoakGateway): void {
+    gateway.cutOffFrom(this.gateways.filter((each) => each !== gateway));
+  }
+
   /**
    * Crashes a target without a request, and replaces it after a while.
    * @param target - The target.
@@ -364,8 +391,8 @@
     const crashed = this.targets.find(({ entry }) => entry.id === id);
     setTimeout(() => {
       if (this.isStopped || crashed === undefined || !this.targets.includes(crashed)) return;
-      this.removeTarget(crashed);
-      this.addTarget(crashed.entry.zone).catch(() => undefined);
+      const { replacement = 'otherAddress' } = this.options;
+      replaceCrashedTarget(this, crashed, replacement).catch(() => undefined);
     }, CRASH_RECOVERY_MS);
   }
 
--- a/src/soak/crashMain.ts
+++ b/src/soak/crashMain.ts
@@ -19,6 +19,13 @@
   rare: { ...BASE, intervalMs: 900 },
   storeAway: { ...BASE, storeCutAtMs: 0 },
   gatewayKilled: { ...BASE, killAtMs: 5_000 },
+  sameAddress: { ...BASE, replacement: 'sameAddress' },
+  unhealthyAtSameAddress: { ...BASE, replacement: 'unhealthyAtSameAddress' },
+  failingTargets: { ...BASE, failedShare: 0.4 },
+  failingTargetsNotIdempotent: { ...BASE, kind: 'notIdempotent', failedShare: 0.4 },
+  atOnce: { ...BASE, copiesAtOnce: 24, intervalMs: 5_000 },
+  quick: { ...BASE, intervalMs: 40 },
+  peersCut: { ...BASE, arePeersCut: true },
   none: { ...BASE, fatalRequests: 0, ownCrashes: 6 },
 };
 
--- /dev/null
+++ b/src/soak/replaceCrashedTarget.ts
@@ -0,0 +1,65 @@
+import { putTarget, removeTarget } from '../platform/standIn/index.js';
+import type { SoakTarget, SoakWorld } from './SoakWorld.js';
+
+/**
+ * How a target that has crashed is replaced: by one at another address, or by one at the same address
+ * while its own registration is still listed, which is healthy at once or unhealthy at first.
+ */
+export type CrashReplacement = 'otherAddress' | 'sameAddress' | 'unhealthyAtSameAddress';
+
+/** Time until a target that a request has crashed is replaced by a new one, in milliseconds. */
+export const CRASH_RECOVERY_MS = 3_000;
+
+/** Time after the replacement for which the crashed target stays registered, in milliseconds. */
+const STALE_REGISTRATION_MS = 6_000;
+
+/** Period in which a target that is unhealthy at first says so, in milliseconds after its start. */
+const UNHEALTHY_FROM_MS = 500;
+const UNHEALTHY_UNTIL_MS = 2_500;
+
+function runLater(action: () => void, delayMs: number): void {
+  setTimeout(action, delayMs).unref();
+}
+
+/** Starts a target under a new id behind the link of a crashed one. */
+async function replaceAtSameAddress(
+  world: SoakWorld,
+  crashed: SoakTarget,
+  replacement: CrashReplacement,
+): Promise<void> {
+  const { services, targets, store } = world;
+  const { entry, link } = crashed;
+  const service = services.find(({ name }) => name === entry.service) ?? services[0];
+  const { id, bornAt, model } = world.createModel(entry.version, service);
+  await model.start(link.targetPort);
+  const registration = { ...entry, id, bornAt };
+  targets.splice(targets.indexOf(crashed), 1, { entry: registration, model, link });
+  putTarget(store, registration);
+  runLater(() => removeTarget(store, entry.id), STALE_REGISTRATION_MS);
+  if (replacement !== 'unhealthyAtSameAddress') return;
+  runLater(() => {
+    model.isUnhealthy = true;
+  }, UNHEALTHY_FROM_MS);
+  runLater(() => {
+    model.isUnhealthy = false;
+  }, UNHEALTHY_UNTIL_MS);
+}
+
+/**
+ * Replaces a target that has crashed, as the options of the soak say.
+ * @param world - The soak's platform.
+ * @param crashed - The target.
+ * @param replacement - How it is replaced.
+ */
+export async function replaceCrashedTarget(
+  world: SoakWorld,
+  crashed: SoakTarget,
+  replacement: CrashReplacement,
+): Promise<void> {
+  if (replacement !== 'otherAddress') {
+    await replaceAtSameAddress(world, crashed, replacement);
+    return;
+  }
+  world.removeTarget(crashed);
+  await world.addTarget(crashed.entry.zone);
+}
--- a/src/soak/runCrashTrial.ts
+++ b/src/soak/runCrashTrial.ts
@@ -3,6 +3,7 @@
 import { join } from 'node:path';
 
 import { createRandom } from '../standIns/models/index.js';
+import type { CrashReplacement } from './replaceCrashedTarget.js';
 import type { CallerRecord } from './SoakCallers.js';
 import { SoakCallers } from './SoakCallers.js';
 import { SETTLE_MS } from './faults.js';
@@ -44,6 +45,14 @@
   readonly killAtMs?: number;
   /** When the links of all gateways to the store are cut, in milliseconds after the first copy. */
   readonly storeCutAtMs?: number;
+  /** How targets that requests have crashed are replaced; at other addresses by default. */
+  readonly replacement?: CrashReplacement;
+  /** Share of all requests that targets answer with 500 without running them. */
+  readonly failedShare?: number;
+  /** Copies that are sent at the same moment; one by default. */
+  readonly copiesAtOnce?: number;
+  /** Whether no gateway reaches another one. */
+  readonly arePeersCut?: boolean;
 }
 
 /** Result of a crash trial. */
@@ -110,6 +119,18 @@
   };
 }
 
+function createWorld(dir: string, options: CrashTrialOptions): SoakWorld {
+  const { gateways, targets = DEFAULT_TARGET_COUNT, replacement, failedShare = 0 } = options;
+  const drawFailure = createRandom(3);
+  return new SoakWorld(dir, {
+    gateways,
+    services: [createSoakService(targets)],
+    replacement,
+    failsNext: () => drawFailure() < failedShare,
+    hasPeerCuts: options.arePeersCut,
+  });
+}
+
 /**
  * Runs gateways as separate processes on loopback while a caller repeats requests that crash the
  * targets which run them.
@@ -118,9 +139,9 @@
  * await runCrashTrial({ gateways: 6, forMs: 14_000, intervalMs: 250, kind: 'idempotent', fatalRequests: 1 });
  */
 export async function runCrashTrial(options: CrashTrialOptions): Promise<CrashTrialResult> {
-  const { gateways, targets = DEFAULT_TARGET_COUNT, fatalRequests, ownCrashes = 0 } = options;
+  const { fatalRequests, ownCrashes = 0, copiesAtOnce = 1, arePeersCut = false } = options;
   const dir = mkdtempSync(join(tmpdir(), 'masticlink-crashes-'));
-  const world = new SoakWorld(dir, { gateways, services: [createSoakService(targets)] });
+  const world = createWorld(dir, options);
   await world.start();
   const ports = world.gateways.map((gateway) => gateway.options.ports);
   const callers = new SoakCallers(ports, createRandom(1));
@@ -134,10 +155,15 @@
     const { callers: port } = ports[Math.floor(random() * ports.length)];
     return callers.send(port, path, options.kind === 'idempotent', body);
   };
+  const sendCopies = (): Promise<unknown>[] =>
+    [...copies].flatMap(([body, records]) =>
+      Array.from({ length: copiesAtOnce }, async () => records.push(await sendTo(body))),
+    );
   try {
     await wait(STARTUP_MS);
     callers.start();
     await wait(WARM_UP_MS);
+    if (arePeersCut) for (const gateway of world.gateways) world.cutOffFromAll(gateway);
     const startedAt = Date.now();
     if (options.killAtMs !== undefined) {
       setTimeout(() => {
@@ -154,9 +180,7 @@
     for (const target of world.targets.slice(0, ownCrashes)) world.crashTarget(target);
     const sent: Promise<unknown>[] = [];
     while (Date.now() < startedAt + options.forMs) {
-      for (const [body, records] of copies) {
-        sent.push(sendTo(body).then((record) => records.push(record)));
-      }
+      sent.push(...sendCopies());
       if (options.hasSiblings === true) {
         sent.push(sendTo('harmless').then((record) => siblings.push(record)));
       }
