Log why a crash under a request was not counted

Logs showed crashes that were counted or taken back, not those that counted for nothing, so an answer just before (hypothesis 1) and a missing proof (hypothesis 4) looked alike. crash.notCounted names the reason; request.cleared has the status of the answer.

--- a/src/balancing/crashes.ts
+++ b/src/balancing/crashes.ts
@@ -69,12 +69,24 @@
   ];
 }
 
+function logUncounted(
+  { run: { target } }: BrokenRun,
+  fingerprint: string,
+  reason: 'answered' | 'unproved',
+): BalancerEffect {
+  return { kind: 'log', event: 'crash.notCounted', fields: { fingerprint, target, reason } };
+}
+
 function recordCrash(
   state: BalancerState,
-  { run, at }: BrokenRun,
+  broken: BrokenRun,
   fingerprint: string,
   now: number,
 ): BalancerEffect[] {
+  const { run, at } = broken;
+  if (state.crashes.isAnsweredLately(fingerprint, at)) {
+    return [logUncounted(broken, fingerprint, 'answered')];
+  }
   if (!state.crashes.recordCrash(fingerprint, run, at)) return [];
   const crashed = getCrashedTargets(state, fingerprint, now);
   const fields = { target: run.target, crashed, source: 'attempt' };
@@ -97,8 +109,11 @@
 function recordProvedCrashes(state: BalancerState, now: number): BalancerEffect[] {
   const effects: BalancerEffect[] = [];
   for (const [key, broken] of state.brokenRuns) {
-    if (now - broken.at > PROOF_TIMEOUT_MS) state.brokenRuns.delete(key);
-    else if (!broken.isRecorded && broken.isGone && isPathSound(state, broken)) {
+    if (now - broken.at > PROOF_TIMEOUT_MS) {
+      state.brokenRuns.delete(key);
+      if (!broken.isGone || broken.isRecorded) continue;
+      for (const each of broken.fingerprints) effects.push(logUncounted(broken, each, 'unproved'));
+    } else if (!broken.isRecorded && broken.isGone && isPathSound(state, broken)) {
       broken.isRecorded = true;
       for (const fingerprint of broken.fingerprints) {
         effects.push(...recordCrash(state, broken, fingerprint, now));
@@ -203,16 +218,18 @@
  * @param state - State of this entry VM.
  * @param fingerprint - Fingerprint of the request.
  * @param target - The target that answered.
+ * @param status - Status of the answer.
  * @param now - Monotonic milliseconds.
  */
 export function recordRequestAnswered(
   state: BalancerState,
   fingerprint: string,
   target: TargetRecord,
+  status: number,
   now: number,
 ): BalancerEffect[] {
   if (!state.crashes.recordAnswer(fingerprint, now)) return [];
-  const fields = { target: target.entry.id, reason: 'answered' };
+  const fields = { target: target.entry.id, reason: 'answered', status };
   return reportSuspect(state, fingerprint, 'request.cleared', fields, now);
 }
 
--- a/src/balancing/effects.ts
+++ b/src/balancing/effects.ts
@@ -66,6 +66,7 @@
   | 'service.reachable'
   | 'request.suspected'
   | 'request.cleared'
+  | 'crash.notCounted'
   | 'attempt.failed'
   | 'target.added'
   | 'target.removed'
--- a/src/balancing/learning.ts
+++ b/src/balancing/learning.ts
@@ -133,7 +133,8 @@
   }
   const effects = recordTargetAnswer(state, target, context.now);
   if (end.kind !== 'answered') return effects;
-  return [...effects, ...recordRequestAnswered(state, fingerprint, target, context.now)];
+  const answered = recordRequestAnswered(state, fingerprint, target, end.status, context.now);
+  return [...effects, ...answered];
 }
 
 function isPauseRequested(end: AttemptResult): boolean {
--- a/src/crashes/CrashLedger.ts
+++ b/src/crashes/CrashLedger.ts
@@ -132,11 +132,21 @@
    * @returns Whether the crash counts and was not known.
    */
   recordCrash(fingerprint: string, run: TargetRun, at: number): boolean {
-    const answeredAt = this.answered.get(fingerprint);
-    if (answeredAt !== undefined && at - answeredAt < ANSWER_VALIDITY_MS) return false;
+    if (this.isAnsweredLately(fingerprint, at)) return false;
     return this.addCrash(fingerprint, { run, at });
   }
 
+  /**
+   * Whether this VM has seen an answer to a request so shortly before a time that a crash then does
+   * not count.
+   * @param fingerprint - Fingerprint of the request.
+   * @param at - Monotonic milliseconds.
+   */
+  isAnsweredLately(fingerprint: string, at: number): boolean {
+    const answeredAt = this.answered.get(fingerprint);
+    return answeredAt !== undefined && at - answeredAt < ANSWER_VALIDITY_MS;
+  }
+
   /**
    * Records that a target completed an answer to a request.
    * @param fingerprint - Fingerprint of the request.
--- a/src/tests/balancing/crashes.test.ts
+++ b/src/tests/balancing/crashes.test.ts
@@ -214,3 +214,27 @@
   const owner = vms.indexOf(getRendezvousWinner(FATAL, vms) ?? '');
   t.deepEqual(sent, owner === 0 ? [1, 0] : [0, 1]);
 });
+
+/** Reasons of the crashes that were not counted. */
+function getUncountedReasons(scene: Scene): unknown[] {
+  return scene
+    .all('log')
+    .filter(({ event }) => event === 'crash.notCounted')
+    .map(({ fields }) => fields.reason);
+}
+
+test('a crash that counts for nothing is logged with the reason', (t) => {
+  const scene = new Scene(TARGETS);
+  place(scene);
+  scene.end({ kind: 'answered', status: 200 });
+  place(scene);
+  crash(scene);
+  t.deepEqual(getUncountedReasons(scene), ['answered']);
+  const target = place(scene, '/horaires/second');
+  scene.now += 30;
+  scene.end({ kind: 'broken' });
+  endProbe(scene, target, 'refused');
+  scene.now += 1_100;
+  place(scene, '/horaires/third');
+  t.deepEqual(getUncountedReasons(scene), ['answered', 'unproved']);
+});
