--- a/src/tests/balancing/crashes.test.ts
+++ b/src/tests/balancing/crashes.test.ts
@@ -1,11 +1,12 @@
 import test from 'ava';
 
-import type { BalancerEffect, Route } from '../../balancing/index.js';
+import type { AttemptResult, BalancerEffect, Route } from '../../balancing/index.js';
 import type { CrashNews } from '../../crashes/index.js';
 import { getRendezvousWinner } from '../../core/hash.js';
 import { makeReading, makeTarget, ROUTE, Scene } from './scene.js';
 
 const TARGETS = ['t-1', 't-2', 't-3', 't-4', 't-5'].map((id) => makeTarget(id));
+const MANY_TARGETS = Array.from({ length: 8 }, (_, i) => makeTarget(`t-${i + 1}`));
 const FATAL = '/horaires/fatal';
 
 function getGossip(effects: readonly BalancerEffect[]): CrashNews[] {
@@ -215,6 +216,46 @@
   t.deepEqual(sent, owner === 0 ? [1, 0] : [0, 1]);
 });
 
+/** Records three crashes under a request while a copy of it is answered in between. */
+function crashAround(scene: Scene, end: AttemptResult): void {
+  place(scene);
+  scene.end(end);
+  for (let i = 0; i < 3; i++) {
+    place(scene);
+    crash(scene);
+  }
+}
+
+// A failing target answers 500 before it runs the request, and all VMs go on sending it.
+test('the error of a target does not show that a request is sound', (t) => {
+  const verdicts = [500, 503, 404, 200].map((status) => {
+    const scene = new Scene(MANY_TARGETS, [{ ...ROUTE, maxTargets: 1 }]);
+    crashAround(scene, { kind: 'answered', status });
+    return scene.state.crashes.getVerdict(FATAL, scene.now);
+  });
+  t.deepEqual(verdicts, ['refused', 'refused', 'clear', 'clear']);
+});
+
+// Its replacement at the same address answers before the registration has changed.
+test('an answer that names no target takes back no crash', (t) => {
+  const scene = new Scene(TARGETS);
+  place(scene);
+  const target = crash(scene);
+  scene.now += 1_000;
+  scene.dispatch({ kind: 'probeEnded', target, bornAt: 1, end: { kind: 'broken' } });
+  t.is(scene.state.crashes.getCrashes(FATAL, scene.now).length, 1);
+});
+
+// Targets may start again under the id that they had, and answer before they register.
+test('a target that answers seconds after its crash has started again', (t) => {
+  const scene = new Scene(TARGETS);
+  place(scene);
+  const target = crash(scene);
+  scene.now += 3_000;
+  endProbe(scene, target, 'answered');
+  t.is(scene.state.crashes.getCrashes(FATAL, scene.now).length, 1);
+});
+
 /** Reasons of the crashes that were not counted. */
 function getUncountedReasons(scene: Scene): unknown[] {
   return scene
--- a/src/tests/soak/crashTrial.test.ts
+++ b/src/tests/soak/crashTrial.test.ts
@@ -21,6 +21,36 @@
   },
 );
 
+// Errors of failing targets count as proof that the request is sound, and all copies are sent on.
+test.serial('targets that fail requests clear none that crashes them', async (t) => {
+  t.timeout(60_000);
+  const { lateCopies } = await runCrashTrial({
+    gateways: 4,
+    targets: 12,
+    forMs: 8_000,
+    intervalMs: 100,
+    kind: 'notIdempotent',
+    fatalRequests: 1,
+    failedShare: 0.7,
+  });
+  t.true(lateCopies[0] <= MAX_CRASHES, `${lateCopies[0]} copies reached targets`);
+});
+
+// Answers of the replacements count as answers of the targets that have crashed.
+test.serial('replacements at the same addresses take back no crash', async (t) => {
+  t.timeout(60_000);
+  const { lateCopies } = await runCrashTrial({
+    gateways: 4,
+    targets: 12,
+    forMs: 10_000,
+    intervalMs: 100,
+    kind: 'idempotent',
+    fatalRequests: 1,
+    replacement: 'unhealthyAtSameAddress',
+  });
+  t.true(lateCopies[0] <= MAX_CRASHES, `${lateCopies[0]} copies reached targets`);
+});
+
 // A popular request runs on most targets, and so on those that crash at the same time.
 test.serial('targets that crash by themselves condemn no request', async (t) => {
   t.timeout(60_000);
