Errors of targets clear no request that crashes targets

Callers of a service whose targets fail part of their requests lost most targets to one repeated request: any answer, a 500 too, counted as proof that the request is sound, so that no VM counted crashes under it for 10 s. What a sound target always answers with an error is cleared by nothing; it is refused only after three crashes under it, and nobody was served by it before.

--- a/src/balancing/crashes.ts
+++ b/src/balancing/crashes.ts
@@ -214,7 +214,7 @@
 }
 
 /**
- * Records that a target has completed an answer to a request, which has not crashed it.
+ * Records that a target has completed a request without an error, so that it has not crashed it.
  * @param state - State of this entry VM.
  * @param fingerprint - Fingerprint of the request.
  * @param target - The target that answered.
--- a/src/balancing/learning.ts
+++ b/src/balancing/learning.ts
@@ -132,7 +132,8 @@
     return [...unreached, ...recordBrokenConnection(state, target, fingerprint, context)];
   }
   const effects = recordTargetAnswer(state, target, context.now);
-  if (end.kind !== 'answered') return effects;
+  // An error shows that the target fails, not that it can complete the request.
+  if (end.kind !== 'answered' || end.status >= MIN_FAILURE_STATUS) return effects;
   const answered = recordRequestAnswered(state, fingerprint, target, end.status, context.now);
   return [...effects, ...answered];
 }
