Only an answer that identifies its target takes back a crash

Callers of a service whose crashed targets return at their old addresses lost targets to one repeated request again and again: an answer at the address of the ended run, from whatever process, took the crash back at all VMs. That holds now for probe answers that name the target and for requests completed without an error, which carry the expected instance. A health answer without an id (a 503 of the replacement), a rejection, a spoilt answer or an error proves only that something listens there; it still ends a pending proof as long as the target has not been found gone.

--- a/src/balancing/TargetRecord.ts
+++ b/src/balancing/TargetRecord.ts
@@ -24,6 +24,11 @@
   /** No request is sent before this time, since its version is new; monotonic milliseconds. */
   versionHeldUntil: number;
   reading: LoadReading | undefined;
+  /**
+   * When it last gave an answer that no other process at its address can have given; monotonic
+   * milliseconds.
+   */
+  identifiedAt: number;
   /** Requests that this VM has sent since the reading was taken. */
   sentSinceReading: number;
   /** Requests of this VM that the target has not answered yet. */
@@ -68,6 +73,7 @@
     notices,
     versionHeldUntil: 0,
     reading: undefined,
+    identifiedAt: Number.NEGATIVE_INFINITY,
     sentSinceReading: 0,
     outstanding: 0,
     coldUntil: entry.coldMs > 0 ? now + entry.coldMs : 0,
--- a/src/balancing/crashes.ts
+++ b/src/balancing/crashes.ts
@@ -190,19 +190,28 @@
 }
 
 /**
- * Records that a target has answered a request or a probe.
+ * Records that a request or a probe of a target was answered.
+ *
+ * The process that takes the place of a crashed one may have its address, and answers before the
+ * registration has changed.
  * @param state - State of this entry VM.
  * @param record - The target.
+ * @param isIdentified - Whether no other process at its address can have answered.
  * @param now - Monotonic milliseconds.
  */
-export function recordRunAlive(
+export function recordRunAnswer(
   state: BalancerState,
   record: TargetRecord,
+  isIdentified: boolean,
   now: number,
 ): BalancerEffect[] {
   const run = toRun(record);
-  if (state.brokenRuns.size > 0) state.brokenRuns.delete(getRunKey(run));
+  const key = getRunKey(run);
+  const isGone = state.brokenRuns.get(key)?.isGone === true;
+  if (isIdentified || !isGone) state.brokenRuns.delete(key);
   const effects = state.brokenRuns.size > 0 ? recordProvedCrashes(state, now) : [];
+  if (!isIdentified) return effects;
+  record.identifiedAt = now;
   if (!state.crashes.recordAlive(run, now)) return effects;
   const { target } = run;
   const news = { suspects: [], alive: [{ ...run, ageMs: 0 }] };
@@ -245,11 +254,11 @@
     .flatMap(({ crashes }) => crashes)
     .flatMap(({ target, bornAt, ageMs }) => {
       const record = state.targets.get(target);
-      const isSameRun = record?.entry.bornAt === bornAt;
-      const heardAt = isSameRun ? (record.reading?.at ?? Number.NEGATIVE_INFINITY) : undefined;
-      if (heardAt === undefined || heardAt <= now - ageMs + REPORT_SKEW_MS) return [];
-      return state.crashes.recordAlive({ target, bornAt }, heardAt)
-        ? [{ target, bornAt, ageMs: Math.round(now - heardAt) }]
+      if (record?.entry.bornAt !== bornAt) return [];
+      const { identifiedAt } = record;
+      if (identifiedAt <= now - ageMs + REPORT_SKEW_MS) return [];
+      return state.crashes.recordAlive({ target, bornAt }, identifiedAt)
+        ? [{ target, bornAt, ageMs: Math.round(now - identifiedAt) }]
         : [];
     });
   const passedOn = { suspects: changed.suspects, alive: [...changed.alive, ...stillAlive] };
--- a/src/balancing/events.ts
+++ b/src/balancing/events.ts
@@ -59,6 +59,8 @@
       readonly reading: LoadReading;
       readonly coldMs: number;
       readonly limit?: AdvertisedLimit;
+      /** Whether it names no target, so that another process at the address may have made it. */
+      readonly isAnonymous?: boolean;
     } & TargetStatements)
   /** Another target now has the address, or the target has restarted. */
   | { readonly kind: 'stranger' }
--- a/src/balancing/fleetHandlers.ts
+++ b/src/balancing/fleetHandlers.ts
@@ -181,7 +181,8 @@
   end: Extract<ProbeResult, { kind: 'answered' | 'broken' }>,
   now: number,
 ): BalancerEffect[] {
-  const heard = recordTargetAnswer(state, record, now);
+  const isIdentified = end.kind === 'answered' && end.isAnonymous !== true;
+  const heard = recordTargetAnswer(state, record, isIdentified, now);
   const stated = recordStatements(state, record, end, 'probe', now);
   if (end.kind === 'broken') {
     recordOutcome(record, true, now);
--- a/src/balancing/learning.ts
+++ b/src/balancing/learning.ts
@@ -2,7 +2,7 @@
 import {
   recordBrokenConnection,
   recordRunGone,
-  recordRunAlive,
+  recordRunAnswer,
   recordRequestAnswered,
 } from './crashes.js';
 import { getServiceCurve } from './BalancerState.js';
@@ -43,17 +43,20 @@
 }
 
 /**
- * Records that a target has answered a request or a probe, whatever it answered.
+ * Records that a request or a probe of a target was answered, whatever the answer was.
  * @param state - State of this entry VM.
  * @param record - The target.
+ * @param isIdentified - Whether no other process at its address can have answered.
  * @param now - Monotonic milliseconds.
  */
 export function recordTargetAnswer(
   state: BalancerState,
   record: TargetRecord,
+  isIdentified: boolean,
   now: number,
 ): BalancerEffect[] {
-  return [...recordReached(state, record, now), ...recordRunAlive(state, record, now)];
+  const reached = recordReached(state, record, now);
+  return [...reached, ...recordRunAnswer(state, record, isIdentified, now)];
 }
 
 /**
@@ -131,9 +134,10 @@
     const unreached = recordUnreached(state, target, context.now);
     return [...unreached, ...recordBrokenConnection(state, target, fingerprint, context)];
   }
-  const effects = recordTargetAnswer(state, target, context.now);
+  const isCompleted = end.kind === 'answered' && end.status < MIN_FAILURE_STATUS;
+  const effects = recordTargetAnswer(state, target, isCompleted, context.now);
   // An error shows that the target fails, not that it can complete the request.
-  if (end.kind !== 'answered' || end.status >= MIN_FAILURE_STATUS) return effects;
+  if (!isCompleted) return effects;
   const answered = recordRequestAnswered(state, fingerprint, target, end.status, context.now);
   return [...effects, ...answered];
 }
--- a/src/gateway/TargetProber.ts
+++ b/src/gateway/TargetProber.ts
@@ -75,7 +75,8 @@
       else if (head.reading === undefined) finish({ kind: 'broken', ...statements });
       else {
         const { reading, coldMs, limit } = head;
-        finish({ kind: 'answered', reading, coldMs, limit, ...statements });
+        const isAnonymous = head.target === undefined;
+        finish({ kind: 'answered', reading, coldMs, limit, isAnonymous, ...statements });
       }
       res.resume();
     });
--- a/src/tests/balancing/crashes.test.ts
+++ b/src/tests/balancing/crashes.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 
-import type { AttemptResult, BalancerEffect, Route } from '../../balancing/index.js';
+import type { AttemptResult, BalancerEffect, ProbeResult, Route } from '../../balancing/index.js';
 import type { CrashNews } from '../../crashes/index.js';
 import { getRendezvousWinner } from '../../core/hash.js';
 import { makeReading, makeTarget, ROUTE, Scene } from './scene.js';
@@ -236,14 +236,43 @@
   t.deepEqual(verdicts, ['refused', 'refused', 'clear', 'clear']);
 });
 
+/** Results that another process at the address of a target may cause. */
+const ANONYMOUS_RESULTS: readonly ProbeResult[] = [
+  { kind: 'broken' },
+  { kind: 'answered', reading: makeReading(0, 0), coldMs: 0, isAnonymous: true },
+];
+
 // Its replacement at the same address answers before the registration has changed.
 test('an answer that names no target takes back no crash', (t) => {
-  const scene = new Scene(TARGETS);
-  place(scene);
-  const target = crash(scene);
-  scene.now += 1_000;
-  scene.dispatch({ kind: 'probeEnded', target, bornAt: 1, end: { kind: 'broken' } });
-  t.is(scene.state.crashes.getCrashes(FATAL, scene.now).length, 1);
+  const counts = ANONYMOUS_RESULTS.map((end) => {
+    const scene = new Scene(TARGETS);
+    place(scene);
+    const target = crash(scene);
+    scene.now += 1_000;
+    scene.dispatch({ kind: 'probeEnded', target, bornAt: 1, end });
+    return scene.state.crashes.getCrashes(FATAL, scene.now).length;
+  });
+  t.deepEqual(counts, [1, 1]);
+});
+
+// The replacement rejects requests of VMs that still list the target that has crashed.
+test('a rejection or an error at the address of a target takes back no crash', (t) => {
+  const ends: AttemptResult[] = [
+    { kind: 'rejected' },
+    { kind: 'spoilt' },
+    { kind: 'answered', status: 500 },
+  ];
+  const counts = ends.map((end) => {
+    const scene = new Scene([makeTarget('t-1')]);
+    place(scene, '/horaires/other');
+    const { target } = scene.lastSent.to;
+    scene.now += 400;
+    scene.dispatch({ kind: 'crashesReported', news: makeNews([target]) });
+    scene.now += 100;
+    scene.end(end);
+    return scene.state.crashes.getCrashes(FATAL, scene.now).length;
+  });
+  t.deepEqual(counts, [1, 1, 1]);
 });
 
 // Targets may start again under the id that they had, and answer before they register.
