An answer long after a crash does not take it back

Targets may start again under the id that they had; their health answers name that id, and nothing in an answer tells one run from the next. VMs that listed the old registration took the answers of the new run for those of the old one and took its crash back, and copies were sent on. Answers contradict a reported crash only within 1.5 s after it now, less than any restart takes; a VM whose path is sound answers a false report within that time, as it probes the targets that it uses.

--- a/src/crashes/CrashLedger.ts
+++ b/src/crashes/CrashLedger.ts
@@ -41,6 +41,12 @@
 /** How long it is remembered that a run answered after a reported crash, in milliseconds. */
 const ALIVE_TTL_MS = 60_000;
 
+/**
+ * Time after a crash from which answers do not contradict it, in milliseconds: the target may have
+ * started again under the same id, which answers do not show.
+ */
+const MIN_RESTART_MS = 1_500;
+
 interface Observed {
   readonly run: TargetRun;
   /** Monotonic milliseconds of this process. */
@@ -53,6 +59,11 @@
   answeredAt: number | undefined;
 }
 
+/** Whether the answer of a run shows that a reported crash of it did not happen. */
+function isContradicted(crash: Observed, answer: Observed): boolean {
+  return answer.at >= crash.at && answer.at - crash.at < MIN_RESTART_MS;
+}
+
 function toObservation({ run, at }: Observed, now: number): TargetObservation {
   return { ...run, ageMs: Math.round(now - at) };
 }
@@ -165,8 +176,8 @@
   }
 
   /**
-   * Records that a run of a target has answered: what was taken for its crash was a fault of the
-   * path to it.
+   * Records that a run of a target has answered: what was taken for its crash just before was a fault
+   * of the path to it.
    * @param run - The run.
    * @param now - Monotonic milliseconds.
    * @returns Whether a crash of this run had been recorded.
@@ -250,7 +261,7 @@
   private addCrash(fingerprint: string, crash: Observed): boolean {
     const key = getRunKey(crash.run);
     const alive = this.alive.get(key);
-    if (alive !== undefined && alive.at >= crash.at) return false;
+    if (alive !== undefined && isContradicted(crash, alive)) return false;
     const suspect = this.suspects.get(fingerprint) ?? { crashes: new Map(), answeredAt: undefined };
     const known = suspect.crashes.get(key);
     if (known !== undefined) {
@@ -283,7 +294,7 @@
     let hadCrashed = false;
     for (const { crashes } of this.suspects.values()) {
       const crash = crashes.get(key);
-      if (crash === undefined || crash.at > alive.at) continue;
+      if (crash === undefined || !isContradicted(crash, alive)) continue;
       crashes.delete(key);
       hadCrashed = true;
     }
--- a/src/soak/SoakWorld.ts
+++ b/src/soak/SoakWorld.ts
@@ -298,20 +298,21 @@
    * Creates a target that is neither started nor registered.
    * @param version - Version of its software.
    * @param service - Its service.
+   * @param knownId - Its id; a new one by default.
    */
   createModel(
     version: string,
     { name: service, slots, workMs }: SoakService,
+    knownId?: string,
   ): { readonly id: string; readonly bornAt: number; readonly model: PlatformTarget } {
     this.startedTargets += 1;
     const bornAt = this.startedTargets;
-    const id = `t-${bornAt}`;
-    const { failsNext } = this.options;
+    const id = knownId ?? `t-${bornAt}`;
     const model: PlatformTarget = new PlatformTarget({
       id,
       slots,
       workMs,
-      failsNext,
+      failsNext: this.options.failsNext,
       onRun: (requestId, source) =>
         this.runs.push({ id: requestId, target: id, version, source, at: Date.now() }),
       onArrival: (requestId) => this.arrivals.push({ id: requestId, service, at: Date.now() }),
--- a/src/soak/crashMain.ts
+++ b/src/soak/crashMain.ts
@@ -21,6 +21,7 @@
   gatewayKilled: { ...BASE, killAtMs: 5_000 },
   sameAddress: { ...BASE, replacement: 'sameAddress' },
   unhealthyAtSameAddress: { ...BASE, replacement: 'unhealthyAtSameAddress' },
+  sameId: { ...BASE, replacement: 'sameId' },
   failingTargets: { ...BASE, failedShare: 0.4 },
   failingTargetsNotIdempotent: { ...BASE, kind: 'notIdempotent', failedShare: 0.4 },
   atOnce: { ...BASE, copiesAtOnce: 24, intervalMs: 5_000 },
--- a/src/soak/replaceCrashedTarget.ts
+++ b/src/soak/replaceCrashedTarget.ts
@@ -2,10 +2,11 @@
 import type { SoakTarget, SoakWorld } from './SoakWorld.js';
 
 /**
- * How a target that has crashed is replaced: by one at another address, or by one at the same address
- * while its own registration is still listed, which is healthy at once or unhealthy at first.
+ * How a target that has crashed is replaced: by one at another address, by one at the same address
+ * while its own registration is still listed, which is healthy at once or unhealthy at first, or by a
+ * new run under the same id.
  */
-export type CrashReplacement = 'otherAddress' | 'sameAddress' | 'unhealthyAtSameAddress';
+export type CrashReplacement = 'otherAddress' | 'sameAddress' | 'unhealthyAtSameAddress' | 'sameId';
 
 /** Time until a target that a request has crashed is replaced by a new one, in milliseconds. */
 export const CRASH_RECOVERY_MS = 3_000;
@@ -13,6 +14,9 @@
 /** Time after the replacement for which the crashed target stays registered, in milliseconds. */
 const STALE_REGISTRATION_MS = 6_000;
 
+/** Time until a target that starts again under its id has registered, in milliseconds. */
+const REGISTRATION_DELAY_MS = 1_500;
+
 /** Period in which a target that is unhealthy at first says so, in milliseconds after its start. */
 const UNHEALTHY_FROM_MS = 500;
 const UNHEALTHY_UNTIL_MS = 2_500;
@@ -21,6 +25,18 @@
   setTimeout(action, delayMs).unref();
 }
 
+/** Starts a target again under its id, which is registered with the new start after a while. */
+async function restart(world: SoakWorld, { entry, link }: SoakTarget): Promise<void> {
+  const { services, targets, store } = world;
+  const service = services.find(({ name }) => name === entry.service) ?? services[0];
+  const { bornAt, model } = world.createModel(entry.version, service, entry.id);
+  await model.start(link.targetPort);
+  const registration = { ...entry, bornAt };
+  const index = targets.findIndex((each) => each.entry === entry);
+  targets.splice(index, 1, { entry: registration, model, link });
+  runLater(() => putTarget(store, registration), REGISTRATION_DELAY_MS);
+}
+
 /** Starts a target under a new id behind the link of a crashed one. */
 async function replaceAtSameAddress(
   world: SoakWorld,
@@ -56,6 +72,10 @@
   crashed: SoakTarget,
   replacement: CrashReplacement,
 ): Promise<void> {
+  if (replacement === 'sameId') {
+    await restart(world, crashed);
+    return;
+  }
   if (replacement !== 'otherAddress') {
     await replaceAtSameAddress(world, crashed, replacement);
     return;
--- a/src/tests/crashes/CrashLedger.test.ts
+++ b/src/tests/crashes/CrashLedger.test.ts
@@ -71,6 +71,15 @@
   t.is(ledger.getVerdict('f', 10), 'suspected');
 });
 
+// A target that starts again under its id answers until it has registered its new start.
+test('an answer long after a crash takes it back at no VM', (t) => {
+  const ledger = makeLedger([0, 0, 0]);
+  t.false(ledger.recordAlive(run(1), 3_000));
+  const alive = [{ ...run(2), ageMs: 0 }];
+  t.deepEqual(ledger.merge({ suspects: [], alive }, 3_000).alive, []);
+  t.is(ledger.getVerdict('f', 3_000), 'refused');
+});
+
 test('without a start time a run cannot be told from the next one', (t) => {
   const ledger = new CrashLedger(CRASH_LEDGER_OPTIONS);
   ledger.recordCrash('f', { target: 't-1', bornAt: 0 }, 1);
--- a/src/tests/soak/crashTrial.test.ts
+++ b/src/tests/soak/crashTrial.test.ts
@@ -37,19 +37,21 @@
 });
 
 // Answers of the replacements count as answers of the targets that have crashed.
-test.serial('replacements at the same addresses take back no crash', async (t) => {
-  t.timeout(60_000);
-  const { lateCopies } = await runCrashTrial({
-    gateways: 4,
-    targets: 12,
-    forMs: 10_000,
-    intervalMs: 100,
-    kind: 'idempotent',
-    fatalRequests: 1,
-    replacement: 'unhealthyAtSameAddress',
+for (const replacement of ['unhealthyAtSameAddress', 'sameId'] as const) {
+  test.serial(`replacements take back no crash: ${replacement}`, async (t) => {
+    t.timeout(60_000);
+    const { lateCopies } = await runCrashTrial({
+      gateways: 4,
+      targets: 12,
+      forMs: 10_000,
+      intervalMs: 100,
+      kind: 'idempotent',
+      fatalRequests: 1,
+      replacement,
+    });
+    t.true(lateCopies[0] <= MAX_CRASHES, `${lateCopies[0]} copies reached targets`);
   });
-  t.true(lateCopies[0] <= MAX_CRASHES, `${lateCopies[0]} copies reached targets`);
-});
+}
 
 // A popular request runs on most targets, and so on those that crash at the same time.
 test.serial('targets that crash by themselves condemn no request', async (t) => {
