What a request of one organisation does to targets is not held against another's

Found by looking for evidence that counts for a subject which it does not identify. Where callers have organisations, targets are told the organisation and may crash for one only. The fingerprint left it out: the served copies of one organisation kept the other's crashes from counting, or its own were refused for five minutes for what the other one sent. The fingerprint of a request has a hash of its organisation now; nothing changes without organisations.

--- a/src/balancing/PendingRequest.ts
+++ b/src/balancing/PendingRequest.ts
@@ -60,7 +60,7 @@
   readonly id: RequestId;
   /** Id that the caller gave it. */
   readonly callerRequestId: string | undefined;
-  /** Hash of what the request asks for, the same for its copies at all entry VMs. */
+  /** Hash of what the request asks for and for whom, the same for its copies at all entry VMs. */
   readonly fingerprint: string;
   readonly route: Route;
   readonly service: ServiceName;
--- a/src/balancing/createPendingRequest.ts
+++ b/src/balancing/createPendingRequest.ts
@@ -1,4 +1,5 @@
 import type { ServiceName } from '../core/model/index.js';
+import { hashText } from '../core/hash.js';
 import { combinePriorities } from '../admission/index.js';
 import type { BalancerContext, BalancerState } from './BalancerState.js';
 import type { RequestArrived } from './events.js';
@@ -7,6 +8,9 @@
 import { pickService } from './routes.js';
 import { drawTrack } from './versions.js';
 
+/** Radix of the hash that is appended to a fingerprint. */
+const HASH_RADIX = 36;
+
 /** The service that the VM which passed a request on has chosen, if its route has it here too. */
 function getForwardedService({ forwarded }: RequestArrived, route: Route): ServiceName | undefined {
   return route.services.find(({ service }) => service === forwarded?.service)?.service;
@@ -22,6 +26,12 @@
   return allowedMs === undefined ? 0 : callerTimes.recordTimeout(name, allowedMs);
 }
 
+/** Targets are told the organisation, and may treat the same message differently for another one. */
+function getFingerprint({ fingerprint }: RequestArrived, organisation?: Organisation): string {
+  if (organisation === undefined) return fingerprint;
+  return `${fingerprint}${hashText(organisation.name).toString(HASH_RADIX)}`;
+}
+
 /**
  * Creates the state of a request that has arrived.
  * @param state - State of this entry VM.
@@ -44,7 +54,7 @@
   return {
     id: event.request,
     callerRequestId: event.callerRequestId,
-    fingerprint: event.fingerprint,
+    fingerprint: getFingerprint(event, organisation),
     route,
     service,
     organisation: organisation?.name,
--- a/src/tests/balancing/crashes.test.ts
+++ b/src/tests/balancing/crashes.test.ts
@@ -3,7 +3,7 @@
 import type { AttemptResult, BalancerEffect, ProbeResult, Route } from '../../balancing/index.js';
 import type { CrashNews } from '../../crashes/index.js';
 import { getRendezvousWinner } from '../../core/hash.js';
-import { makeReading, makeTarget, ROUTE, Scene } from './scene.js';
+import { makeReading, makeTarget, ROUTE, Scene, TABLE } from './scene.js';
 
 const TARGETS = ['t-1', 't-2', 't-3', 't-4', 't-5'].map((id) => makeTarget(id));
 const MANY_TARGETS = Array.from({ length: 8 }, (_, i) => makeTarget(`t-${i + 1}`));
@@ -285,6 +285,30 @@
   t.is(scene.state.crashes.getCrashes(FATAL, scene.now).length, 1);
 });
 
+// Targets are told the organisation, so the same message may crash them for one organisation only.
+test('what a request of one organisation does is not held against another one’s', (t) => {
+  const names = ['acme', 'other'];
+  const organisations = names.map((name) => ({ name, keyDigests: [name] }));
+  const routes = [{ ...ROUTE, maxTargets: 1 }];
+  const scene = new Scene(MANY_TARGETS, routes);
+  scene.dispatch({ kind: 'tableRead', table: { ...TABLE, version: 2, routes, organisations } });
+  const send = (organisation: string): void => {
+    scene.arrive(FATAL, 4_000, FATAL, organisation);
+    scene.answerProbes();
+  };
+  for (let i = 0; i < 3; i++) {
+    send('acme');
+    crash(scene);
+    send('other');
+    scene.end({ kind: 'answered', status: 200 });
+  }
+  send('acme');
+  t.is(scene.all('answer').at(-1)?.reason, 'crashesTargets');
+  send('other');
+  t.is(scene.lastSent.organisation, 'other');
+  t.is(scene.all('sendAttempt').length, 7);
+});
+
 /** Reasons of the crashes that were not counted. */
 function getUncountedReasons(scene: Scene): unknown[] {
   return scene
--- a/src/tests/balancing/scene.ts
+++ b/src/tests/balancing/scene.ts
@@ -116,6 +116,7 @@
     path = '/horaires/today',
     allowedMs: number | undefined = 4_000,
     fingerprint = path,
+    keyDigest?: string,
   ): number {
     this.lastRequest += 1;
     this.dispatch({
@@ -127,6 +128,7 @@
       path,
       allowedMs,
       arrivedAt: this.now,
+      keyDigest,
     });
     return this.lastRequest;
   }
