A follower that has read a state between two of its source's asks for the whole section

Class: a change is checked against the position it begins at, not against the states that its sender has not seen (removal and return in one answer of the store, or between two readings).

A change also states since which position its sender has seen each state; a follower after 'from' and before that one asks for the whole section. A VM that passes changes on takes over the later of both. The sender's own steady answers without changes do not move that position, so that a follower that got a whole section costs no second one. VMs of earlier versions ignore the field.

--- a/src/fleet/FleetView.ts
+++ b/src/fleet/FleetView.ts
@@ -39,13 +39,15 @@
   return comparePositions(position, PARTIAL_POSITION) === 0;
 }
 
-/** Whether changes lack some between the position of a section and the one that they begin at. */
+/** Whether changes may lack some between the position of a section and the one that they lead to. */
 function isGap(
   before: StorePosition | undefined,
-  { from }: Pick<SectionChange<Section>, 'from'>,
+  { from, seenSince = from }: Pick<SectionChange<Section>, 'from' | 'seenSince'>,
 ): boolean {
-  if (from === undefined) return false;
-  return before === undefined || comparePositions(before, from) < 0;
+  if (from === undefined || seenSince === undefined) return false;
+  if (before === undefined) return true;
+  const order = comparePositions(before, from);
+  return order < 0 || (order > 0 && comparePositions(before, seenSince) < 0);
 }
 
 /** Local copy of the store, whether it was read from the store or received from another VM. */
@@ -80,6 +82,13 @@
   /** Position of the latest reported change of each section, which the next one follows. @internal */
   private readonly reportedAt = new Map<Section, StorePosition>();
 
+  /**
+   * Position since which this VM has seen each state of a section. It sees no change of an object that
+   * is removed and written again within one answer, or between two readings.
+   * @internal
+   */
+  private readonly seenSince = new Map<Section, StorePosition>();
+
   /** Objects that the store lacks and that may be written again. @internal */
   private readonly deferred: ReadonlyMap<Section, DeferredRemovals>;
 
@@ -208,14 +217,24 @@
     const changed = this.findChanges(change, before, written);
     if (isRestored) this.beginRewrite(change);
     const items = this.deferRemovals(change, changed, isRestored);
+    const isAllReported = !isWhole && items.length === read.items.length;
+    const seenSince = isAllReported ? this.getSeenSince(change) : position;
     this.recordMissing(change);
     this.recordListed(change);
     for (const { name, value } of items) this.setEntry(section, name, value);
     if (isRestored) this.reportRestore(before, { section, items, position, isWhole: false });
-    else this.reportApplied({ section, items, position, isWhole }, before);
+    else this.reportApplied({ section, items, position, isWhole, seenSince }, before);
+    this.seenSince.set(section, seenSince);
     return 'applied';
   }
 
+  /** Position since which each state is known, by this VM and by the sender of changes. @internal */
+  private getSeenSince({ section, position, seenSince }: SectionChange<Section>): StorePosition {
+    const own = this.seenSince.get(section);
+    if (own === undefined || seenSince === undefined) return own ?? seenSince ?? position;
+    return comparePositions(own, seenSince) > 0 ? own : seenSince;
+  }
+
   /** @internal */
   private reportApplied(change: SectionChange<Section>, before: StorePosition | undefined): void {
     const { section, items, isWhole } = change;
--- a/src/fleet/sectionChanges.ts
+++ b/src/fleet/sectionChanges.ts
@@ -21,6 +21,11 @@
    * Undefined if the sender does not state it.
    */
   readonly from?: StorePosition;
+  /**
+   * Position since which the sender has seen each state of the section. Who is between `from` and this
+   * one may have seen a state that the changes do not undo. Undefined if the sender does not state it.
+   */
+  readonly seenSince?: StorePosition;
   /** Whether it came from another VM, which may keep objects that are missing in the store. */
   readonly isFromPeer?: boolean;
   /**
--- a/src/tests/fleet/watchGaps.test.ts
+++ b/src/tests/fleet/watchGaps.test.ts
@@ -138,3 +138,39 @@
   const latest = changes[changes.length - 1];
   t.is(follower.apply({ ...latest, isFromPeer: true }), 'incomplete');
 });
+
+// The source reads again after an outage what it had before, and cannot tell what was there in between.
+test('a follower that has read a state between two readings of its source asks for the whole section', (t) => {
+  const clock = new VirtualClock();
+  const source = new FleetView(clock);
+  const follower = new FleetView(clock);
+  const changes = recordChanges(source);
+  for (const view of [source, follower]) {
+    view.apply({ section: 'targets', items: NAMES.map(put), position: at(5), isWhole: true });
+  }
+  follower.apply({ section: 'targets', items: [remove('t-2')], position: at(6), isWhole: false });
+  source.apply({ section: 'targets', items: NAMES.map(put), position: at(8), isWhole: true });
+  source.apply({ section: 'targets', items: [put('t-4')], position: at(9), isWhole: false });
+  const latest = changes[changes.length - 1];
+  t.is(follower.apply({ ...latest, isFromPeer: true }), 'incomplete');
+});
+
+// A VM that has its data from another one has not seen the states in between either.
+test('a change that is passed on does not hide states from those who follow further on', (t) => {
+  const clock = new VirtualClock();
+  const source = new FleetView(clock);
+  const relay = new FleetView(clock);
+  const follower = new FleetView(clock);
+  const changes = recordChanges(source);
+  const passedOn = recordChanges(relay);
+  for (const view of [source, relay, follower]) {
+    view.apply({ section: 'targets', items: NAMES.map(put), position: at(5), isWhole: true });
+  }
+  follower.apply({ section: 'targets', items: [remove('t-2')], position: at(6), isWhole: false });
+  const items = [remove('t-2'), put('t-2')];
+  source.apply({ section: 'targets', items, position: at(8), isWhole: false });
+  source.apply({ section: 'targets', items: [put('t-4')], position: at(9), isWhole: false });
+  t.is(relay.apply({ ...changes[changes.length - 1], isFromPeer: true }), 'applied');
+  const latest = passedOn[passedOn.length - 1];
+  t.is(follower.apply({ ...latest, isFromPeer: true }), 'incomplete');
+});
