--- a/src/fleet/FleetView.ts
+++ b/src/fleet/FleetView.ts
@@ -19,7 +19,7 @@
   SectionChange,
   SectionRestore,
 } from './sectionChanges.js';
-import { keepLatestItems, PARTIAL_POSITION } from './sectionChanges.js';
+import { hasGap, keepLatestItems, PARTIAL_POSITION } from './sectionChanges.js';
 import { StoreConfirmations } from './StoreConfirmations.js';
 
 /**
@@ -39,17 +39,6 @@
   return comparePositions(position, PARTIAL_POSITION) === 0;
 }
 
-/** Whether changes may lack some between the position of a section and the one that they lead to. */
-function isGap(
-  before: StorePosition | undefined,
-  { from, seenSince = from }: Pick<SectionChange<Section>, 'from' | 'seenSince'>,
-): boolean {
-  if (from === undefined || seenSince === undefined) return false;
-  if (before === undefined) return true;
-  const order = comparePositions(before, from);
-  return order < 0 || (order > 0 && comparePositions(before, seenSince) < 0);
-}
-
 /** Local copy of the store, whether it was read from the store or received from another VM. */
 export class FleetView {
   /** Latest configuration; undefined if none is known. */
@@ -212,13 +201,12 @@
     const isRestored = before !== undefined && isRestoredBetween(before, position);
     // The configuration is a single object, so any change of it is the whole.
     const needsWhole = !isWhole && section !== 'configuration';
-    if (needsWhole && (isRestored || isGap(before, change))) return 'incomplete';
+    if (needsWhole && (isRestored || hasGap(before, change))) return 'incomplete';
     if (!isEarlier) this.positions.set(section, position);
     const changed = this.findChanges(change, before, written);
     if (isRestored) this.beginRewrite(change);
     const items = this.deferRemovals(change, changed, isRestored);
-    const isAllReported = !isWhole && items.length === read.items.length;
-    const seenSince = isAllReported ? this.getSeenSince(change) : position;
+    const seenSince = this.getSeenSince(read, items.length);
     this.recordMissing(change);
     this.recordListed(change);
     for (const { name, value } of items) this.setEntry(section, name, value);
@@ -228,8 +216,15 @@
     return 'applied';
   }
 
-  /** Position since which each state is known, by this VM and by the sender of changes. @internal */
-  private getSeenSince({ section, position, seenSince }: SectionChange<Section>): StorePosition {
+  /**
+   * Position since which each state of a section is known, with changes that were read.
+   * @param read - The changes; their sender may lack states as well.
+   * @param reported - How many of them are reported to followers.
+   * @internal
+   */
+  private getSeenSince(read: SectionChange<Section>, reported: number): StorePosition {
+    const { section, position, seenSince, isWhole, items } = read;
+    if (isWhole || reported < items.length) return position;
     const own = this.seenSince.get(section);
     if (own === undefined || seenSince === undefined) return own ?? seenSince ?? position;
     return comparePositions(own, seenSince) > 0 ? own : seenSince;
--- a/src/fleet/sectionChanges.ts
+++ b/src/fleet/sectionChanges.ts
@@ -1,5 +1,5 @@
 import type { StorePosition } from '../core/model/index.js';
-import { UNKNOWN_EPOCH } from '../core/model/index.js';
+import { comparePositions, UNKNOWN_EPOCH } from '../core/model/index.js';
 import type { Section, StoredItem } from './FleetStore.js';
 
 /**
@@ -51,6 +51,23 @@
   return latest.size === change.items.length ? change : { ...change, items: [...latest.values()] };
 }
 
+/**
+ * Whether changes may lack some between the position of a section and the one that they lead to.
+ * @param before - Position of the section; undefined if nothing of it is known.
+ * @param change - The changes.
+ * @example
+ * hasGap(view.getPosition('targets'), change); // true: ask for the whole section
+ */
+export function hasGap(
+  before: StorePosition | undefined,
+  { from, seenSince = from }: Pick<SectionChange<Section>, 'from' | 'seenSince'>,
+): boolean {
+  if (from === undefined || seenSince === undefined) return false;
+  if (before === undefined) return true;
+  const order = comparePositions(before, from);
+  return order < 0 || (order > 0 && comparePositions(before, seenSince) < 0);
+}
+
 /** Objects that a VM keeps although the store lacks them. */
 export interface MissingObjects {
   readonly names: readonly string[];
