Soak: a fault that ends restores the usual behaviour of its target

The faults that change a target's behaviour set it to sound when they end, also on targets of a version that is meant to fail, so that the version turned sound during its rollout; what the gateways then completed was good. The end of a fault restores the usual behaviour now, and the notice says how many targets still have the behaviour, so that a wrong completion can be told from this. The check is the same.

--- a/src/platform/standIn/PlatformTarget.ts
+++ b/src/platform/standIn/PlatformTarget.ts
@@ -69,6 +69,9 @@
 export class PlatformTarget {
   behaviour: TargetBehaviour = 'sound';
 
+  /** Behaviour between faults. */
+  usualBehaviour: TargetBehaviour = 'sound';
+
   /** Limit that the target advertises; undefined if it has none. */
   limit: string | undefined;
 
--- a/src/soak/failureFault.ts
+++ b/src/soak/failureFault.ts
@@ -31,6 +31,6 @@
     restarts.push(fault(context));
   }
   await wait(MIN_GAP_MS + random() * GAP_SPREAD_MS);
-  for (const { model } of failing) model.behaviour = 'sound';
+  for (const { model } of failing) model.behaviour = model.usualBehaviour;
   await Promise.all(restarts);
 };
--- a/src/soak/faults.ts
+++ b/src/soak/faults.ts
@@ -80,7 +80,7 @@
     const { model } = pickRandom(world.targets, random);
     model.behaviour = behaviour;
     await wait(500 + random() * 2_000);
-    model.behaviour = 'sound';
+    model.behaviour = model.usualBehaviour;
   };
 }
 
--- a/src/soak/rolloutFault.ts
+++ b/src/soak/rolloutFault.ts
@@ -26,6 +26,7 @@
   const targets: SoakTarget[] = [];
   for (const zone of [...ZONES, ...ZONES]) {
     const target = await world.addTarget(zone, version);
+    target.model.usualBehaviour = behaviour;
     target.model.behaviour = behaviour;
     targets.push(target);
   }
@@ -71,7 +72,11 @@
   const targets = await startTargets(context, version, behaviour);
   const state = await waitForEnd(context);
   if (state === 'completed') {
-    if (behaviour !== 'sound') notice(`${version} was completed despite behaviour ${behaviour}`);
+    const count = targets.filter(({ model }) => model.behaviour === behaviour).length;
+    const still = `${count} of ${targets.length} targets still have it`;
+    if (behaviour !== 'sound') {
+      notice(`${version} was completed despite behaviour ${behaviour}, ${still}`);
+    }
     for (const target of old) world.removeTarget(target);
     world.version = version;
   } else {
