--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -19,6 +19,7 @@
   const hasStatements = process.argv.includes('--statements');
   const hasRestores = process.argv.includes('--restores');
   const hasCrashes = process.argv.includes('--crashes');
+  const hasReturns = process.argv.includes('--returns');
   const hasCuts = process.argv.includes('--cuts');
   const hasFailures = process.argv.includes('--failures');
   const hasExpiries = process.argv.includes('--expiries');
@@ -33,6 +34,7 @@
       hasStatements,
       hasRestores,
       hasCrashes,
+      hasReturns,
       hasCuts,
       hasFailures,
       hasExpiries,
--- a/src/soak/runSoak.ts
+++ b/src/soak/runSoak.ts
@@ -14,6 +14,7 @@
 import { FAULTS } from './faults.js';
 import { nameLimit } from './limitFault.js';
 import { changeKeys, exceedQuota } from './organisationFault.js';
+import type { CrashReplacement } from './replaceCrashedTarget.js';
 import { restoreStore } from './restoreFault.js';
 import { orderRollout } from './rolloutFault.js';
 import { SoakCallers } from './SoakCallers.js';
@@ -21,6 +22,9 @@
 import { SoakWorld } from './SoakWorld.js';
 import { announceDrain, askForPauses } from './statementFaults.js';
 
+/** How targets that have crashed return; the seed chooses one for all of them. */
+const RETURNS: readonly CrashReplacement[] = ['sameAddress', 'unhealthyAtSameAddress', 'sameId'];
+
 /** Settings of a soak. */
 export interface SoakOptions {
   readonly seed: number;
@@ -36,6 +40,8 @@
   readonly hasRestores?: boolean;
   /** Whether requests that crash their targets are among the faults. */
   readonly hasCrashes?: boolean;
+  /** Whether targets that have crashed return at their addresses or under their ids. */
+  readonly hasReturns?: boolean;
   /** Whether gateways are at times cut off from all targets. */
   readonly hasCuts?: boolean;
   /** Whether all targets fail at times, while gateways are restarted. */
@@ -179,7 +185,9 @@
     options.hasOrganisations === true
       ? new SoakOrganisations(createRandom(options.seed + 2))
       : undefined;
-  const world = new SoakWorld(dir, { organisations });
+  const replacement =
+    options.hasReturns === true ? RETURNS[options.seed % RETURNS.length] : undefined;
+  const world = new SoakWorld(dir, { organisations, replacement });
   const noticed: string[] = [];
   await world.start();
   const ports = world.gateways.map((gateway) => gateway.options.ports);
