--- a/src/soak/replaceCrashedTarget.ts
+++ b/src/soak/replaceCrashedTarget.ts
@@ -12,7 +12,7 @@
 export const CRASH_RECOVERY_MS = 3_000;
 
 /** Time after the replacement for which the crashed target stays registered, in milliseconds. */
-const STALE_REGISTRATION_MS = 6_000;
+const STALE_REGISTRATION_MS = 3_000;
 
 /** Time until a target that starts again under its id has registered, in milliseconds. */
 const REGISTRATION_DELAY_MS = 1_500;
@@ -25,16 +25,33 @@
   setTimeout(action, delayMs).unref();
 }
 
+/**
+ * Starts a target behind the link of a crashed one.
+ * @returns False if the crashed one was removed meanwhile; then the target is stopped again.
+ */
+async function takePlace(
+  targets: SoakTarget[],
+  crashed: SoakTarget,
+  started: SoakTarget,
+): Promise<boolean> {
+  await started.model.start(crashed.link.targetPort);
+  const index = targets.indexOf(crashed);
+  if (index < 0) started.model.crash();
+  else targets.splice(index, 1, started);
+  return index >= 0;
+}
+
 /** Starts a target again under its id, which is registered with the new start after a while. */
-async function restart(world: SoakWorld, { entry, link }: SoakTarget): Promise<void> {
+async function restart(world: SoakWorld, crashed: SoakTarget): Promise<void> {
   const { services, targets, store } = world;
+  const { entry, link } = crashed;
   const service = services.find(({ name }) => name === entry.service) ?? services[0];
   const { bornAt, model } = world.createModel(entry.version, service, entry.id);
-  await model.start(link.targetPort);
-  const registration = { ...entry, bornAt };
-  const index = targets.findIndex((each) => each.entry === entry);
-  targets.splice(index, 1, { entry: registration, model, link });
-  runLater(() => putTarget(store, registration), REGISTRATION_DELAY_MS);
+  const started: SoakTarget = { entry: { ...entry, bornAt }, model, link };
+  if (!(await takePlace(targets, crashed, started))) return;
+  runLater(() => {
+    if (targets.includes(started)) putTarget(store, started.entry);
+  }, REGISTRATION_DELAY_MS);
 }
 
 /** Starts a target under a new id behind the link of a crashed one. */
@@ -47,10 +64,9 @@
   const { entry, link } = crashed;
   const service = services.find(({ name }) => name === entry.service) ?? services[0];
   const { id, bornAt, model } = world.createModel(entry.version, service);
-  await model.start(link.targetPort);
-  const registration = { ...entry, id, bornAt };
-  targets.splice(targets.indexOf(crashed), 1, { entry: registration, model, link });
-  putTarget(store, registration);
+  const started: SoakTarget = { entry: { ...entry, id, bornAt }, model, link };
+  if (!(await takePlace(targets, crashed, started))) return;
+  putTarget(store, started.entry);
   runLater(() => removeTarget(store, entry.id), STALE_REGISTRATION_MS);
   if (replacement !== 'unhealthyAtSameAddress') return;
   runLater(() => {
