--- a/src/soak/replaceCrashedTarget.ts
+++ b/src/soak/replaceCrashedTarget.ts
@@ -26,59 +26,77 @@
 }
 
 /**
- * Starts a target behind the link of a crashed one.
- * @returns False if the crashed one was removed meanwhile; then the target is stopped again.
+ * Starts a target in the place of a crashed one, behind its link.
+ * @param world - The soak's platform.
+ * @param crashed - The crashed target.
+ * @param knownId - Id of the new one; a new id by default.
+ * @returns Undefined if a fault has removed the crashed target meanwhile.
  */
-async function takePlace(
-  targets: SoakTarget[],
+async function startBehindLink(
+  world: SoakWorld,
   crashed: SoakTarget,
-  started: SoakTarget,
-): Promise<boolean> {
-  await started.model.start(crashed.link.targetPort);
-  const index = targets.indexOf(crashed);
-  if (index < 0) started.model.crash();
-  else targets.splice(index, 1, started);
-  return index >= 0;
-}
-
-/** Starts a target again under its id, which is registered with the new start after a while. */
-async function restart(world: SoakWorld, crashed: SoakTarget): Promise<void> {
-  const { services, targets, store } = world;
+  knownId?: string,
+): Promise<SoakTarget | undefined> {
+  const { services, targets } = world;
   const { entry, link } = crashed;
   const service = services.find(({ name }) => name === entry.service) ?? services[0];
-  const { bornAt, model } = world.createModel(entry.version, service, entry.id);
-  const started: SoakTarget = { entry: { ...entry, bornAt }, model, link };
-  if (!(await takePlace(targets, crashed, started))) return;
-  runLater(() => {
-    if (targets.includes(started)) putTarget(store, started.entry);
-  }, REGISTRATION_DELAY_MS);
+  const { id, bornAt, model } = world.createModel(entry.version, service, knownId);
+  await model.start(link.targetPort);
+  const index = targets.indexOf(crashed);
+  if (index < 0) {
+    model.crash();
+    return undefined;
+  }
+  const started: SoakTarget = { entry: { ...entry, id, bornAt }, model, link };
+  targets.splice(index, 1, started);
+  return started;
 }
 
-/** Starts a target under a new id behind the link of a crashed one. */
+/** Starts a target at the address of a crashed one, whose registration ends later. */
 async function replaceAtSameAddress(
   world: SoakWorld,
   crashed: SoakTarget,
-  replacement: CrashReplacement,
-): Promise<void> {
-  const { services, targets, store } = world;
-  const { entry, link } = crashed;
-  const service = services.find(({ name }) => name === entry.service) ?? services[0];
-  const { id, bornAt, model } = world.createModel(entry.version, service);
-  const started: SoakTarget = { entry: { ...entry, id, bornAt }, model, link };
-  if (!(await takePlace(targets, crashed, started))) return;
+): Promise<SoakTarget | undefined> {
+  const { store } = world;
+  const started = await startBehindLink(world, crashed);
+  if (started === undefined) return undefined;
   putTarget(store, started.entry);
-  runLater(() => removeTarget(store, entry.id), STALE_REGISTRATION_MS);
-  if (replacement !== 'unhealthyAtSameAddress') return;
-  runLater(() => {
-    model.isUnhealthy = true;
-  }, UNHEALTHY_FROM_MS);
-  runLater(() => {
-    model.isUnhealthy = false;
-  }, UNHEALTHY_UNTIL_MS);
+  runLater(() => removeTarget(store, crashed.entry.id), STALE_REGISTRATION_MS);
+  return started;
 }
 
+/** Ways to replace a target that has crashed. */
+const REPLACEMENTS: Readonly<
+  Record<CrashReplacement, (world: SoakWorld, crashed: SoakTarget) => Promise<unknown>>
+> = {
+  otherAddress: (world, crashed) => {
+    world.removeTarget(crashed);
+    return world.addTarget(crashed.entry.zone);
+  },
+  sameAddress: replaceAtSameAddress,
+  unhealthyAtSameAddress: async (world, crashed) => {
+    const started = await replaceAtSameAddress(world, crashed);
+    if (started === undefined) return;
+    const { model } = started;
+    runLater(() => {
+      model.isUnhealthy = true;
+    }, UNHEALTHY_FROM_MS);
+    runLater(() => {
+      model.isUnhealthy = false;
+    }, UNHEALTHY_UNTIL_MS);
+  },
+  sameId: async (world, crashed) => {
+    const started = await startBehindLink(world, crashed, crashed.entry.id);
+    runLater(() => {
+      if (started !== undefined && world.targets.includes(started)) {
+        putTarget(world.store, started.entry);
+      }
+    }, REGISTRATION_DELAY_MS);
+  },
+};
+
 /**
- * Replaces a target that has crashed, as the options of the soak say.
+ * Replaces a target that has crashed.
  * @param world - The soak's platform.
  * @param crashed - The target.
  * @param replacement - How it is replaced.
@@ -88,14 +106,5 @@
   crashed: SoakTarget,
   replacement: CrashReplacement,
 ): Promise<void> {
-  if (replacement === 'sameId') {
-    await restart(world, crashed);
-    return;
-  }
-  if (replacement !== 'otherAddress') {
-    await replaceAtSameAddress(world, crashed, replacement);
-    return;
-  }
-  world.removeTarget(crashed);
-  await world.addTarget(crashed.entry.zone);
+  await REPLACEMENTS[replacement](world, crashed);
 }
--- a/src/tests/balancing/crashes.test.ts
+++ b/src/tests/balancing/crashes.test.ts
@@ -216,8 +216,8 @@
   t.deepEqual(sent, owner === 0 ? [1, 0] : [0, 1]);
 });
 
-/** Records three crashes under a request while a copy of it is answered in between. */
-function crashAround(scene: Scene, end: AttemptResult): void {
+/** Answers a copy of a request; then three targets crash under other copies. */
+function answerThenCrash(scene: Scene, end: AttemptResult): void {
   place(scene);
   scene.end(end);
   for (let i = 0; i < 3; i++) {
@@ -230,7 +230,7 @@
 test('the error of a target does not show that a request is sound', (t) => {
   const verdicts = [500, 503, 404, 200].map((status) => {
     const scene = new Scene(MANY_TARGETS, [{ ...ROUTE, maxTargets: 1 }]);
-    crashAround(scene, { kind: 'answered', status });
+    answerThenCrash(scene, { kind: 'answered', status });
     return scene.state.crashes.getVerdict(FATAL, scene.now);
   });
   t.deepEqual(verdicts, ['refused', 'refused', 'clear', 'clear']);
