--- a/review/lib/world.mjs
+++ b/review/lib/world.mjs
@@ -277,10 +277,13 @@
 export async function runCase(directory, play) {
   const record = new Record(join(directory, 'record.txt'));
   const world = new World(record);
-  const limit = setTimeout(() => {
+  const abort = () => {
     for (const gateway of world.gateways) gateway.kill();
     process.exit(2);
-  }, 115_000);
+  };
+  const limit = setTimeout(abort, 115_000);
+  process.once('SIGTERM', abort);
+  process.once('SIGINT', abort);
   let code = 2;
   try {
     await world.store.start();
