Answers are compared with their request before they are believed

Cause: classifyTargetHead returned for 421 and Not-Executed before it compared the answer's id with the request's. A late copy of another request's rejection on the same connection was taken for the answer.

Why the fix works: the id is compared first, so that nothing that another request's answer states counts for this one.

Related paths: late 421; rejections without an id; requests without an id (a connection of their own); the pause of a copy; answers of other VMs. The new tests and the changed ones fail on: 10 of 29 in TargetRequest, forwarding and identity.

Tests replaced by ones as strict: rejections and 421s in TargetRequest.test.ts bore no id, though the users' page says that targets repeat it in their answers; they bear it now, and new tests state what one without it means. The case of a spoilt answer that asks for a pause is one with the own id now; what another request's answer may state has a test of its own. The stand-in target repeats the id in all its answers.

Once, beside other work, 3 tests in dist/tests/{soak,gateway,platform} failed (soak.test.ts among them); the output was not kept. All passed in the next runs (soak alone, then all of them).

--- a/src/gateway/ActiveRequests.ts
+++ b/src/gateway/ActiveRequests.ts
@@ -71,7 +71,7 @@
     const { req, body, callerRequestId } = exchange;
     const headers = exchange.getTargetHeaders(organisation);
     const targetRequest = new TargetRequest({
-      agent: this.agents.getAgent(to),
+      agent: callerRequestId === undefined ? this.agents.unshared : this.agents.getAgent(to),
       clock: this.clock,
       address: to.address,
       method: req.method ?? 'GET',
@@ -108,7 +108,7 @@
       finish({ kind: 'unsent' });
       return;
     }
-    const { req, vmHeaders, body } = exchange;
+    const { req, vmHeaders, body, callerRequestId } = exchange;
     let result: ForwardResult | undefined;
     const vmRequest = new TargetRequest({
       agent: this.vmAgents.getAgent({ target: vm, bornAt: 0, address }),
@@ -123,8 +123,8 @@
       ],
       body,
       classifyHead: (head) => {
-        result = classifyForwardHead(head);
-        return result && { kind: 'rejected' };
+        result = classifyForwardHead(callerRequestId, head);
+        return result && { kind: result.kind === 'broken' ? 'spoilt' : 'rejected' };
       },
       onEnd: (end) => finish(toForwardResult(end, result)),
     });
--- a/src/gateway/CallerExchange.ts
+++ b/src/gateway/CallerExchange.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import { linger } from '../entry/exchange/linger.js';
-import { keepApiKey, writeOrganisation } from '../platform/index.js';
+import { createRequestIdHeader, keepApiKey, writeOrganisation } from '../platform/index.js';
 import { REASON_HEADER } from './forwardHeaders.js';
 import type { TargetAnswer } from './TargetRequest.js';
 
@@ -88,7 +88,10 @@
       'Content-Type': 'application/json',
       'Content-Length': body.length,
     };
-    if (this.isForwarded) headers[REASON_HEADER] = reason;
+    if (this.isForwarded) {
+      Object.assign(headers, createRequestIdHeader(this.callerRequestId));
+      headers[REASON_HEADER] = reason;
+    }
     if (retryAfterMs !== undefined) headers['Retry-After'] = retryAfterMs / MS_PER_SECOND;
     this.res.writeHead(status, headers);
     this.res.end(this.req.method === 'HEAD' ? undefined : body);
--- a/src/gateway/TargetAgents.ts
+++ b/src/gateway/TargetAgents.ts
@@ -1,3 +1,5 @@
+import { Agent } from 'node:http';
+
 import type { Destination } from '../balancing/index.js';
 import { TargetAgent } from './TargetAgent.js';
 
@@ -23,6 +25,12 @@
   /** @internal */
   private currentLimits: ConnectionLimits = { maxConnections: 100, vms: 1 };
 
+  /**
+   * Opens a connection for each request and closes it after the answer. Requests without an id need
+   * it, since nothing else distinguishes their answers from late answers to earlier requests.
+   */
+  readonly unshared = new Agent({ keepAlive: false });
+
   /** What the connections of each pool are limited by; applies to existing pools as well. */
   get limits(): ConnectionLimits {
     return this.currentLimits;
@@ -76,5 +84,6 @@
   /** Destroys all connections. */
   destroy(): void {
     for (const agent of this.agents.values()) agent.destroy();
+    this.unshared.destroy();
   }
 }
--- a/src/gateway/TargetRequest.ts
+++ b/src/gateway/TargetRequest.ts
@@ -1,4 +1,4 @@
-import type { ClientRequest, IncomingHttpHeaders, IncomingMessage } from 'node:http';
+import type { Agent, ClientRequest, IncomingHttpHeaders, IncomingMessage } from 'node:http';
 import { request } from 'node:http';
 
 import type { AttemptResult, TargetStatements } from '../balancing/index.js';
@@ -6,7 +6,6 @@
 import type { TargetHead } from '../platform/index.js';
 import { readStatements, readTargetHead } from '../platform/index.js';
 import type { Clock } from '../timing/index.js';
-import type { TargetAgent } from './TargetAgent.js';
 
 /** Timeout for connecting to a target, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 250;
@@ -34,7 +33,7 @@
 
 /** A request to a target, or to another entry VM, and where to send it. */
 export interface TargetRequestOptions {
-  readonly agent: TargetAgent;
+  readonly agent: Agent;
   readonly clock: Clock;
   /** IP address and port. */
   readonly address: string;
@@ -69,28 +68,43 @@
   readonly statements: TargetStatements;
 }
 
+/**
+ * Returns what an answer to another request still states about the target. A pause has begun when
+ * its own request was rejected, and a misdirected request was answered by another target.
+ */
+function getLastingStatements(status: number, statements: TargetStatements): TargetStatements {
+  return status === MISDIRECTED_REQUEST ? {} : { ...statements, pauseMs: undefined };
+}
+
 /**
  * Classifies the head of a target's answer.
  * @param callerRequestId - Id of the request, if its caller gave one.
  * @param head - The head.
  * @returns Undefined if the body has to be read.
+ * @example
+ * classifyTargetHead('r-1', head)?.kind; // 'spoilt' if the answer names another request
  */
 export function classifyTargetHead(
   callerRequestId: string | undefined,
   { status, reading, limit, statements, ...head }: AnswerHead,
 ): AttemptResult | undefined {
+  // A late answer to an earlier request on this connection says nothing about this request, which
+  // the target may run. This is checked before any statement that the request has not run.
+  if (head.callerRequestId !== callerRequestId) {
+    return { kind: 'spoilt', ...getLastingStatements(status, statements) };
+  }
   // It also says that it has not run the request, but load and statements are of another target.
   if (status === MISDIRECTED_REQUEST) return { kind: 'misdirected' };
   if (head.hasNotRun) return { kind: 'rejected', reading, limit, ...statements };
-  // A late answer to an earlier request on this connection; the target may still run this one.
-  if (callerRequestId !== undefined && head.callerRequestId !== callerRequestId) {
-    return { kind: 'spoilt', ...statements };
-  }
   const isSuccess = status >= FIRST_SUCCESS && status < FIRST_REDIRECT;
   const isTrusted = (!isSuccess || head.isSigned) && !head.isEncoded;
   return isTrusted ? undefined : { kind: 'spoilt', ...statements };
 }
 
+function getStatements(end: AttemptResult): TargetStatements {
+  return 'isDraining' in end ? end : {};
+}
+
 /** Whether the end of an answer's body is marked only by the close of the connection. */
 function isCloseDelimited({ headers, statusCode }: IncomingMessage): boolean {
   const isFramed =
@@ -164,12 +178,12 @@
     const { headers } = res;
     const targetHead = readTargetHead(headers, true, this.options.clock.now());
     const head = { ...targetHead, status, headers, statements };
+    const end = this.options.classifyHead(head);
     if (this.hasEnded) {
-      if (status !== MISDIRECTED_REQUEST) this.options.onLateStatements?.(statements);
+      this.options.onLateStatements?.(end === undefined ? statements : getStatements(end));
       this.req.destroy();
       return;
     }
-    const end = this.options.classifyHead(head);
     if (end !== undefined) {
       this.finish(end);
       // Unless the target merely rejected the request, the connection cannot be trusted any more.
--- a/src/gateway/classifyForwardHead.ts
+++ b/src/gateway/classifyForwardHead.ts
@@ -10,18 +10,23 @@
 const FIRST_SUCCESS = 200;
 const FIRST_REDIRECT = 300;
 
+/** What is read of the head of another VM's answer. */
+export type ForwardHead = Pick<AnswerHead, 'status' | 'headers' | 'isSigned' | 'callerRequestId'>;
+
 /**
  * Classifies the head of another VM's answer to a request that was passed on to it.
+ * @param callerRequestId - Id of the request, if its caller gave one.
  * @param head - The head.
  * @returns Undefined if it is an answer to be delivered.
  * @example
- * classifyForwardHead(head)?.kind; // 'refused'
+ * classifyForwardHead('r-1', head)?.kind; // 'refused'
  */
-export function classifyForwardHead({
-  status,
-  headers,
-  isSigned,
-}: Pick<AnswerHead, 'status' | 'headers' | 'isSigned'>): ForwardResult | undefined {
+export function classifyForwardHead(
+  callerRequestId: string | undefined,
+  { status, headers, isSigned, callerRequestId: answeredId }: ForwardHead,
+): ForwardResult | undefined {
+  // Answers that a VM makes itself bore no id in earlier versions.
+  if (answeredId !== undefined && answeredId !== callerRequestId) return { kind: 'broken' };
   const header = headers[REASON_HEADER];
   const reason = typeof header === 'string' ? header : undefined;
   if (isSigned) return undefined;
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -4,6 +4,7 @@
 export type { CallerHead, TargetHead } from './requests.js';
 export { readStatements } from './readStatements.js';
 export {
+  createRequestIdHeader,
   keepApiKey,
   readCallerHead,
   readKeyDigest,
--- a/src/platform/requests.ts
+++ b/src/platform/requests.ts
@@ -132,6 +132,16 @@
   return written;
 }
 
+/**
+ * Returns the header by which an answer names its request.
+ * @param callerRequestId - Id of the request; undefined if its caller gave none.
+ * @example
+ * createRequestIdHeader('r-1'); // one header
+ */
+export function createRequestIdHeader(callerRequestId: string | undefined): Record<string, string> {
+  return callerRequestId === undefined ? {} : { [REQUEST_ID_HEADER]: callerRequestId };
+}
+
 /** Contents of the headers of a target's answer. */
 export interface TargetHead {
   /** Id of the request that is answered. */
--- a/src/platform/standIn/PlatformTarget.ts
+++ b/src/platform/standIn/PlatformTarget.ts
@@ -138,6 +138,7 @@
     if (this.isLeaving) res.setHeader(LEAVING_HEADER, '1');
     const { [REQUEST_ID_HEADER]: callerRequestId } = req.headers;
     const requestId = String(callerRequestId);
+    if (callerRequestId !== undefined) res.setHeader(REQUEST_ID_HEADER, callerRequestId);
     const { remoteAddress: source = '' } = req.socket;
     const expected = req.headers[EXPECTED_TARGET_HEADER];
     const isMisdirected = expected !== undefined && expected !== id;
