Bodies of requests are bounded by the memory of the process

Cause: each body was kept as chunks and joined until its answer, each up to max_body_bytes, and nothing bounded the sum; the process was not told its memory.

The collector's delay is 40 to 60 MB and does not grow with the number of uploads (ruled out as the cause, left room for).

Why the fix works: the declared length is reserved before the first byte is read, in one buffer, out of 0.7 of what memory-mb leaves beyond 100 MB.

Passing a body on as it comes was not built.

Related paths, each with a test: chunked bodies, bodies that are never sent (408 at the deadline), callers that leave in the middle, small bodies beside uploads.

--- a/src/config/GatewaySettings.ts
+++ b/src/config/GatewaySettings.ts
@@ -23,6 +23,8 @@
   readonly changeBoundMs: number;
   /** Time from SIGTERM until the process is killed, in milliseconds. */
   readonly graceMs: number;
+  /** Memory that the process may use, in megabytes. */
+  readonly memoryMb: number;
   /** Maximum time for which callers may cache the addresses that they receive, in milliseconds. */
   readonly addressTtlMostMs: number;
 }
--- a/src/config/gatewaySettingsKeys.ts
+++ b/src/config/gatewaySettingsKeys.ts
@@ -29,6 +29,11 @@
       '1000',
       'Bandwidth of the VM’s network link, in Mbit/s; VMs with a weak one tell few others.',
     ),
+    'memory-mb': withDefault(
+      decimal({ min: 128, max: 1_048_576 }),
+      '256',
+      'Memory of the process, in megabytes; bodies of requests and answers take a part of it.',
+    ),
   },
   listen: {
     callers: required(LISTEN_ADDRESS, 'Where callers connect.'),
--- a/src/config/readGatewaySettings.ts
+++ b/src/config/readGatewaySettings.ts
@@ -49,6 +49,7 @@
     },
     changeBoundMs: Math.min(bounds['configuration-in-force'], bounds['drain-in-force']),
     graceMs: bounds.grace,
+    memoryMb: process['memory-mb'],
     addressTtlMostMs: bounds['address-ttl-most'],
   };
 }
--- a/src/gateway/CallerRequestHandler.ts
+++ b/src/gateway/CallerRequestHandler.ts
@@ -1,13 +1,15 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
-import type { BalancerEvent, CallerLimits, ForwardTerms } from '../balancing/index.js';
+import type { BalancerEvent, CallerLimits, ForwardTerms, LogEffect } from '../balancing/index.js';
 import type { ArrivalHead } from '../balancing/keyChecks.js';
 import { cleanHeaders } from '../entry/exchange/headers.js';
-import { RequestBody } from '../entry/exchange/RequestBody.js';
 import { readCallerHead, readKeyDigest } from '../platform/index.js';
 import type { Clock } from '../timing/index.js';
 import type { ActiveRequests } from './ActiveRequests.js';
+import type { BodyMemory } from './BodyMemory.js';
+import type { BodyOutcome } from './CallerBody.js';
+import { CallerBody } from './CallerBody.js';
 import { CallerExchange } from './CallerExchange.js';
 import { createFingerprint } from './createFingerprint.js';
 import { readForwardTerms } from './forwardHeaders.js';
@@ -17,6 +19,10 @@
   readonly clock: Clock;
   readonly activeRequests: ActiveRequests;
   readonly dispatch: (event: BalancerEvent) => void;
+  /** Memory for bodies. */
+  readonly memory: BodyMemory;
+  readonly random: () => number;
+  log(effect: LogEffect): void;
   getCallerLimits(): CallerLimits | undefined;
   /** Whether an IP address is that of an entry VM. */
   isVmAddress(ip: string): boolean;
@@ -35,9 +41,28 @@
  */
 const MAX_DISCARDED_BODY_BYTES = 64 * 1024;
 
-const PAYLOAD_TOO_LARGE = 413;
+/** Longest time in which a body must arrive, in milliseconds, also if its caller allows more. */
+const MAX_BODY_MS = 60_000;
+
+/**
+ * Range of the time after which a caller should retry if there was no memory for its request, as a
+ * multiple of the time until there probably is. It is spread so that callers refused together do
+ * not return together.
+ */
+const MIN_RETRY_SHARE = 1;
+const MAX_RETRY_SHARE = 2;
+
 const BAD_REQUEST = 400;
 
+/** Answers to requests whose body was not read to its end. */
+const BODY_ANSWERS: Readonly<
+  Record<Exclude<BodyOutcome, 'complete'>, { readonly status: number; readonly reason: string }>
+> = {
+  tooLarge: { status: 413, reason: 'body too large' },
+  late: { status: 408, reason: 'body late' },
+  noMemory: { status: 503, reason: 'noMemory' },
+};
+
 function hasBody(req: IncomingMessage): boolean {
   if (req.headers['transfer-encoding'] !== undefined) return true;
   return req.headers['content-length'] !== undefined;
@@ -51,11 +76,14 @@
   return Number(req.headers['content-length'] ?? Infinity) <= MAX_DISCARDED_BODY_BYTES;
 }
 
-/** Buffers callers' requests with their bodies, then dispatches them to the balancer. */
+/** Reads callers' requests with their bodies, then dispatches them to the balancer. */
 export class CallerRequestHandler {
   /** Connections that close with the answer to a refused request. @internal */
   private readonly closingSockets = new WeakSet<Socket>();
 
+  /** Bodies that are not read to their end. @internal */
+  private readonly openBodies = new Set<CallerBody>();
+
   /** @param parts - Clock, open requests, dispatch and limits. */
   constructor(private readonly parts: CallerRequestHandlerParts) {}
 
@@ -82,19 +110,83 @@
       this.refuseKey(req, res, isAwaitingContinue, arrivedAt);
       return;
     }
-    if (isAwaitingContinue) res.writeContinue();
-    const bodyBytes = this.parts.getCallerLimits()?.bodyBytes ?? DEFAULT_MAX_BODY_BYTES;
-    const body = new RequestBody(hasBody(req) ? req : undefined, {
-      bodyBytes,
-      replayBytes: bodyBytes,
+    if (!hasBody(req)) {
+      if (isAwaitingContinue) res.writeContinue();
+      this.accept(req, res, arrivedAt, undefined);
+      return;
+    }
+    const { clock, memory, getCallerLimits } = this.parts;
+    const { allowedMs = MAX_BODY_MS } = readCallerHead(req.headers);
+    const body = new CallerBody(req, {
+      clock,
+      memory,
+      maxBytes: getCallerLimits()?.bodyBytes ?? DEFAULT_MAX_BODY_BYTES,
+      dueAt: arrivedAt + Math.min(allowedMs, MAX_BODY_MS),
+      onReading: () => isAwaitingContinue && res.writeContinue(),
+      onEnd: (outcome) => {
+        if (outcome === 'complete') this.accept(req, res, arrivedAt, body);
+        else this.refuseBody(req, res, outcome, arrivedAt);
+      },
     });
-    body.collect(true, (outcome) => {
-      const wholeBody = hasBody(req) ? body.getWhole() : undefined;
-      const terms = this.readTerms(req);
-      const exchange = this.createExchange(req, res, wholeBody, terms !== undefined);
-      if (outcome === 'tooLarge') exchange.answer(PAYLOAD_TOO_LARGE, 'body too large');
-      else if (!(req.url ?? '').startsWith('/')) exchange.answer(BAD_REQUEST, 'no path');
-      else this.dispatchArrival(req, res, exchange, arrivedAt, terms);
+    this.openBodies.add(body);
+    const giveUp = (): void => {
+      body.abandon();
+      this.openBodies.delete(body);
+    };
+    req.once('close', giveUp);
+    // A caller that ends its side in the middle of the body is answered before it is gone.
+    res.once('finish', giveUp);
+    body.read();
+  }
+
+  /** Refuses requests whose bodies have not arrived in time. */
+  refuseLateBodies(): void {
+    for (const body of this.openBodies) body.checkTime();
+  }
+
+  /** @internal */
+  private accept(
+    req: IncomingMessage,
+    res: ServerResponse,
+    arrivedAt: number,
+    body: CallerBody | undefined,
+  ): void {
+    if (body !== undefined) res.once('close', () => body.release());
+    const terms = this.readTerms(req);
+    const exchange = this.createExchange(req, res, body?.bytes, terms !== undefined);
+    if ((req.url ?? '').startsWith('/')) this.dispatchArrival(req, res, exchange, arrivedAt, terms);
+    else exchange.answer(BAD_REQUEST, 'no path');
+  }
+
+  /** Refuses a request whose body was not read to its end. @internal */
+  private refuseBody(
+    req: IncomingMessage,
+    res: ServerResponse,
+    outcome: Exclude<BodyOutcome, 'complete'>,
+    arrivedAt: number,
+  ): void {
+    const { clock, memory, random, log } = this.parts;
+    const { status, reason } = BODY_ANSWERS[outcome];
+    const share = MIN_RETRY_SHARE + (MAX_RETRY_SHARE - MIN_RETRY_SHARE) * random();
+    const waitMs = memory.estimateWaitMs(Number(req.headers['content-length'] ?? 0));
+    const retryAfterMs = outcome === 'noMemory' ? Math.round(waitMs * share) : undefined;
+    const exchange = this.createExchange(req, res, undefined, this.readTerms(req) !== undefined);
+    exchange.answer(status, reason, retryAfterMs);
+    log({
+      kind: 'log',
+      event: 'request.refused',
+      fields: {
+        id: exchange.callerRequestId,
+        status,
+        reason: outcome,
+        host: req.headers.host,
+        path: req.url,
+        tookMs: Math.round(clock.now() - arrivedAt),
+        bodyBytes: req.headers['content-length'],
+        reservedBytes: memory.reservedBytes,
+        limitBytes: memory.limitBytes,
+        retryAfterMs,
+      },
     });
   }
 
--- a/src/gateway/GatewayMetrics.ts
+++ b/src/gateway/GatewayMetrics.ts
@@ -44,6 +44,12 @@
   readonly perSecond: number;
 }
 
+/** Use of the memory for bodies, in bytes. */
+export interface BodyMemoryFigures {
+  readonly reservedBytes: number;
+  readonly limitBytes: number;
+}
+
 /** Values that other components count themselves; read on each scrape. */
 export interface MetricSources {
   /** Store calls so far, by `METHOD section`. */
@@ -68,6 +74,8 @@
   getStoreAgeMs(): number;
   /** Number of requests that have not been answered yet. */
   getOpenRequestCount(): number;
+  /** Memory for bodies of requests and answers. */
+  getBodyMemory(): BodyMemoryFigures;
   /** Messages sent so far to the VMs that follow this one. */
   getFeedMessageCount(): number;
 }
@@ -112,6 +120,12 @@
       help: 'Requests that have no answer yet.',
       registers,
     }),
+    bodyMemory: new prom.Gauge({
+      name: 'masticlink_gateway_body_memory_bytes',
+      help: 'Memory for bodies of requests and answers: what is reserved, and the limit.',
+      labelNames: ['kind'],
+      registers,
+    }),
     feedMessages: new prom.Counter({
       name: 'masticlink_gateway_feed_messages_total',
       help: 'Messages sent to VMs that follow this one.',
@@ -277,7 +291,7 @@
 
   /** @internal */
   private updateGauges(metrics: PrometheusMetrics): void {
-    const { targets, longestPause, storeAge, requests } = metrics;
+    const { targets, longestPause, storeAge, requests, bodyMemory } = metrics;
     longestPause.reset();
     for (const [service, ms] of this.sources.getLongestPauses()) {
       longestPause.set({ service }, ms / MS_PER_SECOND);
@@ -290,5 +304,8 @@
     }
     storeAge.set(this.sources.getStoreAgeMs() / MS_PER_SECOND);
     requests.set(this.sources.getOpenRequestCount());
+    const { reservedBytes, limitBytes } = this.sources.getBodyMemory();
+    bodyMemory.set({ kind: 'reserved' }, reservedBytes);
+    bodyMemory.set({ kind: 'limit' }, limitBytes);
   }
 }
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -18,6 +18,7 @@
 import { ActiveRequests } from './ActiveRequests.js';
 import type { EffectRunner } from './BalancerLoop.js';
 import { BalancerLoop } from './BalancerLoop.js';
+import { BodyMemory } from './BodyMemory.js';
 import { CallerRequestHandler } from './CallerRequestHandler.js';
 import { createStateSources } from './createStateSources.js';
 import { createStoreHandlers } from './createStoreHandlers.js';
@@ -54,6 +55,9 @@
  */
 const IDLE_MARGIN_MS = 500;
 
+/** Interval at which bodies that have not arrived in time are looked for, in milliseconds. */
+const BODY_CHECK_MS = 500;
+
 /** Dependencies of `GatewayProcess`; tests supply their own. */
 export interface GatewayParts {
   readonly settings: GatewaySettings;
@@ -104,6 +108,9 @@
   /** @internal */
   private readonly prober: TargetProber;
 
+  /** @internal */
+  private readonly memory: BodyMemory;
+
   /** @internal */
   private readonly activeRequests: ActiveRequests;
 
@@ -189,12 +196,14 @@
     this.prober = new TargetProber(this.agents, clock, ({ target, bornAt }, end) =>
       dispatch({ kind: 'probeEnded', target, bornAt, end }),
     );
+    this.memory = new BodyMemory(settings.memoryMb, () => clock.now());
     this.activeRequests = new ActiveRequests(this.agents, this.vmAgents, clock, dispatch);
     this.metrics = new GatewayMetrics({
       getStoreCallCounts: () => this.store.calls,
       getProbeCount: () => this.prober.sentProbes,
       ...createStateSources(this.state, clock),
       getStoreAgeMs: () => view.confirmations.getAgeMs(),
+      getBodyMemory: () => this.memory,
       getOpenRequestCount: () => this.activeRequests.size,
       getFeedMessageCount: () => this.fleetSync.sentMessages,
     });
@@ -298,6 +307,9 @@
     const requestHandler = new CallerRequestHandler({
       clock: this.parts.clock,
       activeRequests: this.activeRequests,
+      memory: this.memory,
+      random: this.parts.random,
+      log: (effect) => this.runEffect(effect),
       dispatch: this.loop.dispatch,
       getCallerLimits: () => this.view.table?.limits,
       isVmAddress: (ip) => this.isVmAddress(ip),
@@ -309,6 +321,7 @@
       headerBytes: MAX_HEADER_BYTES,
       maxConnections: MAX_CONNECTIONS,
     });
+    this.timers.subscribe(BODY_CHECK_MS, () => requestHandler.refuseLateBodies());
     this.callerServer.handle = (...request) => requestHandler.handle(...request);
     await this.endpoints.listen();
   }
--- a/src/gateway/createGauges.ts
+++ b/src/gateway/createGauges.ts
@@ -11,6 +11,7 @@
   readonly longestPause: Gauge;
   readonly storeAge: Gauge;
   readonly requests: Gauge;
+  readonly bodyMemory: Gauge;
   readonly feedMessages: Counter;
   readonly learntSlowdown: Gauge;
   readonly learntWeight: Gauge;
--- a/src/tests/config/gatewaySettings.test.ts
+++ b/src/tests/config/gatewaySettings.test.ts
@@ -45,6 +45,7 @@
     .replaceAll('{{platform_settings.address}}', '10.0.0.2:1')
     .replaceAll('{{ip}}', '10.0.0.1')
     .replaceAll('{{limits.link_mbps}}', '7.0')
+    .replaceAll('{{limits.memory_mb}}', '350')
     .replaceAll('{{seeds}}', '')
     .replaceAll(
       /\{\{bounds\.(retry_window|quota_window|grace|ttl_max|config_apply|drain)\}\}/g,
@@ -58,6 +59,7 @@
   const settings = parseGatewaySettings('gateway.ini', filled);
   t.is(settings.balancing.retries.slack, 7);
   t.is(settings.self.linkMbps, 7);
+  t.is(settings.memoryMb, 350);
   t.is(settings.changeBoundMs, 5_000);
   t.deepEqual(settings.balancing.rollouts, { share: 0.1, slack: 7 });
   t.deepEqual(settings.balancing.quotas, { windowMs: 5_000, overage: 7, slack: 7 });
--- a/src/tests/gateway/GatewayHarness.ts
+++ b/src/tests/gateway/GatewayHarness.ts
@@ -34,6 +34,8 @@
   /** Undefined if callers need no keys. */
   readonly organisations?: readonly ConfiguredOrganisation[];
   readonly extraRoutes?: readonly Route[];
+  /** Largest request body, in bytes. */
+  readonly bodyBytes?: number;
 }
 
 /** A gateway on loopback with a store, and a target that holds requests until they are released. */
@@ -47,6 +49,9 @@
   /** The same, as alternating names and values. */
   lastRawHeaders: readonly string[] = [];
 
+  /** Body of the request that the target has started last, as far as it has arrived. */
+  lastBody = '';
+
   /** Version of the configuration that was published last. @internal */
   private version = 1;
 
@@ -150,7 +155,7 @@
   /** @internal */
   private static putTable(
     store: PlatformStore,
-    { organisations, extraRoutes = [] }: HarnessOptions,
+    { organisations, extraRoutes = [], bodyBytes = LIMITS.bodyBytes }: HarnessOptions,
     version: number,
   ): void {
     // Requests must not time out, however long a test takes on a busy machine.
@@ -161,7 +166,7 @@
       services: [
         { name: 'horaires', healthPath: '/health', maxConnections: 220, coldRequestsPerSecond: 2 },
       ],
-      limits: LIMITS,
+      limits: { ...LIMITS, bodyBytes },
     };
     putConfiguration(store, table, organisations);
   }
@@ -245,7 +250,10 @@
       res.end();
       return;
     }
-    req.resume();
+    this.lastBody = '';
+    req.on('data', (chunk: Buffer) => {
+      this.lastBody += chunk.toString();
+    });
     this.targetSockets.add(req.socket);
     this.startedIds.push(id);
     this.lastHeaders = req.headers;
--- a/src/tests/gateway/GatewayMetrics.test.ts
+++ b/src/tests/gateway/GatewayMetrics.test.ts
@@ -42,6 +42,7 @@
     getAdmissionFigures: () => new Map([['horaires', { level: 'raised', reservedSlots: 0.5 }]]),
     now: () => 0,
     getStoreAgeMs: () => 250,
+    getBodyMemory: () => ({ reservedBytes: 41, limitBytes: 150 }),
     getOpenRequestCount: () => 4,
     getFeedMessageCount: () => 32,
   });
@@ -67,6 +68,7 @@
     getQuotaFigures: () => new Map(),
     now: () => 0,
     getStoreAgeMs: () => Number.POSITIVE_INFINITY,
+    getBodyMemory: () => ({ reservedBytes: 41, limitBytes: 150 }),
     getOpenRequestCount: () => 0,
     getFeedMessageCount: () => 0,
   });
@@ -94,6 +96,7 @@
       ),
     now: () => now,
     getStoreAgeMs: () => 0,
+    getBodyMemory: () => ({ reservedBytes: 41, limitBytes: 150 }),
     getOpenRequestCount: () => 0,
     getFeedMessageCount: () => 0,
   });
--- a/src/tests/gateway/forwarding.test.ts
+++ b/src/tests/gateway/forwarding.test.ts
@@ -5,6 +5,7 @@
 import type { BalancerEvent } from '../../balancing/index.js';
 import { cleanHeaders } from '../../entry/exchange/headers.js';
 import { ActiveRequests } from '../../gateway/ActiveRequests.js';
+import { BodyMemory } from '../../gateway/BodyMemory.js';
 import { CallerRequestHandler } from '../../gateway/CallerRequestHandler.js';
 import { classifyForwardHead, toForwardResult } from '../../gateway/classifyForwardHead.js';
 import {
@@ -113,6 +114,9 @@
     clock: new SystemClock(),
     activeRequests: requests,
     dispatch: (event) => dispatched.push(event),
+    memory: new BodyMemory(350, () => 0),
+    random: Math.random,
+    log: () => {},
     getCallerLimits: () => undefined,
     isVmAddress: (ip) => ip === '10.0.0.1',
     isKeyUnknown: () => false,
