An answer that is passed on has an owner until its caller has it

Cause: ActiveRequests.deliver forgot the request as its answer began. Neither the close of the caller nor the deadline nor a planned stop found it, and pipe does not end its source with its destination, so that the connection to the target stayed open, paused, and counted as used.

Evidence: in a test the target's connection stays open after its caller left, after the deadline and during a stop. Ruled out: that the close of the caller is not noticed (it is, for requests whose answer has not begun).

Related paths: answers without end (chunked, or up to the close), callers that do not read, planned stops, answers that are not delivered as their request is sent again, and the memory of buffered answers, which counts towards that of bodies.

--- a/src/balancing/effects.ts
+++ b/src/balancing/effects.ts
@@ -57,6 +57,7 @@
   | 'request.refused'
   | 'request.failed'
   | 'request.callerLeft'
+  | 'answer.cut'
   | 'request.kept'
   | 'retry.granted'
   | 'retry.refused'
@@ -121,7 +122,13 @@
   /** Cancels an attempt or a forward; for an attempt at most a `statementsRead` event follows, for an answer on its way. */
   | { readonly kind: 'cancelAttempt'; readonly attempt: AttemptId }
   /** Delivers the answer of a completed attempt to the caller. */
-  | { readonly kind: 'deliver'; readonly request: RequestId; readonly attempt: AttemptId }
+  | {
+      readonly kind: 'deliver';
+      readonly request: RequestId;
+      readonly attempt: AttemptId;
+      /** When the caller must have the whole answer, in monotonic milliseconds. */
+      readonly deadlineAt: number;
+    }
   | {
       readonly kind: 'answer';
       readonly request: RequestId;
--- a/src/balancing/forwarding.ts
+++ b/src/balancing/forwarding.ts
@@ -151,7 +151,7 @@
   if (end.kind === 'answered') {
     state.helpers.recordHelp(vm, now);
     return [
-      { kind: 'deliver', request, attempt },
+      { kind: 'deliver', request, attempt, deadlineAt: pending.deadlineAt },
       ...removeRequest(state, pending, now),
       {
         kind: 'log',
--- a/src/balancing/requestHandlers.ts
+++ b/src/balancing/requestHandlers.ts
@@ -123,9 +123,9 @@
   status: number,
   now: number,
 ): BalancerEffect[] {
-  const { id: request, route, arrivedAt } = pending;
+  const { id: request, route, arrivedAt, deadlineAt } = pending;
   return [
-    { kind: 'deliver', request, attempt: attempt.id },
+    { kind: 'deliver', request, attempt: attempt.id, deadlineAt },
     ...removeRequest(state, pending, now),
     ...recordPriorityEnd(state, pending, now <= pending.dueAt, now),
     {
--- a/src/gateway/ActiveRequests.ts
+++ b/src/gateway/ActiveRequests.ts
@@ -1,17 +1,52 @@
 import type { BalancerEffect, BalancerEvent, ForwardResult } from '../balancing/index.js';
 import type { AttemptId, RequestId } from '../core/model/index.js';
-import type { Clock } from '../timing/index.js';
+import type { Clock, TimerService } from '../timing/index.js';
 import { writeTargetHeaders } from '../platform/index.js';
+import type { AnswerTransfer, TransferEnd } from './AnswerTransfer.js';
+import type { BodyMemory } from './BodyMemory.js';
 import type { CallerExchange } from './CallerExchange.js';
 import type { TargetAgents } from './TargetAgents.js';
 import { classifyForwardHead, toForwardResult } from './classifyForwardHead.js';
 import { FORWARD_HEADER, writeForwardTerms } from './forwardHeaders.js';
+import type { TargetAnswer } from './TargetRequest.js';
 import { classifyTargetHead, TargetRequest } from './TargetRequest.js';
 
 type SendAttemptEffect = Extract<BalancerEffect, { kind: 'sendAttempt' }>;
+type DeliverEffect = Extract<BalancerEffect, { kind: 'deliver' }>;
 type ForwardEffect = Extract<BalancerEffect, { kind: 'forwardRequest' }>;
 
-/** Callers' requests that have not been answered yet, and the attempts at targets made for them. */
+/** Interval at which answers that take too long are looked for, in milliseconds. */
+const LATE_CHECK_MS = 250;
+
+/** Dependencies of `ActiveRequests`. */
+export interface ActiveRequestsParts {
+  /** Connection pools of the targets. */
+  readonly agents: TargetAgents;
+  /** Connection pools of other entry VMs. */
+  readonly vmAgents: TargetAgents;
+  /** Clock for deadlines and the time of load readings. */
+  readonly clock: Clock;
+  /** Memory for answers. */
+  readonly memory: BodyMemory;
+  /** Receives an event when an attempt ends. */
+  readonly dispatch: (event: BalancerEvent) => void;
+  /** Called when an answer that a caller has received in part is broken off. */
+  readonly onAnswerCut: (fields: AnswerCutFields) => void;
+}
+
+/** What is logged of an answer that was broken off. */
+export interface AnswerCutFields extends Readonly<Record<string, unknown>> {
+  readonly id: string | undefined;
+  readonly status: number;
+  readonly reason: Exclude<TransferEnd, 'complete'>;
+  /** Time since the answer began, in milliseconds. */
+  readonly tookMs: number;
+}
+
+/**
+ * Callers' requests until their answers have been sent completely, and the attempts at targets made
+ * for them.
+ */
 export class ActiveRequests {
   /** @internal */
   private readonly exchanges = new Map<RequestId, CallerExchange>();
@@ -22,22 +57,15 @@
   /** @internal */
   private lastRequestId = 0;
 
-  /**
-   * @param agents - Connection pools of the targets.
-   * @param vmAgents - Connection pools of other entry VMs.
-   * @param clock - Clock for the time of load readings.
-   * @param dispatch - Receives an event when an attempt ends.
-   */
-  constructor(
-    private readonly agents: TargetAgents,
-    private readonly vmAgents: TargetAgents,
-    private readonly clock: Clock,
-    private readonly dispatch: (event: BalancerEvent) => void,
-  ) {}
-
-  /** Number of requests that have not been answered yet. */
+  /** Answers that are being sent. @internal */
+  private readonly transfers = new Set<AnswerTransfer>();
+
+  /** @param parts - Connection pools, clock, memory and callbacks. */
+  constructor(private readonly parts: ActiveRequestsParts) {}
+
+  /** Number of requests whose answers have not been sent completely. */
   get size(): number {
-    return this.exchanges.size;
+    return this.exchanges.size + this.transfers.size;
   }
 
   /**
@@ -71,8 +99,10 @@
     const { req, body, callerRequestId } = exchange;
     const headers = exchange.getTargetHeaders(organisation);
     const targetRequest = new TargetRequest({
-      agent: callerRequestId === undefined ? this.agents.unshared : this.agents.getAgent(to),
-      clock: this.clock,
+      agent:
+        callerRequestId === undefined ? this.parts.agents.unshared : this.parts.agents.getAgent(to),
+      clock: this.parts.clock,
+      memory: this.parts.memory,
       address: to.address,
       method: req.method ?? 'GET',
       path: req.url ?? '/',
@@ -80,12 +110,12 @@
       body,
       classifyHead: (head) => classifyTargetHead(callerRequestId, head),
       onEnd: (end) => {
-        this.dispatch({ kind: 'attemptEnded', attempt, end });
-        this.attempts.delete(attempt);
+        this.parts.dispatch({ kind: 'attemptEnded', attempt, end });
+        this.removeAttempt(attempt);
       },
       onLateStatements: (statements) => {
         const { target, bornAt } = to;
-        this.dispatch({ kind: 'statementsRead', target, bornAt, statements });
+        this.parts.dispatch({ kind: 'statementsRead', target, bornAt, statements });
       },
     });
     this.attempts.set(attempt, targetRequest);
@@ -101,8 +131,8 @@
     const exchange = this.exchanges.get(request);
     if (exchange === undefined) return;
     const finish = (end: ForwardResult): void => {
-      this.dispatch({ kind: 'forwardEnded', attempt, end });
-      this.attempts.delete(attempt);
+      this.parts.dispatch({ kind: 'forwardEnded', attempt, end });
+      this.removeAttempt(attempt);
     };
     if (address === undefined) {
       finish({ kind: 'unsent' });
@@ -111,8 +141,9 @@
     const { req, vmHeaders, body, callerRequestId } = exchange;
     let result: ForwardResult | undefined;
     const vmRequest = new TargetRequest({
-      agent: this.vmAgents.getAgent({ target: vm, bornAt: 0, address }),
-      clock: this.clock,
+      agent: this.parts.vmAgents.getAgent({ target: vm, bornAt: 0, address }),
+      clock: this.parts.clock,
+      memory: this.parts.memory,
       address,
       method: req.method ?? 'GET',
       path: req.url ?? '/',
@@ -137,14 +168,50 @@
     this.attempts.delete(attempt);
   }
 
-  /** Forwards the answer that an attempt received to the caller. */
-  deliver(request: RequestId, attempt: AttemptId): void {
+  /**
+   * Forwards the answer that an attempt received to the caller.
+   * @param effect - The request, the attempt, and when the caller must have the answer.
+   */
+  deliver({ request, attempt, deadlineAt }: DeliverEffect): void {
     const exchange = this.exchanges.get(request);
     const answer = this.attempts.get(attempt)?.answer;
-    if (exchange !== undefined && answer !== undefined) exchange.deliver(answer);
+    if (exchange !== undefined && answer !== undefined) {
+      this.attempts.delete(attempt);
+      this.startTransfer(exchange, answer, deadlineAt);
+    }
     this.exchanges.delete(request);
   }
 
+  /** Starts to look for answers that callers should have by now. */
+  start(timers: TimerService): void {
+    timers.subscribe(LATE_CHECK_MS, () => this.endLateTransfers());
+  }
+
+  /** @internal */
+  private endLateTransfers(): void {
+    const now = this.parts.clock.now();
+    for (const transfer of this.transfers) transfer.checkTime(now);
+  }
+
+  /** @internal */
+  private startTransfer(exchange: CallerExchange, answer: TargetAnswer, deadlineAt: number): void {
+    const { clock, onAnswerCut } = this.parts;
+    const startedAt = clock.now();
+    const transfer = exchange.deliver(answer, deadlineAt, (reason) => {
+      this.transfers.delete(transfer);
+      if (reason === 'complete') return;
+      const tookMs = Math.round(clock.now() - startedAt);
+      onAnswerCut({ id: exchange.callerRequestId, status: answer.status, reason, tookMs });
+    });
+    this.transfers.add(transfer);
+  }
+
+  /** Removes an attempt; an answer that was not delivered ends with it. @internal */
+  private removeAttempt(attempt: AttemptId): void {
+    this.attempts.get(attempt)?.discardAnswer();
+    this.attempts.delete(attempt);
+  }
+
   /** Answers a request with an error of this entry VM's own. */
   answer(request: RequestId, status: number, reason: string, retryAfterMs?: number): void {
     this.exchanges.get(request)?.answer(status, reason, retryAfterMs);
--- /dev/null
+++ b/src/gateway/AnswerTransfer.ts
@@ -0,0 +1,70 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+/** How sending an answer to its caller ended. */
+export type TransferEnd =
+  | 'complete'
+  /** The caller closed its connection. */
+  | 'callerLeft'
+  /** The target broke its answer off. */
+  | 'targetBroke'
+  /** The deadline passed, as the caller did not read or the target did not end. */
+  | 'late';
+
+/** An answer that is being sent. */
+export interface AnswerTransferOptions {
+  /** Stream of the part of the body that the target has not sent yet; undefined if there is none. */
+  readonly remainder: IncomingMessage | undefined;
+  /** When the caller must have the answer, in monotonic milliseconds. */
+  readonly deadlineAt: number;
+  /** Called once. */
+  readonly onEnd: (end: TransferEnd) => void;
+}
+
+/**
+ * Owns an answer from its first byte until the caller has it. Whatever ends it, nothing of it stays
+ * open: the target's connection is reusable after a complete answer and closed otherwise.
+ */
+export class AnswerTransfer {
+  /** @internal */
+  private hasEnded = false;
+
+  /**
+   * @param res - The response to the caller; what is known of the body has been written.
+   * @param options - The rest of the answer, and until when it may take.
+   */
+  constructor(
+    private readonly res: ServerResponse,
+    private readonly options: AnswerTransferOptions,
+  ) {
+    const { remainder } = options;
+    res.once('finish', () => this.end('complete'));
+    res.once('close', () => this.end('callerLeft'));
+    if (remainder === undefined) return;
+    remainder.once('aborted', () => this.end('targetBroke'));
+    remainder.once('error', () => this.end('targetBroke'));
+    remainder.once('close', () => {
+      if (!remainder.readableEnded) this.end('targetBroke');
+    });
+    remainder.pipe(res);
+  }
+
+  /**
+   * Ends the transfer if its deadline has passed.
+   * @param now - Monotonic milliseconds.
+   */
+  checkTime(now: number): void {
+    if (now > this.options.deadlineAt) this.end('late');
+  }
+
+  /** @internal */
+  private end(end: TransferEnd): void {
+    if (this.hasEnded) return;
+    this.hasEnded = true;
+    if (end !== 'complete') {
+      this.options.remainder?.unpipe(this.res);
+      this.options.remainder?.destroy();
+      this.res.destroy();
+    }
+    this.options.onEnd(end);
+  }
+}
--- a/src/gateway/CallerExchange.ts
+++ b/src/gateway/CallerExchange.ts
@@ -3,6 +3,8 @@
 import { linger } from '../entry/exchange/linger.js';
 import { createRequestIdHeader, keepApiKey, writeOrganisation } from '../platform/index.js';
 import { REASON_HEADER } from './forwardHeaders.js';
+import type { TransferEnd } from './AnswerTransfer.js';
+import { AnswerTransfer } from './AnswerTransfer.js';
 import type { TargetAnswer } from './TargetRequest.js';
 
 const MS_PER_SECOND = 1_000;
@@ -56,22 +58,25 @@
   /**
    * Forwards a target's answer to the caller unchanged.
    * @param answer - The target's answer.
+   * @param deadlineAt - When the caller must have it, in monotonic milliseconds.
+   * @param onEnd - Called once the answer has been sent or broken off.
+   * @returns What remains to be done.
    */
-  deliver({ status, headers, body, remainder }: TargetAnswer): void {
+  deliver(
+    { status, headers, body, remainder, reservation }: TargetAnswer,
+    deadlineAt: number,
+    onEnd: (end: TransferEnd) => void,
+  ): AnswerTransfer {
     this.hasStartedAnswer = true;
     const isHead = this.req.method === 'HEAD';
     const lengthHeader =
       remainder === undefined && !isHead ? ['Content-Length', String(body.length)] : [];
     const keptHeaders = lengthHeader.length === 0 ? [...headers] : removeContentLength(headers);
+    this.res.once('close', () => reservation.release());
     this.res.writeHead(status, [...keptHeaders, ...lengthHeader]);
-    if (remainder === undefined) {
-      this.res.end(body);
-      return;
-    }
-    this.res.write(body);
-    remainder.on('aborted', () => this.res.destroy());
-    remainder.on('error', () => this.res.destroy());
-    remainder.pipe(this.res);
+    if (remainder === undefined) this.res.end(body);
+    else this.res.write(body, () => reservation.release());
+    return new AnswerTransfer(this.res, { remainder, deadlineAt, onEnd });
   }
 
   /**
--- a/src/gateway/CallerRequestHandler.ts
+++ b/src/gateway/CallerRequestHandler.ts
@@ -5,7 +5,7 @@
 import type { ArrivalHead } from '../balancing/keyChecks.js';
 import { cleanHeaders } from '../entry/exchange/headers.js';
 import { readCallerHead, readKeyDigest } from '../platform/index.js';
-import type { Clock } from '../timing/index.js';
+import type { Clock, TimerService } from '../timing/index.js';
 import type { ActiveRequests } from './ActiveRequests.js';
 import type { BodyMemory } from './BodyMemory.js';
 import type { BodyOutcome } from './CallerBody.js';
@@ -41,6 +41,9 @@
  */
 const MAX_DISCARDED_BODY_BYTES = 64 * 1024;
 
+/** Interval at which bodies that are late are looked for, in milliseconds. */
+const LATE_CHECK_MS = 500;
+
 /** Longest time in which a body must arrive, in milliseconds, also if its caller allows more. */
 const MAX_BODY_MS = 60_000;
 
@@ -139,9 +142,11 @@
     body.read();
   }
 
-  /** Refuses requests whose bodies have not arrived in time. */
-  refuseLateBodies(): void {
-    for (const body of this.openBodies) body.checkTime();
+  /** Starts to look for bodies that have not arrived in time. */
+  start(timers: TimerService): void {
+    timers.subscribe(LATE_CHECK_MS, () => {
+      for (const body of this.openBodies) body.checkTime();
+    });
   }
 
   /** @internal */
--- a/src/gateway/GatewayMetrics.ts
+++ b/src/gateway/GatewayMetrics.ts
@@ -72,7 +72,7 @@
   now(): number;
   /** Age of the last confirmed view of the store, in milliseconds; infinite until the first. */
   getStoreAgeMs(): number;
-  /** Number of requests that have not been answered yet. */
+  /** Number of requests whose answers have not been sent completely. */
   getOpenRequestCount(): number;
   /** Memory for bodies of requests and answers. */
   getBodyMemory(): BodyMemoryFigures;
@@ -117,7 +117,7 @@
     }),
     requests: new prom.Gauge({
       name: 'masticlink_gateway_requests',
-      help: 'Requests that have no answer yet.',
+      help: 'Requests whose answers have not been sent completely.',
       registers,
     }),
     bodyMemory: new prom.Gauge({
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -1,4 +1,4 @@
-import type { BalancerEffect, BalancerState } from '../balancing/index.js';
+import type { BalancerContext, BalancerEffect, BalancerState } from '../balancing/index.js';
 import { createBalancerState } from '../balancing/index.js';
 import { isKeyUnknown } from '../balancing/keyChecks.js';
 import type { GatewaySettings } from '../config/index.js';
@@ -22,7 +22,7 @@
 import { CallerRequestHandler } from './CallerRequestHandler.js';
 import { createStateSources } from './createStateSources.js';
 import { createStoreHandlers } from './createStoreHandlers.js';
-import { countSharingVms, describeVms } from './describeVms.js';
+import { countSharingVms, describeVms, isVmAddress } from './describeVms.js';
 import { GatewayEndpoints } from './GatewayEndpoints.js';
 import { GatewayMetrics } from './GatewayMetrics.js';
 import { RequestTimers } from './RequestTimers.js';
@@ -55,9 +55,6 @@
  */
 const IDLE_MARGIN_MS = 500;
 
-/** Interval at which bodies that have not arrived in time are looked for, in milliseconds. */
-const BODY_CHECK_MS = 500;
-
 /** Dependencies of `GatewayProcess`; tests supply their own. */
 export interface GatewayParts {
   readonly settings: GatewaySettings;
@@ -70,6 +67,15 @@
   readonly [K in BalancerEffect['kind']]: (effect: Extract<BalancerEffect, { kind: K }>) => void;
 };
 
+function createContext({ clock, random }: GatewayParts): BalancerContext {
+  return {
+    get now() {
+      return clock.now();
+    },
+    random,
+  };
+}
+
 /** The gateway: the process that runs on every entry VM of the platform. */
 export class GatewayProcess {
   /** The balancer's state; tests and reports may read it but must not change it. */
@@ -140,9 +146,9 @@
       this.activeRequests.startForward(effect, this.view.vms.get(effect.vm)?.callers),
     cancelAttempt: ({ attempt }) => this.activeRequests.cancelAttempt(attempt),
     dropIdleConnections: ({ targets }) => targets.forEach((to) => this.agents.destroyIdle(to)),
-    deliver: ({ request, attempt }) => {
-      this.wakeTimers.cancel(request);
-      this.activeRequests.deliver(request, attempt);
+    deliver: (effect) => {
+      this.wakeTimers.cancel(effect.request);
+      this.activeRequests.deliver(effect);
     },
     answer: ({ request, status, reason, retryAfterMs }) => {
       this.wakeTimers.cancel(request);
@@ -185,19 +191,22 @@
       requestAnnouncement: (address, onEnd) => new FeedClient(address, view, clock, onEnd, self),
       onVmsKnown: () => this.fleetSync.begin(),
     });
-    const context = {
-      get now() {
-        return clock.now();
-      },
-      random,
-    };
-    this.loop = new BalancerLoop(this.state, context, (effect) => this.runEffect(effect));
+    this.loop = new BalancerLoop(this.state, createContext(parts), (effect) =>
+      this.runEffect(effect),
+    );
     const { dispatch } = this.loop;
     this.prober = new TargetProber(this.agents, clock, ({ target, bornAt }, end) =>
       dispatch({ kind: 'probeEnded', target, bornAt, end }),
     );
     this.memory = new BodyMemory(settings.memoryMb, () => clock.now());
-    this.activeRequests = new ActiveRequests(this.agents, this.vmAgents, clock, dispatch);
+    this.activeRequests = new ActiveRequests({
+      agents: this.agents,
+      vmAgents: this.vmAgents,
+      clock,
+      memory: this.memory,
+      dispatch,
+      onAnswerCut: (fields) => this.runEffect({ kind: 'log', event: 'answer.cut', fields }),
+    });
     this.metrics = new GatewayMetrics({
       getStoreCallCounts: () => this.store.calls,
       getProbeCount: () => this.prober.sentProbes,
@@ -312,7 +321,7 @@
       log: (effect) => this.runEffect(effect),
       dispatch: this.loop.dispatch,
       getCallerLimits: () => this.view.table?.limits,
-      isVmAddress: (ip) => this.isVmAddress(ip),
+      isVmAddress: (ip) => isVmAddress(this.view.vms.values(), ip),
       isKeyUnknown: (head) => isKeyUnknown(this.state, head, this.parts.clock.now()),
       hasOrganisations: () => this.state.keys.isRequired,
     });
@@ -321,16 +330,12 @@
       headerBytes: MAX_HEADER_BYTES,
       maxConnections: MAX_CONNECTIONS,
     });
-    this.timers.subscribe(BODY_CHECK_MS, () => requestHandler.refuseLateBodies());
+    requestHandler.start(this.timers);
+    this.activeRequests.start(this.timers);
     this.callerServer.handle = (...request) => requestHandler.handle(...request);
     await this.endpoints.listen();
   }
 
-  /** @internal */
-  private isVmAddress(ip: string): boolean {
-    return [...this.view.vms.values()].some(({ peers }) => peers.startsWith(`${ip}:`));
-  }
-
   /** @internal */
   private handleSectionChange(section: Section): void {
     const { dispatch } = this.loop;
--- a/src/gateway/TargetRequest.ts
+++ b/src/gateway/TargetRequest.ts
@@ -6,6 +6,7 @@
 import type { TargetHead } from '../platform/index.js';
 import { readStatements, readTargetHead } from '../platform/index.js';
 import type { Clock } from '../timing/index.js';
+import type { BodyMemory, MemoryReservation } from './BodyMemory.js';
 
 /** Timeout for connecting to a target, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 250;
@@ -27,6 +28,9 @@
 const FIRST_REDIRECT = 300;
 /** Statuses from which a caller concludes that its request has not run. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+/** Stands for the memory of an answer without a body. */
+const NO_RESERVATION: MemoryReservation = { grow: () => false, release: () => {} };
+
 const BAD_GATEWAY = 502;
 const NO_CONTENT = 204;
 const NOT_MODIFIED = 304;
@@ -35,6 +39,8 @@
 export interface TargetRequestOptions {
   readonly agent: Agent;
   readonly clock: Clock;
+  /** Memory for the part of the answer that is buffered. */
+  readonly memory: BodyMemory;
   /** IP address and port. */
   readonly address: string;
   readonly method: string;
@@ -59,6 +65,8 @@
   readonly body: Buffer;
   /** Stream of the rest of a large body; undefined if `body` is complete. */
   readonly remainder: IncomingMessage | undefined;
+  /** Memory of `body`. */
+  readonly reservation: MemoryReservation;
 }
 
 /** What the head of an answer says. */
@@ -126,6 +134,9 @@
   /** @internal */
   private hasEnded = false;
 
+  /** Memory of the answer as far as it is buffered. @internal */
+  private reservation: MemoryReservation | undefined;
+
   /** @param options - The request and its target. */
   constructor(private readonly options: TargetRequestOptions) {
     const { address, method, path, body, headers, agent } = options;
@@ -153,6 +164,7 @@
   cancel(): void {
     const isAnswerAwaited = this.isConnected && !this.hasEnded;
     this.hasEnded = true;
+    this.reservation?.release();
     if (isAnswerAwaited) setTimeout(() => this.req.destroy(), CANCEL_DELAY_MS);
     else this.req.destroy();
   }
@@ -168,6 +180,7 @@
   private finish(end: AttemptResult): void {
     if (this.hasEnded) return;
     this.hasEnded = true;
+    if (end.kind !== 'answered') this.reservation?.release();
     this.options.onEnd(end);
   }
 
@@ -194,10 +207,13 @@
     if (isCloseDelimited(res)) this.detectReset(res);
     const chunks: Buffer[] = [];
     let size = 0;
+    this.reservation = this.options.memory.tryReserve(0);
     const onData = (chunk: Buffer): void => {
       chunks.push(chunk);
       size += chunk.length;
-      if (size <= MAX_BUFFERED_ANSWER_BYTES) return;
+      const hasRoom = this.reservation?.grow(chunk.length) === true;
+      // Without room, a truncated answer can no longer be replaced, but nothing is lost.
+      if (hasRoom && size <= MAX_BUFFERED_ANSWER_BYTES) return;
       res.off('data', onData);
       res.pause();
       this.completeAnswer(status, res, chunks, head, res);
@@ -251,10 +267,18 @@
       headers: isMisleading ? [] : headers,
       body: isMisleading ? Buffer.alloc(0) : Buffer.concat(chunks),
       remainder: isMisleading ? undefined : remainder,
+      reservation: this.reservation ?? NO_RESERVATION,
     };
+    if (isMisleading && remainder !== undefined) this.req.destroy();
     this.finish({ kind: 'answered', status, reading, limit, ...statements });
   }
 
+  /** Closes the connection of an answer that is not delivered, unless the answer is complete. */
+  discardAnswer(): void {
+    this.reservation?.release();
+    this.answer?.remainder?.destroy();
+  }
+
   /**
    * Destroys the connection of a target that answered before it had received the whole request: it
    * would take the rest of the body for the start of the next request on this connection.
--- a/src/gateway/describeVms.ts
+++ b/src/gateway/describeVms.ts
@@ -1,4 +1,4 @@
-import type { BalancerEvent } from '../balancing/index.js';
+import type { BalancerEvent, VmAnnouncement } from '../balancing/index.js';
 
 /** What an entry VM knows of all entry VMs. */
 export interface KnownVms {
@@ -43,3 +43,12 @@
 export function countSharingVms(self: string, listed: readonly string[]): number {
   return listed.includes(self) ? listed.length : Number.POSITIVE_INFINITY;
 }
+
+/**
+ * Whether an IP address is that of an entry VM.
+ * @param vms - The VMs that are known.
+ * @param ip - The address.
+ */
+export function isVmAddress(vms: Iterable<VmAnnouncement>, ip: string): boolean {
+  return [...vms].some(({ peers }) => peers.startsWith(`${ip}:`));
+}
--- a/src/tests/gateway/GatewayHarness.ts
+++ b/src/tests/gateway/GatewayHarness.ts
@@ -36,6 +36,10 @@
   readonly extraRoutes?: readonly Route[];
   /** Largest request body, in bytes. */
   readonly bodyBytes?: number;
+  /** Address of a target in place of the harness's own. */
+  readonly targetAddress?: string;
+  /** Time that routes allow, in milliseconds; longer than any test takes by default. */
+  readonly timeoutMs?: number;
 }
 
 /** A gateway on loopback with a store, and a target that holds requests until they are released. */
@@ -62,7 +66,8 @@
   readonly abortedIds: string[] = [];
 
   /** Lines that the gateway has logged. */
-  readonly logLines: { readonly event: string; readonly id?: string }[] = [];
+  readonly logLines: { readonly event: string; readonly id?: string; readonly reason?: string }[] =
+    [];
 
   /** Connections over which the target has received requests of callers. */
   readonly targetSockets = new Set<Socket>();
@@ -93,8 +98,8 @@
     await new Promise<void>((resolve) => {
       target.listen(0, '127.0.0.1', resolve);
     });
-    const address = `127.0.0.1:${(target.address() as AddressInfo).port}`;
-    GatewayHarness.configure(store, address, options);
+    const ownAddress = `127.0.0.1:${(target.address() as AddressInfo).port}`;
+    GatewayHarness.configure(store, options.targetAddress ?? ownAddress, options);
     const ports = await findPorts(LISTENERS.length);
     const log = GatewayHarness.createLog('vm-1', (line) => harness?.logLines.push(line));
     const gateway = GatewayHarness.createGateway('vm-1', ports, store.address, log);
@@ -153,13 +158,11 @@
   }
 
   /** @internal */
-  private static putTable(
-    store: PlatformStore,
-    { organisations, extraRoutes = [], bodyBytes = LIMITS.bodyBytes }: HarnessOptions,
-    version: number,
-  ): void {
+  private static putTable(store: PlatformStore, options: HarnessOptions, version: number): void {
+    const { organisations, extraRoutes = [], bodyBytes = LIMITS.bodyBytes } = options;
     // Requests must not time out, however long a test takes on a busy machine.
-    const times = { objectiveMs: ALLOWED_MS, timeoutMs: ALLOWED_MS };
+    const { timeoutMs = ALLOWED_MS } = options;
+    const times = { objectiveMs: timeoutMs, timeoutMs };
     const table = {
       version,
       routes: [ROUTE, ...extraRoutes].map((route) => ({ ...route, ...times })),
--- a/src/tests/gateway/TargetRequest.test.ts
+++ b/src/tests/gateway/TargetRequest.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 
 import type { AttemptResult } from '../../balancing/index.js';
+import { BodyMemory } from '../../gateway/BodyMemory.js';
 import { TargetAgent } from '../../gateway/TargetAgent.js';
 import { classifyTargetHead, TargetRequest } from '../../gateway/TargetRequest.js';
 import { SystemClock } from '../../timing/index.js';
@@ -150,6 +151,7 @@
     req = new TargetRequest({
       agent,
       clock: new SystemClock(),
+      memory: new BodyMemory(350, () => 0),
       address,
       method: 'GET',
       path: '/',
@@ -185,6 +187,7 @@
     const targetRequest = new TargetRequest({
       agent,
       clock: new SystemClock(),
+      memory: new BodyMemory(350, () => 0),
       address: '127.0.0.1:1',
       method: 'GET',
       path: '/',
@@ -211,6 +214,7 @@
     new TargetRequest({
       agent,
       clock: new SystemClock(),
+      memory: new BodyMemory(350, () => 0),
       address,
       method: 'GET',
       path: '/',
--- a/src/tests/gateway/forwarding.test.ts
+++ b/src/tests/gateway/forwarding.test.ts
@@ -104,12 +104,14 @@
 // A VM behind a translated address would not be known, and its requests would travel in a circle.
 test('a request with terms is not passed on again, whatever address it comes from', (t) => {
   const dispatched: BalancerEvent[] = [];
-  const requests = new ActiveRequests(
-    new TargetAgents(),
-    new TargetAgents(),
-    new SystemClock(),
-    () => {},
-  );
+  const requests = new ActiveRequests({
+    agents: new TargetAgents(),
+    vmAgents: new TargetAgents(),
+    clock: new SystemClock(),
+    memory: new BodyMemory(350, () => 0),
+    dispatch: () => {},
+    onAnswerCut: () => {},
+  });
   const handler = new CallerRequestHandler({
     clock: new SystemClock(),
     activeRequests: requests,
--- a/src/tests/gateway/identity.test.ts
+++ b/src/tests/gateway/identity.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 
 import type { AttemptResult } from '../../balancing/index.js';
+import { BodyMemory } from '../../gateway/BodyMemory.js';
 import { TargetAgent } from '../../gateway/TargetAgent.js';
 import { classifyTargetHead, TargetRequest } from '../../gateway/TargetRequest.js';
 import { SystemClock } from '../../timing/index.js';
@@ -95,7 +96,14 @@
   const agent = new TargetAgent(1);
   const send = async (id: string): Promise<AttemptResult['kind']> =>
     new Promise((resolve) => {
-      const options = { agent, clock: new SystemClock(), address, method: 'POST', path: '/' };
+      const options = {
+        agent,
+        clock: new SystemClock(),
+        memory: new BodyMemory(350, () => 0),
+        address,
+        method: 'POST',
+        path: '/',
+      };
       const req: TargetRequest = new TargetRequest({
         ...options,
         headers: ['X-Masticlink-Request-Id', id],
--- a/src/tests/gateway/rawTarget.ts
+++ b/src/tests/gateway/rawTarget.ts
@@ -2,6 +2,7 @@
 import { createServer } from 'node:net';
 
 import type { AttemptResult } from '../../balancing/index.js';
+import { BodyMemory } from '../../gateway/BodyMemory.js';
 import { TargetAgent } from '../../gateway/TargetAgent.js';
 import type { TargetAnswer } from '../../gateway/TargetRequest.js';
 import { classifyTargetHead, TargetRequest } from '../../gateway/TargetRequest.js';
@@ -45,6 +46,7 @@
     const targetRequest: TargetRequest = new TargetRequest({
       agent,
       clock: new SystemClock(),
+      memory: new BodyMemory(350, () => 0),
       address,
       method: body === undefined ? 'GET' : 'POST',
       path: '/horaires/',
