Interim answers and bodies of rejections without end close the connection

What callers saw: with a target that sends interim answers (1xx) without end, nothing until their own deadline; no other target was tried.

Cause: nothing counted interim answers, and res.resume() after a rejection reads until the sender ends.

Evidence: tests with a target that repeats bytes until its caller closes. Heads, and bytes after a complete rejection, are closed before the fix as well (ruled out); interim answers did not end within the time of the test, and the three tests of bodies of rejections (chunked, up to the close, slow) fail.

Why the fix works: 16 interim answers to a request, then it is sent again if it may run twice; 64 KB and 1 s for the body of a rejection, then its connection closes. That of a rejection with a usual body is still used again (test).

--- a/src/gateway/TargetRequest.ts
+++ b/src/gateway/TargetRequest.ts
@@ -17,6 +17,15 @@
  */
 const MAX_BUFFERED_ANSWER_BYTES = 256 * 1024;
 
+/** Largest body of a rejection that is read, so that its connection stays usable, in bytes. */
+const MAX_DISCARDED_BYTES = 64 * 1024;
+
+/** Time in which the body of a rejection must have ended, in milliseconds. */
+const DISCARD_TIMEOUT_MS = 1_000;
+
+/** Interim answers (1xx) to one request; a faulty target may send them without end. */
+const MAX_INTERIM_ANSWERS = 16;
+
 /**
  * How long the connection of a cancelled request stays open, in milliseconds. A rejection may be on
  * its way, and its target expects that it is heeded.
@@ -152,6 +161,13 @@
       else markConnected();
     });
     this.req.once('response', (res) => this.readResponse(res));
+    let interimAnswers = 0;
+    this.req.on('information', () => {
+      interimAnswers += 1;
+      if (interimAnswers <= MAX_INTERIM_ANSWERS) return;
+      this.finish({ kind: 'spoilt' });
+      this.req.destroy();
+    });
     this.req.once('error', () => this.finish({ kind: this.isConnected ? 'broken' : 'unsent' }));
     this.req.once('close', () => {
       clearTimeout(connectTimer);
@@ -200,7 +216,7 @@
     if (end !== undefined) {
       this.finish(end);
       // Unless the target merely rejected the request, the connection cannot be trusted any more.
-      if (end.kind === 'rejected') res.resume();
+      if (end.kind === 'rejected') this.discardBody(res);
       else this.req.destroy();
       return;
     }
@@ -228,6 +244,17 @@
     res.once('error', () => this.finish({ kind: 'broken' }));
   }
 
+  /** Reads the body of a rejection to its end, or closes the connection. @internal */
+  private discardBody(res: IncomingMessage): void {
+    let size = 0;
+    const timer = setTimeout(() => this.req.destroy(), DISCARD_TIMEOUT_MS);
+    res.once('close', () => clearTimeout(timer));
+    res.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > MAX_DISCARDED_BYTES) this.req.destroy();
+    });
+  }
+
   /**
    * Detects a reset at the end of an answer that is delimited by the close of its connection.
    *
