A complete answer that waits for its turn is not broken off

Answers to pipelined requests are sent in order. The owner of an answer broke it off at its deadline although an earlier one had still to be sent, and with it the connection. Found by reading; the test fails on the commit before.

--- a/src/gateway/AnswerTransfer.ts
+++ b/src/gateway/AnswerTransfer.ts
@@ -53,7 +53,10 @@
    * @param now - Monotonic milliseconds.
    */
   checkTime(now: number): void {
-    if (now > this.options.deadlineAt) this.end('late');
+    const { remainder, deadlineAt } = this.options;
+    // Waits for the answers to earlier requests of its connection, and needs nothing of the target.
+    const isQueued = remainder === undefined && this.res.socket === null;
+    if (now > deadlineAt && !isQueued) this.end('late');
   }
 
   /** @internal */
