--- a/src/tests/gateway/AnswerTransfer.test.ts
+++ b/src/tests/gateway/AnswerTransfer.test.ts
@@ -9,7 +9,8 @@
 // Guards against a connection that is cut as an answer on it has to wait for its turn.
 test('a complete answer that waits for its turn is not broken off at its deadline', (t) => {
   const ends: TransferEnd[] = [];
-  const res = Object.assign(new EventEmitter(), { socket: null as unknown, destroy: () => {} });
+  const state: { socket: unknown; destroy(): void } = { socket: null, destroy: () => {} };
+  const res = Object.assign(new EventEmitter(), state);
   const transfer = new AnswerTransfer(res as unknown as ServerResponse, {
     remainder: undefined,
     deadlineAt: 10,
