Known red: five ways to conclude wrongly that a request has not run

Found while all places were read that write 408, 421, 429 or 503 or let a caller conclude that its request has not run. No logic is changed.

None of them explains the incident: its callers send ids, hosts and no CONNECT, its routes keep their kind, and no VM is known to send a refusal late. Ruled out in the same file: a body whose rest arrives after its 408, and a refusal by another VM that names another request.

--- a/src/tests/balancing/requests.test.ts
+++ b/src/tests/balancing/requests.test.ts
@@ -125,6 +125,21 @@
   t.is(scene.all('sendAttempt').length, 1);
 });
 
+// The operator has stated that the request may not run twice, and its first attempt may have run.
+test('a request whose route is no longer idempotent is not sent again', (t) => {
+  const scene = new Scene(TARGETS);
+  const request = scene.arrive();
+  scene.answerProbes();
+  const table = { ...scene.state.table!, version: 2, routes: [ONCE] };
+  scene.dispatch({ kind: 'tableRead', table });
+  scene.wait(600, request);
+  scene.answerProbes();
+  t.is(scene.all('sendAttempt').length, 1);
+  scene.end({ kind: 'broken' });
+  scene.answerProbes();
+  t.is(scene.all('sendAttempt').length, 1);
+});
+
 test('targets that drain or whose zone is out of service get no requests', (t) => {
   // An operator takes a zone out of service and a target drains; requests sent to either are lost.
   const scene = new Scene([
--- /dev/null
+++ b/src/tests/gateway/promises.test.ts
@@ -0,0 +1,135 @@
+import test from 'ava';
+
+import type { BalancerEvent, ForwardResult } from '../../balancing/index.js';
+import { ActiveRequests } from '../../gateway/ActiveRequests.js';
+import { BodyMemory } from '../../gateway/BodyMemory.js';
+import { CallerExchange } from '../../gateway/CallerExchange.js';
+import { TargetAgents } from '../../gateway/TargetAgents.js';
+import { SystemClock } from '../../timing/index.js';
+import { waitUntil } from '../entry/fixtures.js';
+import type { CallerSocket } from './CallerSocket.js';
+import { ALLOWED_MS } from './CallerSocket.js';
+import { GatewayHarness } from './GatewayHarness.js';
+import { formatResponse, startTarget } from './rawTarget.js';
+
+const HOST = 'Host: door.example';
+
+function send({ socket }: CallerSocket, requestLine: string, headers: readonly string[]): void {
+  const deadline = `X-Masticlink-Deadline-Ms: ${ALLOWED_MS}`;
+  socket.write([`${requestLine} HTTP/1.1`, ...headers, deadline, '', ''].join('\r\n'));
+}
+
+// A caller takes requests behind an answer that closes its connection as unread and repeats them,
+// so that a booking would be made twice.
+test('a request behind one without a host is not sent to a target', async (t) => {
+  const harness = await GatewayHarness.start();
+  t.teardown(() => harness.stop());
+  const caller = await harness.connect();
+  send(caller, 'POST /horaires/x', [HOST, 'X-Masticlink-Request-Id: a', 'Content-Length: 0']);
+  await harness.waitForStarted(1);
+  send(caller, 'GET /horaires/x', ['X-Masticlink-Request-Id: b']);
+  send(caller, 'POST /horaires/x', [HOST, 'X-Masticlink-Request-Id: c', 'Content-Length: 0']);
+  await harness.pause(300);
+  harness.release('a');
+  await harness.waitUntil(() => caller.isEnded);
+  t.deepEqual(caller.statuses, [200, 400]);
+  t.deepEqual(harness.startedIds, ['a']);
+});
+
+// A caller would take the refusal, which states that nothing has run, for the answer to its booking.
+test('a refused CONNECT does not take the place of an open answer', async (t) => {
+  const harness = await GatewayHarness.start();
+  t.teardown(() => harness.stop());
+  const caller = await harness.connect();
+  send(caller, 'POST /horaires/x', [HOST, 'X-Masticlink-Request-Id: a', 'Content-Length: 0']);
+  await harness.waitForStarted(1);
+  send(caller, 'CONNECT door.example:80', [HOST]);
+  await harness.pause(100);
+  harness.release('a');
+  await harness.waitUntil(() => caller.isEnded);
+  t.deepEqual(caller.statuses, [200, 501]);
+});
+
+// A late rejection of one of them would be taken for the answer to the other.
+test('requests with an empty id share no connection to a target', async (t) => {
+  const harness = await GatewayHarness.start();
+  t.teardown(() => harness.stop());
+  const caller = await harness.connect();
+  for (const count of [1, 2, 3, 4, 5, 6]) {
+    send(caller, 'GET /horaires/x', [HOST, 'X-Masticlink-Request-Id:']);
+    await harness.waitForStarted(count);
+    harness.release('');
+    await harness.waitUntil(() => caller.statuses.length === count);
+  }
+  t.is(harness.targetSockets.size, 6);
+});
+
+// Guards against a body whose rest arrives after its caller was told that it came too late.
+test('a request whose body was refused as late does not run when the rest arrives', async (t) => {
+  const harness = await GatewayHarness.start();
+  t.teardown(() => harness.stop());
+  const caller = await harness.connect();
+  caller.socket.write(
+    `POST /horaires/x HTTP/1.1\r\n${HOST}\r\nX-Masticlink-Request-Id: a\r\n` +
+      'X-Masticlink-Deadline-Ms: 300\r\nContent-Length: 6\r\n\r\none',
+  );
+  await harness.waitUntil(() => caller.statuses.length === 1);
+  caller.socket.write('two');
+  send(caller, 'GET /horaires/x', [HOST, 'X-Masticlink-Request-Id: b']);
+  await harness.waitForStarted(1);
+  t.deepEqual(harness.startedIds, ['b']);
+  t.deepEqual(caller.statuses, [408]);
+  harness.release('b');
+  await harness.waitUntil(() => caller.statuses.length === 2);
+});
+
+/** Passes a request on over a connection on which another one was answered; returns its end. */
+async function forwardBehindAnother(refusal: string): Promise<ForwardResult | undefined> {
+  const served = formatResponse('200 OK', [
+    'X-Masticlink-Request-Id: r-1',
+    'X-Masticlink-Response-Signature: 1.2.3',
+    'Content-Length: 0',
+  ]);
+  let requestCount = 0;
+  const { server, address } = await startTarget((socket) =>
+    socket.on('data', () => {
+      requestCount += 1;
+      socket.write(requestCount === 1 ? served : refusal);
+    }),
+  );
+  const vmAgents = new TargetAgents();
+  const ends: ForwardResult[] = [];
+  const requests = new ActiveRequests({
+    agents: new TargetAgents(),
+    vmAgents,
+    clock: new SystemClock(),
+    memory: new BodyMemory(350, () => 0),
+    dispatch: (event: BalancerEvent) => event.kind === 'forwardEnded' && ends.push(event.end),
+    onAnswerCut: () => {},
+  });
+  for (const [i, id] of ['r-1', 'r-2'].entries()) {
+    const req = { method: 'GET', url: '/', rawHeaders: [], headers: {} };
+    const headers = ['X-Masticlink-Request-Id', id];
+    const exchange = new CallerExchange(req as never, {} as never, headers, undefined, id);
+    const terms = { maxTargets: 1, sinceFirstMs: 0, service: 'horaires' };
+    const effect = { attempt: i + 1, vm: 'vm-2', allowedMs: ALLOWED_MS, terms } as const;
+    const request = requests.add(exchange);
+    requests.startForward({ kind: 'forwardRequest', request, ...effect }, address);
+    await waitUntil(() => ends.length > i);
+  }
+  vmAgents.destroy();
+  server.close();
+  return ends[1];
+}
+
+// The VM may run the request: the refusal may be a late one of a request before it.
+for (const [name, idHeader] of Object.entries({
+  'names another request': ['X-Masticlink-Request-Id: r-1'],
+  'names no request': [],
+})) {
+  test(`a refusal by another VM that ${name} says nothing about the request`, async (t) => {
+    const headers = [...idHeader, 'Masticlink-Reason: overloaded', 'Content-Length: 0'];
+    const refusal = formatResponse('503 Service Unavailable', headers);
+    t.deepEqual(await forwardBehindAnother(refusal), { kind: 'broken' });
+  });
+}
