Late answers to other requests are skipped, and the own answer is read behind them

What callers saw: since answers are compared with their request, no promise is broken by a late copy, but a request that may not run twice got 502 for each copy that came in the place of its answer, though its own answer followed. Cause: an answer that names another request, or a probe's, ended the attempt and closed its connection. Change: such an answer is skipped, up to four of them, and the next one is read as the request's. Node's client reads on behind interim answers only, so the skipped one is made one; where Node does not follow, it closes the connection and the attempt ends as before. The connection closes behind the own answer. Without an own answer the attempt ends as spoilt, as before. answer.skipped logs each.

--- a/src/balancing/effects.ts
+++ b/src/balancing/effects.ts
@@ -58,6 +58,7 @@
   | 'request.failed'
   | 'request.callerLeft'
   | 'answer.cut'
+  | 'answer.skipped'
   | 'request.kept'
   | 'retry.granted'
   | 'retry.refused'
--- a/src/gateway/ActiveRequests.ts
+++ b/src/gateway/ActiveRequests.ts
@@ -1,8 +1,13 @@
-import type { BalancerEffect, BalancerEvent, ForwardResult } from '../balancing/index.js';
+import type {
+  BalancerEffect,
+  BalancerEvent,
+  ForwardResult,
+  LogEffect,
+} from '../balancing/index.js';
 import type { AttemptId, RequestId } from '../core/model/index.js';
 import type { Clock, TimerService } from '../timing/index.js';
 import { writeTargetHeaders } from '../platform/index.js';
-import type { AnswerTransfer, TransferEnd } from './AnswerTransfer.js';
+import type { AnswerTransfer } from './AnswerTransfer.js';
 import type { BodyMemory } from './BodyMemory.js';
 import type { CallerExchange } from './CallerExchange.js';
 import type { TargetAgents } from './TargetAgents.js';
@@ -30,17 +35,8 @@
   readonly memory: BodyMemory;
   /** Receives an event when an attempt ends. */
   readonly dispatch: (event: BalancerEvent) => void;
-  /** Called when an answer that a caller has received in part is broken off. */
-  readonly onAnswerCut: (fields: AnswerCutFields) => void;
-}
-
-/** What is logged of an answer that was broken off. */
-export interface AnswerCutFields extends Readonly<Record<string, unknown>> {
-  readonly id: string | undefined;
-  readonly status: number;
-  readonly reason: Exclude<TransferEnd, 'complete'>;
-  /** Time since the answer began, in milliseconds. */
-  readonly tookMs: number;
+  /** Logs answers that are broken off or skipped. */
+  readonly log: (effect: LogEffect) => void;
 }
 
 /**
@@ -108,7 +104,12 @@
       path: req.url ?? '/',
       headers: writeTargetHeaders(headers, to.target, allowedMs, body?.length),
       body,
+      callerRequestId,
       classifyHead: (head) => classifyTargetHead(callerRequestId, head),
+      onSkip: ({ callerRequestId: answeredId, status }) => {
+        const fields = { id: callerRequestId, attempt, target: to.target, answeredId, status };
+        this.parts.log({ kind: 'log', event: 'answer.skipped', fields });
+      },
       onEnd: (end) => {
         this.parts.dispatch({ kind: 'attemptEnded', attempt, end });
         this.removeAttempt(attempt);
@@ -195,13 +196,14 @@
 
   /** @internal */
   private startTransfer(exchange: CallerExchange, answer: TargetAnswer, deadlineAt: number): void {
-    const { clock, onAnswerCut } = this.parts;
+    const { clock, log } = this.parts;
     const startedAt = clock.now();
     const transfer = exchange.deliver(answer, deadlineAt, (reason) => {
       this.transfers.delete(transfer);
       if (reason === 'complete') return;
       const tookMs = Math.round(clock.now() - startedAt);
-      onAnswerCut({ id: exchange.callerRequestId, status: answer.status, reason, tookMs });
+      const fields = { id: exchange.callerRequestId, status: answer.status, reason, tookMs };
+      log({ kind: 'log', event: 'answer.cut', fields });
     });
     this.transfers.add(transfer);
   }
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -205,7 +205,7 @@
       clock,
       memory: this.memory,
       dispatch,
-      onAnswerCut: (fields) => this.runEffect({ kind: 'log', event: 'answer.cut', fields }),
+      log: (effect) => this.runEffect(effect),
     });
     this.metrics = new GatewayMetrics({
       getStoreCallCounts: () => this.store.calls,
--- a/src/gateway/TargetRequest.ts
+++ b/src/gateway/TargetRequest.ts
@@ -7,6 +7,7 @@
 import { readStatements, readTargetHead } from '../platform/index.js';
 import type { Clock } from '../timing/index.js';
 import type { BodyMemory, MemoryReservation } from './BodyMemory.js';
+import { skipAnswer } from './skipAnswer.js';
 
 /** Timeout for connecting to a target, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 250;
@@ -26,6 +27,9 @@
 /** Interim answers (1xx) to one request; a faulty target may send them without end. */
 const MAX_INTERIM_ANSWERS = 16;
 
+/** Answers to other requests that are skipped while the answer to one request is awaited. */
+const MAX_SKIPPED_ANSWERS = 4;
+
 /**
  * How long the connection of a cancelled request stays open, in milliseconds. A rejection may be on
  * its way, and its target expects that it is heeded.
@@ -58,9 +62,13 @@
   readonly headers: readonly string[];
   /** Undefined if the request has no body. */
   readonly body: Buffer | undefined;
+  /** Answers that name another request are skipped; undefined if answers cannot be told apart. */
+  readonly callerRequestId?: string;
   /** Returns the outcome if the head of the answer decides it, undefined if the body is needed. */
   classifyHead(head: AnswerHead): AttemptResult | undefined;
   readonly onEnd: (end: AttemptResult) => void;
+  /** Called for each answer to another request that is skipped. */
+  readonly onSkip?: (head: AnswerHead) => void;
   /** Called at most once, with the statements of an answer that arrives just after a cancel. */
   readonly onLateStatements?: (statements: TargetStatements) => void;
 }
@@ -143,6 +151,12 @@
   /** @internal */
   private hasEnded = false;
 
+  /** Answers to other requests that have been skipped. @internal */
+  private skippedCount = 0;
+
+  /** How the request ends if its own answer does not follow those skipped. @internal */
+  private endWithoutAnswer: AttemptResult | undefined;
+
   /** Memory of the answer as far as it is buffered. @internal */
   private reservation: MemoryReservation | undefined;
 
@@ -160,7 +174,7 @@
       if (socket.connecting) socket.once('connect', markConnected);
       else markConnected();
     });
-    this.req.once('response', (res) => this.readResponse(res));
+    this.req.on('response', (res) => this.readResponse(res));
     let interimAnswers = 0;
     this.req.on('information', () => {
       interimAnswers += 1;
@@ -168,10 +182,10 @@
       this.finish({ kind: 'spoilt' });
       this.req.destroy();
     });
-    this.req.once('error', () => this.finish({ kind: this.isConnected ? 'broken' : 'unsent' }));
+    this.req.once('error', () => this.finishUnanswered());
     this.req.once('close', () => {
       clearTimeout(connectTimer);
-      this.finish({ kind: this.isConnected ? 'broken' : 'unsent' });
+      this.finishUnanswered();
     });
     this.req.end(body);
   }
@@ -192,6 +206,11 @@
     this.req.destroy();
   }
 
+  /** @internal */
+  private finishUnanswered(): void {
+    this.finish(this.endWithoutAnswer ?? { kind: this.isConnected ? 'broken' : 'unsent' });
+  }
+
   /** @internal */
   private finish(end: AttemptResult): void {
     if (this.hasEnded) return;
@@ -213,6 +232,13 @@
       this.req.destroy();
       return;
     }
+    if (end !== undefined && this.mayOwnAnswerFollow(head)) {
+      this.endWithoutAnswer = end;
+      this.skippedCount += 1;
+      this.options.onSkip?.(head);
+      skipAnswer(this.req, res);
+      return;
+    }
     if (end !== undefined) {
       this.finish(end);
       // Unless the target merely rejected the request, the connection cannot be trusted any more.
@@ -244,6 +270,19 @@
     res.once('error', () => this.finish({ kind: 'broken' }));
   }
 
+  /**
+   * Whether an answer is a late one, to another request or a probe, behind which the own one may
+   * come. Probes have no id, and share connections with requests.
+   * @internal
+   */
+  private mayOwnAnswerFollow({ callerRequestId, target, hasNotRun, headers }: AnswerHead): boolean {
+    const { callerRequestId: own } = this.options;
+    if (own === undefined || this.skippedCount >= MAX_SKIPPED_ANSWERS) return false;
+    const isOfProbe = callerRequestId === undefined && (target !== undefined || hasNotRun);
+    const isOfOther = callerRequestId !== undefined && callerRequestId !== own;
+    return (isOfProbe || isOfOther) && headers.connection?.toLowerCase() !== 'close';
+  }
+
   /** Reads the body of a rejection to its end, or closes the connection. @internal */
   private discardBody(res: IncomingMessage): void {
     let size = 0;
--- /dev/null
+++ b/src/gateway/skipAnswer.ts
@@ -0,0 +1,40 @@
+import type { ClientRequest, IncomingMessage } from 'node:http';
+
+/** A request of Node's client, with the parts that decide what becomes of a further answer. */
+interface SkippingRequest extends ClientRequest {
+  /** The answer that was received; a further one would close the connection. */
+  res?: IncomingMessage | null;
+  shouldKeepAlive: boolean;
+}
+
+/** Largest body of a skipped answer, in bytes. */
+const MAX_SKIPPED_BYTES = 64 * 1024;
+
+/** A status of the interim answers behind which Node's client reads on. */
+const PROCESSING = 102;
+
+/**
+ * Skips an answer that belongs to another request, and reads the next one on its connection as the
+ * answer to this request. The request emits `response` again.
+ *
+ * Node's client reads on only behind interim answers, so the answer is made one. Where Node does not
+ * follow, it closes the connection at the next answer, and the request fails as without skipping.
+ * The connection closes after the next answer, as its target may send further answers late.
+ * @param req - The request that waits for its answer.
+ * @param res - The answer to skip, of which only the head has been read.
+ * @example
+ * req.on('response', (res) => (isOwn(res) ? read(res) : skipAnswer(req, res)));
+ */
+export function skipAnswer(req: ClientRequest, res: IncomingMessage): void {
+  const skipping = req as SkippingRequest;
+  skipping.res = null;
+  skipping.shouldKeepAlive = false;
+  res.statusCode = PROCESSING;
+  // At the end of an answer, Node's listener would release the connection.
+  res.removeAllListeners('end');
+  let size = 0;
+  res.on('data', (chunk: Buffer) => {
+    size += chunk.length;
+    if (size > MAX_SKIPPED_BYTES) req.destroy();
+  });
+}
--- a/src/tests/gateway/rawTarget.ts
+++ b/src/tests/gateway/rawTarget.ts
@@ -57,6 +57,7 @@
         body?.length,
       ),
       body,
+      callerRequestId: 'r-1',
       classifyHead: (head) => classifyTargetHead('r-1', head),
       onEnd: (end) => resolve({ end, answer: targetRequest.answer }),
     });
--- a/src/tests/gateway/skippedAnswers.test.ts
+++ b/src/tests/gateway/skippedAnswers.test.ts
@@ -2,6 +2,7 @@
 
 import test from 'ava';
 
+import { TargetAgent } from '../../gateway/TargetAgent.js';
 import { formatResponse, sendRequest, VALID_HEADERS } from './rawTarget.js';
 
 /** Time between two writes that the receiver reads one by one, in milliseconds. */
@@ -65,3 +66,70 @@
     }
   }
 });
+
+// Guards against a caller that is told that its request ran when only other requests' answers came.
+for (const [name, end] of Object.entries({
+  'the connection closes': (socket: Socket) => socket.end(),
+  'the connection is reset': (socket: Socket) => socket.resetAndDestroy(),
+})) {
+  test(`a request has no answer if ${name} behind a late one`, async (t) => {
+    const outcome = await sendRequest((socket) => {
+      socket.write(LATE_ANSWERS.rejection);
+      setTimeout(() => end(socket), WRITE_GAP_MS);
+    });
+    t.like(outcome.end, { kind: 'spoilt', pauseMs: undefined, isDraining: false });
+    t.is(outcome.answer, undefined);
+  });
+}
+
+// Guards against waiting for an answer that cannot follow on a connection that its target closes.
+test('a late answer that announces the close of its connection is the last one', async (t) => {
+  const { end } = await sendRequest((socket) =>
+    socket.write(LATE_ANSWERS.rejection.replace('Content', 'Connection: close\r\nContent')),
+  );
+  t.is(end.kind, 'spoilt');
+});
+
+// Guards against a faulty target that sends other requests' answers without end.
+for (const [name, more] of Object.entries({
+  answers: LATE_ANSWERS.success,
+  'bytes of one answer': formatResponse('200 OK', [
+    'X-Masticlink-Request-Id: r-0',
+    'Content-Length: 10000000',
+  ]).padEnd(64 * 1024, 'x'),
+})) {
+  test(`late ${name} without end close the connection`, async (t) => {
+    let isOpen = true;
+    const { end } = await sendRequest((socket) => {
+      const timer = setInterval(() => socket.write(more), 5);
+      socket.once('close', () => {
+        isOpen = false;
+        clearInterval(timer);
+      });
+    });
+    t.is(end.kind, 'spoilt');
+    await new Promise((resolve) => {
+      setTimeout(resolve, WRITE_GAP_MS);
+    });
+    t.false(isOpen);
+  });
+}
+
+// Guards against reusing a connection on which a target has sent another request's answer.
+test('a connection closes with the answer behind a late one', async (t) => {
+  const agent = new TargetAgent(4);
+  const closed: string[] = [];
+  const { end } = await sendRequest(
+    (socket) => {
+      socket.once('close', () => closed.push('target'));
+      socket.write(LATE_ANSWERS.rejection + OWN_ANSWER);
+    },
+    { agent },
+  );
+  t.is(end.kind, 'answered');
+  t.deepEqual(Object.keys(agent.freeSockets), []);
+  await new Promise((resolve) => {
+    setTimeout(resolve, WRITE_GAP_MS);
+  });
+  t.deepEqual(closed, ['target']);
+});
