A request without a host is refused in its turn, and none behind it is accepted

A caller takes requests behind an answer that closes its connection as unread and repeats them, so that one that may not run twice runs twice. Cause: Node answers such a request by itself with 400 and closes the connection, which CallerConnection did not know. Class: an answer that the HTTP library writes. Ruled out: Expect of another kind (417 by Node keeps the connection); heads that Node's parser refuses (answered in their turn by CallerConnection). Change: Node leaves the check to CallerServer, which refuses the request with 400 as the final one of its connection.

--- a/src/entry/api/CallerServer.ts
+++ b/src/entry/api/CallerServer.ts
@@ -6,7 +6,7 @@
 import type { ListenAddress } from '../../config/index.js';
 import { createListenError } from '../errors.js';
 import type { ClientError } from '../exchange/clientErrors.js';
-import { refuseConnect } from '../exchange/clientErrors.js';
+import { refuseConnect, refuseWithoutHost } from '../exchange/clientErrors.js';
 import { getProblemHeaders, writeProblemBody } from '../exchange/problem.js';
 import { CallerConnection } from './CallerConnection.js';
 
@@ -74,6 +74,8 @@
       maxHeaderSize: options.headerBytes,
       headersTimeout: HEAD_TIMEOUT_MS,
       requestTimeout: 0,
+      // Node would answer by itself and close the connection, while requests behind it are accepted.
+      requireHostHeader: false,
       keepAliveTimeout: KEEP_ALIVE_MS,
       noDelay: true,
     });
@@ -158,8 +160,10 @@
     hasExpectContinue: boolean,
   ): void {
     const connection = this.connections.get(req.socket);
-    connection?.acceptRequest(res, this.isStopping, (queuedMs) =>
-      this.handle(req, res, hasExpectContinue, queuedMs),
-    );
+    const isHostMissing = req.headers.host === undefined && req.httpVersion === '1.1';
+    connection?.acceptRequest(res, this.isStopping || isHostMissing, (queuedMs) => {
+      if (isHostMissing) refuseWithoutHost(req, res);
+      else this.handle(req, res, hasExpectContinue, queuedMs);
+    });
   }
 }
--- a/src/entry/exchange/clientErrors.ts
+++ b/src/entry/exchange/clientErrors.ts
@@ -1,7 +1,8 @@
 import { STATUS_CODES } from 'node:http';
-import type { IncomingMessage } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Duplex } from 'node:stream';
 
+import { linger } from './linger.js';
 import type { Problem } from './problem.js';
 import { getProblemHeaders, writeProblemBody } from './problem.js';
 
@@ -67,6 +68,19 @@
   writeRawProblem(socket, getClientProblem(err));
 }
 
+/**
+ * Refuses a request that names no host.
+ * @param req - The request.
+ * @param res - Its answer.
+ */
+export function refuseWithoutHost(req: IncomingMessage, res: ServerResponse): void {
+  const problem = { ...MALFORMED_REQUEST, detail: 'the request has no Host header' };
+  const body = writeProblemBody(problem);
+  res.writeHead(problem.status, getProblemHeaders(problem, body.length));
+  res.end(body);
+  linger(req, res);
+}
+
 /**
  * Refuses CONNECT requests: masticlink is no forward proxy.
  * @param _req - The request.
