A refused CONNECT waits for the answers to earlier requests of its connection

What callers saw: none reported it; promises.test failed: 501 with the outcome not-run came in front of the answer to a request that runs, which was then cancelled. A caller matches answers by order, takes the refusal for its booking's, and repeats it. Cause: refuseConnect wrote to the socket at once. Class: a statement reaches another request. Ruled out: parser errors, which wait for their turn already. Change: CONNECT is refused like a parser error, behind all open answers.

--- a/src/entry/api/CallerConnection.ts
+++ b/src/entry/api/CallerConnection.ts
@@ -2,7 +2,7 @@
 import type { Socket } from 'node:net';
 
 import type { ClientError } from '../exchange/clientErrors.js';
-import { answerClientError, getClientProblem } from '../exchange/clientErrors.js';
+import { answerClientError, getClientProblem, refuseConnect } from '../exchange/clientErrors.js';
 import { getProblemHeaders, writeProblemBody } from '../exchange/problem.js';
 
 /**
@@ -61,8 +61,8 @@
   /** @internal */
   private hasAnswered = false;
 
-  /** Parser error, answered once all earlier requests are. @internal */
-  private parserErr: ClientError | undefined;
+  /** Answers what ends the connection, once all earlier requests are answered. @internal */
+  private answerEnd: (() => void) | undefined;
 
   /** @param socket - The connection. */
   constructor(private readonly socket: Socket) {
@@ -114,8 +114,26 @@
     const isBody = last !== undefined && !last.req.complete;
     this.hasFinalRequest = true;
     if (isBody && !last.headersSent) this.answerMalformedBody(last, err);
-    else if (last === undefined) answerClientError(err, this.socket);
-    else this.parserErr ??= err;
+    else this.endWith(() => answerClientError(err, this.socket));
+  }
+
+  /**
+   * Refuses a CONNECT request after the answers to all earlier requests: a caller matches answers to
+   * requests by their order.
+   */
+  refuseConnect(): void {
+    const { socket } = this;
+    this.hasFinalRequest = true;
+    // Node has removed its own listeners, and would no longer notice that the caller leaves.
+    socket.on('error', () => socket.destroy());
+    socket.resume();
+    this.endWith(() => refuseConnect(socket));
+  }
+
+  /** @internal */
+  private endWith(answer: () => void): void {
+    if (this.pendingAnswers.length === 0) answer();
+    else this.answerEnd ??= answer;
   }
 
   /** @internal */
@@ -171,7 +189,7 @@
     this.hasAnswered = true;
     this.startQueuedRequests();
     if (this.queue.length === 0 && !this.isFull) this.socket.resume();
-    if (this.isIdle && this.parserErr !== undefined) answerClientError(this.parserErr, this.socket);
+    if (this.isIdle) this.answerEnd?.();
   }
 
   /**
--- a/src/entry/api/CallerServer.ts
+++ b/src/entry/api/CallerServer.ts
@@ -2,11 +2,12 @@
 import { createServer } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 import { Server as NetServer } from 'node:net';
+import type { Duplex } from 'node:stream';
 
 import type { ListenAddress } from '../../config/index.js';
 import { createListenError } from '../errors.js';
 import type { ClientError } from '../exchange/clientErrors.js';
-import { refuseConnect, refuseWithoutHost } from '../exchange/clientErrors.js';
+import { refuseWithoutHost } from '../exchange/clientErrors.js';
 import { getProblemHeaders, writeProblemBody } from '../exchange/problem.js';
 import { CallerConnection } from './CallerConnection.js';
 
@@ -91,7 +92,9 @@
     this.server.on('clientError', (err: ClientError, socket: Socket) => {
       this.connections.get(socket)?.handleParserError(err);
     });
-    this.server.on('connect', refuseConnect);
+    this.server.on('connect', (_req: IncomingMessage, socket: Duplex) => {
+      this.connections.get(socket as Socket)?.refuseConnect();
+    });
   }
 
   /**
--- a/src/entry/exchange/clientErrors.ts
+++ b/src/entry/exchange/clientErrors.ts
@@ -82,11 +82,11 @@
 }
 
 /**
- * Refuses CONNECT requests: masticlink is no forward proxy.
- * @param _req - The request.
+ * Refuses a CONNECT request: masticlink is no forward proxy. No earlier answer on the connection may
+ * be unfinished.
  * @param socket - The caller's connection.
  */
-export function refuseConnect(_req: IncomingMessage, socket: Duplex): void {
+export function refuseConnect(socket: Duplex): void {
   writeRawProblem(socket, {
     status: 501,
     outcome: 'not-run',
