An empty request id counts as none

What callers saw: none reported it; promises.test failed: six requests with an empty id shared one connection to the target, on which a late rejection of one would be believed for the next. Cause: ids were compared whatever they hold. Class: evidence that does not identify its request. Change: an empty id is none, in requests and in answers, so that such requests have connections of their own.

--- a/src/platform/requests.ts
+++ b/src/platform/requests.ts
@@ -26,15 +26,24 @@
   readonly allowedMs: number | undefined;
 }
 
+function getSingleHeader(headers: IncomingHttpHeaders, name: string): string | undefined {
+  const value = headers[name];
+  return typeof value === 'string' ? value : undefined;
+}
+
+/** Returns the id of a request; an empty one distinguishes nothing. */
+function getRequestId(headers: IncomingHttpHeaders): string | undefined {
+  return getSingleHeader(headers, REQUEST_ID_HEADER) || undefined;
+}
+
 /**
  * Reads the headers of a caller's request.
  * @param headers - Headers of the request.
  */
 export function readCallerHead(headers: IncomingHttpHeaders): CallerHead {
-  const id = headers[REQUEST_ID_HEADER];
   const allowedMs = Number(headers[DEADLINE_HEADER]);
   return {
-    callerRequestId: typeof id === 'string' ? id : undefined,
+    callerRequestId: getRequestId(headers),
     allowedMs:
       headers[DEADLINE_HEADER] !== undefined && Number.isFinite(allowedMs) && allowedMs >= 0
         ? allowedMs
@@ -161,11 +170,6 @@
   readonly limit: AdvertisedLimit;
 }
 
-function getSingleHeader(headers: IncomingHttpHeaders, name: string): string | undefined {
-  const value = headers[name];
-  return typeof value === 'string' ? value : undefined;
-}
-
 /**
  * Reads the headers of a target's answer to a request or a probe.
  * @param headers - Headers of the answer.
@@ -179,7 +183,7 @@
 ): TargetHead {
   const coldMs = Number(headers[COLD_HEADER] ?? 0);
   return {
-    callerRequestId: getSingleHeader(headers, REQUEST_ID_HEADER),
+    callerRequestId: getRequestId(headers),
     target: getSingleHeader(headers, TARGET_ID_HEADER),
     isSigned: headers[RESPONSE_SIGNATURE_HEADER] !== undefined,
     hasNotRun: headers[NOT_EXECUTED_HEADER] !== undefined,
