A refusal by another VM that names no request says nothing about the request

What callers saw: none reported it; promises.test failed: a 503 without an id, on a connection between VMs on which another request was answered before, counted as a refusal with a promise. Cause: answers without an id were accepted, as VMs of earlier versions bear none in the answers that they make themselves. Class: a statement is believed before it is known whom it concerns. Ruled out by reading: a way in which a VM of today sends one late. Change: the id must be the request's; a request without one has a connection of its own between VMs too. While VMs of a version before run beside new ones, a request that such a VM refuses gets 502 in place of 503. The test of the list of known reds passes.

--- a/src/gateway/ActiveRequests.ts
+++ b/src/gateway/ActiveRequests.ts
@@ -142,7 +142,10 @@
     const { req, vmHeaders, body, callerRequestId } = exchange;
     let result: ForwardResult | undefined;
     const vmRequest = new TargetRequest({
-      agent: this.parts.vmAgents.getAgent({ target: vm, bornAt: 0, address }),
+      agent:
+        callerRequestId === undefined
+          ? this.parts.vmAgents.unshared
+          : this.parts.vmAgents.getAgent({ target: vm, bornAt: 0, address }),
       clock: this.parts.clock,
       memory: this.parts.memory,
       address,
--- a/src/gateway/classifyForwardHead.ts
+++ b/src/gateway/classifyForwardHead.ts
@@ -25,8 +25,7 @@
   callerRequestId: string | undefined,
   { status, headers, isSigned, callerRequestId: answeredId }: ForwardHead,
 ): ForwardResult | undefined {
-  // Answers that a VM makes itself bore no id in earlier versions.
-  if (answeredId !== undefined && answeredId !== callerRequestId) return { kind: 'broken' };
+  if (answeredId !== callerRequestId) return { kind: 'broken' };
   const header = headers[REASON_HEADER];
   const reason = typeof header === 'string' ? header : undefined;
   if (isSigned) return undefined;
--- a/src/tests/gateway/forwarding.test.ts
+++ b/src/tests/gateway/forwarding.test.ts
@@ -19,7 +19,7 @@
 
 function classify(status: number, reason?: string, isSigned = false): string {
   const headers: IncomingHttpHeaders = reason === undefined ? {} : { 'masticlink-reason': reason };
-  const head = { status, headers, isSigned, callerRequestId: undefined };
+  const head = { status, headers, isSigned, callerRequestId: 'r-1' };
   return classifyForwardHead('r-1', head)?.kind ?? 'delivered';
 }
 
@@ -44,7 +44,7 @@
     'target answers': classify(200, undefined, true),
     'target fails': classify(500, undefined, true),
     'no target': classify(503, 'noTarget'),
-    'refused by an earlier version': classify(503),
+    'refused without a reason': classify(503),
     'no such route': classify(404, 'noRoute'),
     'possibly run': classify(502, 'targetFailed'),
     'timed out': classify(504, 'timedOut'),
