A request is sent again only if the current configuration allows it too

What callers saw: none reported it; requests.test failed: a request whose route had been changed to not idempotent while it was open was hedged, and sent again after a reset. Cause: the kind was read once, on arrival. Class: a decision rests on what was true earlier. Ruled out: the other way round (not idempotent on arrival stays so); requests held at start, whose route is looked up when they are released. Change: retries, hedges and the passing on of a request that may have run need both, the route as it was and as it is.

--- a/src/balancing/forwarding.ts
+++ b/src/balancing/forwarding.ts
@@ -4,6 +4,7 @@
 import type { ForwardEnded, ForwardResult } from './events.js';
 import type { PendingRequest } from './PendingRequest.js';
 import { returnQuotaPermit } from './quotaPermits.js';
+import { isRepeatable } from './routes.js';
 import { probeForRecovery } from './reachability.js';
 
 /** Maximum number of VMs that one request is passed on to; all but the last refused it. */
@@ -48,10 +49,13 @@
 }
 
 /** Whether a request may be passed on, by what it has been sent to already. */
-export function isForwardable({ route, ...pending }: PendingRequest): boolean {
+export function isForwardable(
+  { table }: BalancerState,
+  { route, ...pending }: PendingRequest,
+): boolean {
   if (pending.isForwarded || pending.forward !== undefined) return false;
   if (pending.attempts.size === 0 && !pending.hasPossiblyRun) return true;
-  return route.isIdempotent && pending.triedTargets.size < pending.maxTargets;
+  return isRepeatable(table, route) && pending.triedTargets.size < pending.maxTargets;
 }
 
 function getOtherVms({ liveVms, settings }: BalancerState): readonly string[] {
@@ -91,7 +95,7 @@
   const { service, helpersTried } = pending;
   const probes = probeForRecovery(state, service, context);
   const isInTime = now - (pending.searchStartedAt ?? now) <= MAX_SEARCH_MS;
-  const canAsk = isForwardable(pending) && helpersTried.size < MAX_HELPERS && isInTime;
+  const canAsk = isForwardable(state, pending) && helpersTried.size < MAX_HELPERS && isInTime;
   const hasTime = pending.deadlineAt - now >= MIN_ALLOWED_MS;
   const vm =
     canAsk && hasTime
--- a/src/balancing/placing.ts
+++ b/src/balancing/placing.ts
@@ -260,7 +260,7 @@
   const { now } = context;
   const verdict = getReachVerdict(state, pending.service, now);
   if (verdict === 'inReach') return undefined;
-  const canForward = isForwardable(pending);
+  const canForward = isForwardable(state, pending);
   if (verdict === 'inDoubt' && !(canForward && hasHelper(state, pending, now))) return undefined;
   const permitReturns = endProbeRound(state, pending, now);
   // The answer to an open attempt may still arrive.
--- a/src/balancing/requestHandlers.ts
+++ b/src/balancing/requestHandlers.ts
@@ -11,7 +11,7 @@
 import { getNextWakeAt, placeRequest, placeWaitingRequests } from './placing.js';
 import { recordPriorityArrival, recordPriorityEnd } from './priorities.js';
 import { hasHeardSince } from './reachability.js';
-import { findRoute } from './routes.js';
+import { findRoute, isRepeatable } from './routes.js';
 import { authenticate } from '../organisations/index.js';
 import { shouldHold, holdRequest } from './starting.js';
 import type { RetryDecision } from './retries.js';
@@ -159,7 +159,7 @@
   // Nothing has arrived at a target yet.
   if (end.kind === 'unsent') return { isGranted: true, effects: [] };
   const { route, triedTargets, maxTargets } = pending;
-  const mayRunAgain = HAS_NOT_RUN[end.kind] || route.isIdempotent;
+  const mayRunAgain = HAS_NOT_RUN[end.kind] || isRepeatable(state.table, route);
   if (!mayRetryAfterCrash || !mayRunAgain || triedTargets.size >= maxTargets) {
     return { isGranted: false, effects: [] };
   }
@@ -269,7 +269,7 @@
   const { route, triedTargets, maxTargets } = pending;
   const { now } = context;
   leaveTrial(state, pending, now);
-  if (!route.isIdempotent || triedTargets.size >= maxTargets) return [];
+  if (!isRepeatable(state.table, route) || triedTargets.size >= maxTargets) return [];
   // A hedge of a request that crashes targets would crash a second one.
   if (!mayRetryAfterCrashes(state, pending, true, now)) return [];
   const { isGranted, effects } = takeRetry(state, pending, 'hedge', now);
--- a/src/balancing/routes.ts
+++ b/src/balancing/routes.ts
@@ -21,6 +21,22 @@
   return best;
 }
 
+/**
+ * Whether requests of a route may run more than once, by the configuration under which they arrived
+ * and by the current one.
+ * @param table - The current configuration, if any is known.
+ * @param route - The route as it was when the request arrived.
+ * @example
+ * isRepeatable(state.table, pending.route);
+ */
+export function isRepeatable(table: RoutingTable | undefined, route: Route): boolean {
+  if (!route.isIdempotent) return false;
+  const current = table?.routes.find(
+    ({ host, pathPrefix }) => host === route.host && pathPrefix === route.pathPrefix,
+  );
+  return current === undefined || current.isIdempotent;
+}
+
 /**
  * Picks one of a route's services by weight.
  * @param services - Services of the route; at least one.
