No refusal of a request that may run, whatever its reason

Before the change refusals.test fails for an open attempt and for a request that another VM works on (503 in place of 502). Cause: each of the callers of refuseOrFail had to see to it that nothing is open; answerLocally, which writes the promise, did not check. One check was out of order already (crashesTargets before the test for an open forward), so far without a path that reaches it. Class: a promise without evidence. Change: the one place that writes refusals turns one of a request that has possibly run, or has an open attempt or forward, into 502 without Retry-After.

--- a/src/balancing/endings.ts
+++ b/src/balancing/endings.ts
@@ -197,19 +197,26 @@
   };
 }
 
+/** Whether a target may have run a request, or may still run it. */
+function mayRun({ hasPossiblyRun, attempts, forward }: PendingRequest): boolean {
+  return hasPossiblyRun || attempts.size > 0 || forward !== undefined;
+}
+
 /**
- * Answers a request locally, without an answer from a target, and removes it.
+ * Answers a request locally, without an answer from a target, and removes it. A refusal states that
+ * the request has not run, so that one which may run fails instead.
  * @param state - State of this entry VM.
  * @param pending - The request.
- * @param reason - Reason for the answer.
+ * @param wanted - Reason for the answer.
  * @param context - Clock and random source.
  */
 export function answerLocally(
   state: BalancerState,
   pending: PendingRequest,
-  reason: LocalAnswerReason,
+  wanted: LocalAnswerReason,
   context: BalancerContext,
 ): BalancerEffect[] {
+  const reason = REFUSAL_REASONS.has(wanted) && mayRun(pending) ? 'targetFailed' : wanted;
   const permitReturns = [
     ...endProbeRound(state, pending, context.now),
     ...returnQuotaPermit(state, pending, context.now),
@@ -270,7 +277,7 @@
   // With `noTarget`, the VM that passed the request on would have it sent once more by another VM.
   const isSentForOther = pending.isForwarded && pending.triedTargets.size > 0;
   const own = reason === 'noTarget' && isSentForOther ? 'rejected' : reason;
-  return answerLocally(state, pending, pending.hasPossiblyRun ? 'targetFailed' : own, context);
+  return answerLocally(state, pending, own, context);
 }
 
 /**
