Stand-in target: second copies of answers and a share of rejections

The stand-in of a target answered each request once, and rejected only when it was full or rejected all. So the soak could not play a late copy of a rejection, the fault of docs/incidents/late-rejection.md.

A share of its answers is now sent a second time: up to 300 ms late, or held back until the next caller's request on the connection and sent before its answer. Ruled out: copies that wait for the next request of any kind.

--- a/src/platform/standIn/PlatformTarget.ts
+++ b/src/platform/standIn/PlatformTarget.ts
@@ -1,4 +1,4 @@
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { IncomingMessage, OutgoingHttpHeaders, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
 
@@ -14,6 +14,7 @@
   RETRY_AFTER_HEADER,
   TARGET_ID_HEADER,
 } from '../headers.js';
+import { AnswerCopies } from './AnswerCopies.js';
 import type { ReceivedIdentity } from './storedObjects.js';
 import { readIdentity } from './storedObjects.js';
 
@@ -41,6 +42,10 @@
   readonly onCrash?: (requestId: string) => void;
   /** Whether the target answers 500 to the next request, without running it. */
   readonly failsNext?: () => boolean;
+  /** Uniform in [0, 1); for rejections and copies of answers. */
+  readonly random?: () => number;
+  /** Called when a copy of another answer was sent before the answer to a request. */
+  readonly onCopyMet?: (requestId: string) => void;
 }
 
 /** Factor by which the work of a slow target takes longer. */
@@ -49,6 +54,7 @@
 /** A failing target fails one of this many requests. */
 const FAILURE_INTERVAL = 2;
 
+const MISDIRECTED_REQUEST = 421;
 const INTERNAL_ERROR = 500;
 const UNAVAILABLE = 503;
 
@@ -80,6 +86,12 @@
    */
   pause: string | undefined;
 
+  /** Share of the requests that the target rejects, whatever its load. */
+  rejectedShare = 0;
+
+  /** Second copies of its answers to callers' requests. */
+  readonly copies: AnswerCopies;
+
   /** Whether all answers state that the target is shutting down. */
   isLeaving = false;
 
@@ -95,11 +107,17 @@
   /** @internal */
   private readonly queue: (() => void)[] = [];
 
+  /** @internal */
+  private readonly random: () => number;
+
   /** @internal */
   private readonly server: Server;
 
   /** @param options - Properties of the target. */
   constructor(private readonly options: PlatformTargetOptions) {
+    const { random = Math.random, onCopyMet } = options;
+    this.random = random;
+    this.copies = new AnswerCopies(random, (requestId) => onCopyMet?.(requestId));
     this.server = createServer((req, res) => {
       const chunks: Buffer[] = [];
       req.on('data', (chunk: Buffer) => chunks.push(chunk));
@@ -128,6 +146,7 @@
   /** @internal */
   private handle(req: IncomingMessage, res: ServerResponse, body: string): void {
     const { id, slots } = this.options;
+    this.copies.expectAnswer(res);
     res.setHeader(LOAD_HEADER, `${this.running},${this.queue.length},${slots},100`);
     if (req.url === '/health') {
       this.answerProbe(res);
@@ -144,21 +163,33 @@
     const isMisdirected = expected !== undefined && expected !== id;
     const isFromCaller = callerRequestId !== undefined;
     if (isFromCaller && !isMisdirected) this.reportArrival(requestId, req);
-    if (isMisdirected) res.writeHead(421).end();
+    if (isMisdirected) this.answer(res, MISDIRECTED_REQUEST);
     else if (this.pause !== undefined) this.reject(requestId, res, this.pause, source);
     else this.accept(requestId, res, body, source);
   }
 
   /** @internal */
   private accept(requestId: string, res: ServerResponse, body: string, source: string): void {
-    if (this.behaviour === 'sheds' || this.queue.length >= QUEUE_SIZE) {
-      res.writeHead(UNAVAILABLE, { [NOT_EXECUTED_HEADER]: '1' }).end();
+    const isRejected = this.behaviour === 'sheds' || this.random() < this.rejectedShare;
+    if (isRejected || this.queue.length >= QUEUE_SIZE) {
+      this.answer(res, UNAVAILABLE, { [NOT_EXECUTED_HEADER]: '1' });
     } else if (this.options.failsNext?.() === true) {
-      res.writeHead(INTERNAL_ERROR, this.describeAnswer(requestId, '')).end();
+      this.answer(res, INTERNAL_ERROR, this.describeAnswer(requestId, ''));
     } else if (this.running < this.options.slots) this.run(requestId, res, body, source);
     else this.queue.push(() => this.run(requestId, res, body, source));
   }
 
+  /** @internal */
+  private answer(
+    res: ServerResponse,
+    status: number,
+    headers: OutgoingHttpHeaders = {},
+    body = '',
+  ): void {
+    res.writeHead(status, headers).end(body);
+    this.copies.afterAnswer(res, body);
+  }
+
   /** @internal */
   private answerProbe(res: ServerResponse): void {
     if (this.isUnhealthy) {
@@ -179,7 +210,7 @@
   /** @internal */
   private reject(requestId: string, res: ServerResponse, pause: string, source: string): void {
     this.options.onPause?.(requestId, source);
-    res.writeHead(UNAVAILABLE, { [NOT_EXECUTED_HEADER]: '1', [RETRY_AFTER_HEADER]: pause }).end();
+    this.answer(res, UNAVAILABLE, { [NOT_EXECUTED_HEADER]: '1', [RETRY_AFTER_HEADER]: pause });
   }
 
   /** @internal */
@@ -230,11 +261,13 @@
     const body = makeBody(requestId);
     if (this.isLeaving) res.setHeader(LEAVING_HEADER, '1');
     const hasFailed = behaviour === 'fails' && this.runCount % FAILURE_INTERVAL === 0;
-    res.writeHead(hasFailed ? INTERNAL_ERROR : 200, this.describeAnswer(requestId, body));
+    const status = hasFailed ? INTERNAL_ERROR : 200;
+    const headers = this.describeAnswer(requestId, body);
     if (behaviour !== 'cuts') {
-      res.end(body);
+      this.answer(res, status, headers, body);
       return;
     }
+    res.writeHead(status, headers);
     res.write(body.slice(0, body.length / 2));
     setImmediate(() => res.destroy());
   }
--- a/src/platform/standIn/index.ts
+++ b/src/platform/standIn/index.ts
@@ -1,3 +1,4 @@
+export type { CopyCounts } from './AnswerCopies.js';
 export type { StoreCopy } from './PlatformStore.js';
 export { PlatformStore } from './PlatformStore.js';
 export type { TargetBehaviour } from './PlatformTarget.js';
