--- a/src/soak/SoakWorld.ts
+++ b/src/soak/SoakWorld.ts
@@ -1,6 +1,6 @@
 import { join } from 'node:path';
 
-import type { RoutingTable, TargetRegistration } from '../balancing/index.js';
+import type { TargetRegistration } from '../balancing/index.js';
 import type { LimitChange } from '../lab/index.js';
 import type { StoreCopy } from '../platform/standIn/index.js';
 import {
@@ -10,6 +10,7 @@
   putTarget,
   removeTarget,
 } from '../platform/standIn/index.js';
+import { createRandom } from '../standIns/models/index.js';
 import type { IdentityRecord } from './checkOrganisations.js';
 import type { Ban, CrashRecord, PauseRecord, RunRecord } from './checkSoak.js';
 import type { LinkMode } from './FaultProxy.js';
@@ -21,12 +22,17 @@
 import type { GatewayPorts } from './SoakGateway.js';
 import { SoakGateway } from './SoakGateway.js';
 import type { SoakOrganisations } from './SoakOrganisations.js';
+import type { SoakRoute } from './soakRoutes.js';
+import {
+  createSoakRoute,
+  DEFAULT_ROUTES,
+  EXEMPT_ROUTE,
+  SERVICE,
+  toPublishedRoute,
+} from './soakRoutes.js';
 
 export const ZONES = ['z-1', 'z-2', 'z-3'] as const;
 
-/** Name of the only service. */
-export const SERVICE = 'soak';
-
 const DEFAULT_GATEWAY_COUNT = 4;
 const DEFAULT_MAX_TARGETS = 2;
 const DEFAULT_SERVICE: SoakService = { name: SERVICE, targets: 6, slots: 4, workMs: 25 };
@@ -34,6 +40,9 @@
 /** Last part of the loopback address that the connections of the first gateway come from. */
 const FIRST_SOURCE = 11;
 
+/** Difference between the seeds of two worlds, above the number of targets of one. */
+const SEED_STEP = 1_000;
+
 /** Pauses that targets ask for, in milliseconds; undefined for values that are no seconds. */
 export const PAUSES_MS: Readonly<Record<string, number | undefined>> = {
   3: 3_000,
@@ -55,17 +64,6 @@
   readonly workMs: number;
 }
 
-/** A route of a soak; its path is its name. */
-export interface SoakRoute {
-  readonly name: string;
-  readonly isIdempotent: boolean;
-  readonly services: RoutingTable['routes'][number]['services'];
-  readonly objectiveMs: number;
-  readonly timeoutMs: number;
-  /** Whether its requests need no API key. */
-  readonly isAuthExempt?: boolean;
-}
-
 /** Size and settings of a soak's platform. */
 export interface SoakWorldOptions {
   readonly gateways?: number;
@@ -81,6 +79,8 @@
   readonly organisations?: SoakOrganisations;
   /** Whether gateways can be cut off from each other. */
   readonly hasPeerCuts?: boolean;
+  /** Seed of the random numbers of the targets; 0 by default. */
+  readonly seed?: number;
   /** How targets that requests have crashed are replaced; at other addresses by default. */
   readonly replacement?: CrashReplacement;
   /** Whether a target answers 500 to the next request, without running it. */
@@ -94,24 +94,6 @@
   readonly link: FaultProxy;
 }
 
-function createRoute(name: string, isIdempotent: boolean): SoakRoute {
-  const services = [{ service: SERVICE, weight: 1 }];
-  return { name, isIdempotent, services, objectiveMs: 300, timeoutMs: 1_500 };
-}
-
-const DEFAULT_ROUTES: readonly SoakRoute[] = [
-  createRoute('read', true),
-  createRoute('book', false),
-];
-
-/** Route whose requests need no API key, in soaks with organisations. */
-const EXEMPT_ROUTE: SoakRoute = { ...createRoute('open', true), isAuthExempt: true };
-
-function toPublishedRoute(route: SoakRoute, maxTargets: number): RoutingTable['routes'][number] {
-  const { name } = route;
-  return { ...route, host: 'soak.example', pathPrefix: `/${name}/`, priority: 1, maxTargets };
-}
-
 /**
  * Returns a service of a soak with another number of targets.
  * @param targets - Number of targets.
@@ -177,6 +159,9 @@
     readonly until: number;
   }[] = [];
 
+  /** Requests that met a copy of another answer, so that their own answers are not read. */
+  readonly copiesMet: { readonly id: string; readonly target: string }[] = [];
+
   /** Version of newly started targets, unless another one is given. */
   version = 'v1';
 
@@ -313,9 +298,11 @@
       slots,
       workMs,
       failsNext: this.options.failsNext,
+      random: createRandom((this.options.seed ?? 0) * SEED_STEP + bornAt),
       onRun: (requestId, source) =>
         this.runs.push({ id: requestId, target: id, version, source, at: Date.now() }),
       onArrival: (requestId) => this.arrivals.push({ id: requestId, service, at: Date.now() }),
+      onCopyMet: (requestId) => this.copiesMet.push({ id: requestId, target: id }),
       onIdentity: (requestId, identity) =>
         this.identities.push({ id: requestId, target: id, identity }),
       onPause: (requestId, source) =>
@@ -401,7 +388,7 @@
   publishConfiguration(): void {
     this.configurationVersion += 1;
     const { maxTargets = DEFAULT_MAX_TARGETS } = this.options;
-    const extraRoutes = this.extraRoutes.map((name) => createRoute(name, true));
+    const extraRoutes = this.extraRoutes.map((name) => createSoakRoute(name, true));
     const table = {
       version: this.configurationVersion,
       routes: [...this.routes, ...extraRoutes].map((route) => toPublishedRoute(route, maxTargets)),
--- a/src/soak/checkSoak.ts
+++ b/src/soak/checkSoak.ts
@@ -63,6 +63,8 @@
     readonly from: number;
     readonly until: number;
   }[];
+  /** Requests whose answer came behind a copy of another one, and was not read by the gateway. */
+  readonly copiesMet?: readonly { readonly id: string; readonly target: string }[];
   /** Periods in which the gateway on a port need not enforce limits. */
   readonly excused?: readonly {
     readonly port: number;
@@ -80,7 +82,7 @@
 }
 
 /** Statuses which guarantee that the request was not executed and will not be. */
-const REFUSALS: ReadonlySet<number> = new Set([429, 503]);
+const REFUSALS: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
 /** Minimum share of requests that must be served while no fault is active. */
 const MIN_SERVED_SHARE = 0.9;
@@ -91,6 +93,30 @@
   return counts;
 }
 
+/** Requests for which a promise was broken. */
+export interface BrokenPromises {
+  /** Those that were answered with a status which guarantees that they do not run, but ran. */
+  readonly refused: readonly CallerRecord[];
+  /** Those that ran more than once. */
+  readonly twice: readonly CallerRecord[];
+}
+
+/**
+ * Compares what callers were told with what targets ran at any time.
+ * @param callers - Requests that may not run twice.
+ * @param runs - Their executions.
+ */
+export function findBrokenPromises(
+  callers: readonly CallerRecord[],
+  runs: readonly RunRecord[],
+): BrokenPromises {
+  const counts = countRuns(runs);
+  return {
+    refused: callers.filter(({ id, status = 0 }) => REFUSALS.has(status) && counts.has(id)),
+    twice: callers.filter(({ id }) => (counts.get(id) ?? 0) > 1),
+  };
+}
+
 function checkRequest(record: CallerRecord, runs: number): string[] {
   const { id, isIdempotent, status = 0, isSound } = record;
   const broken: string[] = [];
@@ -106,16 +132,27 @@
   return broken;
 }
 
+/** Returns a function that tells whether a target's answer to a request came behind a copy. */
+function findCopiesMet({
+  copiesMet = [],
+}: SoakObservations): (id: string, target: string) => boolean {
+  const met = new Set(copiesMet.map(({ id, target }) => `${id} ${target}`));
+  return (id, target) => met.has(`${id} ${target}`);
+}
+
 /** Returns a message for each target that received more requests than its advertised limit allows. */
-function checkLimits({ callers, runs, namings = [], excused = [] }: SoakObservations): string[] {
+function checkLimits(seen: SoakObservations): string[] {
+  const { callers, runs, namings = [], excused = [] } = seen;
+  const hasMetCopy = findCopiesMet(seen);
   const byId = new Map(callers.map((record) => [record.id, record]));
   const arrivals = runs.flatMap(({ id, target, at, source }) => {
     const record = byId.get(id);
     return record === undefined ? [] : [{ target, at, vm: source ?? String(record.port), record }];
   });
-  const told = arrivals.flatMap(({ target, at, vm, record: { endedAt, status } }) => {
+  const told = arrivals.flatMap(({ target, at, vm, record: { id, endedAt, status } }) => {
     const named = namings.filter((each) => each.target === target && each.at <= at).at(-1);
-    const isTold = named?.perSecond !== undefined && endedAt !== undefined && status === 200;
+    const isRead = status === 200 && !hasMetCopy(id, target);
+    const isTold = named?.perSecond !== undefined && endedAt !== undefined && isRead;
     return isTold ? [{ target, vm, at: endedAt }] : [];
   });
   const excuses = excused.map(({ port, source, from, until }) => ({
@@ -148,14 +185,9 @@
 const MAX_TRANSIT_MS = 500;
 
 /** Returns a message for each target whose statement a gateway that received it did not act on. */
-function checkStatements({
-  callers,
-  runs,
-  pauses = [],
-  drains = [],
-  linkFaults = [],
-  excused = [],
-}: SoakObservations): string[] {
+function checkStatements(seen: SoakObservations): string[] {
+  const { callers, runs, pauses = [], drains = [], linkFaults = [], excused = [] } = seen;
+  const hasMetCopy = findCopiesMet(seen);
   const byId = new Map(callers.map((record) => [record.id, record]));
   const arrivals = [...runs, ...pauses].flatMap(({ id, target, at, source }) => {
     const record = byId.get(id);
@@ -170,11 +202,13 @@
         each.until >= at - MAX_TRANSIT_MS,
     );
     if (record === undefined || pauseMs === undefined || isLost) return [];
+    if (hasMetCopy(id, target)) return [];
     return [{ target, vm: source ?? String(record.port), at, pauseMs }];
   });
-  const drainsReceived = arrivals.flatMap(({ target, at, vm, record: { endedAt, status } }) => {
+  const drainsReceived = arrivals.flatMap(({ target, at, vm, record: { id, endedAt, status } }) => {
     const isAnnounced = drains.some((each) => each.target === target && each.at <= at);
-    const isReceived = isAnnounced && endedAt !== undefined && status === 200;
+    const isRead = status === 200 && !hasMetCopy(id, target);
+    const isReceived = isAnnounced && endedAt !== undefined && isRead;
     return isReceived ? [{ target, vm, at: endedAt }] : [];
   });
   const excuses = excused.map(({ port, source, from, until }) => ({
--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -1,3 +1,4 @@
+import { GATEWAY_MAINS } from './gatewayMains.js';
 import { runSoak } from './runSoak.js';
 
 /** Reads the number after a flag; throws a `RangeError` if it is not a positive integer. */
@@ -24,6 +25,7 @@
   const hasFailures = process.argv.includes('--failures');
   const hasExpiries = process.argv.includes('--expiries');
   const hasOrganisations = process.argv.includes('--organisations');
+  const hasCopies = process.argv.includes('--copies');
   let failed = 0;
   for (let seed = first; seed < first + seeds; seed++) {
     const { broken, requests, served, faults, dir } = await runSoak({
@@ -39,6 +41,8 @@
       hasFailures,
       hasExpiries,
       hasOrganisations,
+      hasCopies,
+      gatewayMains: GATEWAY_MAINS,
       onFault: (name, atMs) => {
         if (isVerbose) process.stdout.write(`  ${(atMs / 1_000).toFixed(2)} s ${name}\n`);
       },
--- a/src/soak/retryFleets.ts
+++ b/src/soak/retryFleets.ts
@@ -1,7 +1,9 @@
 import type { RetryLimit } from './retryWindows.js';
 import { RETRY_LIMIT } from './SoakGateway.js';
-import type { SoakRoute, SoakService } from './SoakWorld.js';
-import { createSoakService, SERVICE } from './SoakWorld.js';
+import type { SoakRoute } from './soakRoutes.js';
+import { SERVICE } from './soakRoutes.js';
+import type { SoakService } from './SoakWorld.js';
+import { createSoakService } from './SoakWorld.js';
 
 /** Requests of a kind that the callers of a fleet send. */
 export interface RetryTraffic {
--- a/src/soak/retryMain.ts
+++ b/src/soak/retryMain.ts
@@ -1,11 +1,9 @@
+import { GATEWAY_MAINS } from './gatewayMains.js';
 import { FLEET_OF_15, FLEET_OF_19, SMALL_FLEET } from './retryFleets.js';
 import { runNamedTrials } from './runNamedTrials.js';
 import type { RetryTrialOptions } from './runRetryTrial.js';
 import { runRetryTrial } from './runRetryTrial.js';
 
-/** Programs that the gateways run in turn instead of this build's, separated by commas. */
-const GATEWAY_MAINS = process.env.MASTICLINK_SOAK_GATEWAYS?.split(',');
-
 const BASE: RetryTrialOptions = {
   fleet: SMALL_FLEET,
   behaviour: 'fails',
--- a/src/soak/rolloutFault.ts
+++ b/src/soak/rolloutFault.ts
@@ -1,8 +1,9 @@
 import type { TargetBehaviour } from '../platform/standIn/index.js';
 import { getRolloutState, putRollout } from '../platform/standIn/index.js';
 import type { Fault, FaultContext } from './faults.js';
+import { SERVICE } from './soakRoutes.js';
 import type { SoakTarget } from './SoakWorld.js';
-import { SERVICE, ZONES } from './SoakWorld.js';
+import { ZONES } from './SoakWorld.js';
 
 /** Behaviours that the targets of a new version may have. */
 const BEHAVIOURS: readonly TargetBehaviour[] = ['sound', 'fails', 'slow'];
--- a/src/soak/runRetryTrial.ts
+++ b/src/soak/runRetryTrial.ts
@@ -4,6 +4,7 @@
 
 import type { TargetBehaviour } from '../platform/standIn/index.js';
 import { createRandom } from '../standIns/models/index.js';
+import { startFleetTraffic } from './fleetTraffic.js';
 import type { GatewayFault, TargetLinkFault } from './retryFaults.js';
 import { GATEWAY_FAULTS, getThird, TARGET_LINK_FAULTS } from './retryFaults.js';
 import type { RetryFleet } from './retryFleets.js';
@@ -69,32 +70,6 @@
   for (const { model } of targets) model.behaviour = behaviour;
 }
 
-/** Sends requests of all kinds to running gateways until the returned function is called. */
-function startTraffic(
-  world: SoakWorld,
-  callers: SoakCallers,
-  { fleet, requestsPerSecond }: RetryTrialOptions,
-): () => void {
-  const random = createRandom(2);
-  const total = fleet.traffic.reduce((sum, { weight }) => sum + weight, 0);
-  const send = (): void => {
-    const running = world.gateways.filter(({ isRunning }) => isRunning);
-    const gateway = running[Math.floor(random() * running.length)];
-    let rest = random() * total;
-    const kind = fleet.traffic.find(({ weight }) => {
-      rest -= weight;
-      return rest < 0;
-    });
-    if (gateway === undefined || kind === undefined) return;
-    const { route, hasOwnConnection, timeoutMs } = kind;
-    const options = { hasOwnConnection, timeoutMs, route: route.name };
-    const { callers: port } = gateway.options.ports;
-    callers.send(port, `/${route.name}/x`, route.isIdempotent, undefined, options);
-  };
-  const timer = setInterval(send, 1_000 / requestsPerSecond);
-  return () => clearInterval(timer);
-}
-
 /**
  * Returns the worst window of all services. Requests of a route that several services share count at
  * the one where they have arrived, and at the route's own one if they have not.
@@ -164,7 +139,7 @@
     world.gateways.map((gateway) => gateway.options.ports),
     createRandom(1),
   );
-  const stopTraffic = startTraffic(world, callers, options);
+  const stopTraffic = startFleetTraffic(world, callers, options);
   try {
     await wait(WARM_UP_MS);
     const failingFrom = Date.now();
--- a/src/soak/runSoak.ts
+++ b/src/soak/runSoak.ts
@@ -5,6 +5,7 @@
 import { createRandom } from '../standIns/models/index.js';
 import type { OrganisationObservations } from './checkOrganisations.js';
 import { checkSoak } from './checkSoak.js';
+import { copyAnswers } from './copiesFault.js';
 import { countKnownTargets } from './countKnownTargets.js';
 import { repeatFatalRequest } from './crashFault.js';
 import { cutPaths } from './cutFault.js';
@@ -50,6 +51,10 @@
   readonly hasExpiries?: boolean;
   /** Whether callers need API keys of organisations with limits, which change among the faults. */
   readonly hasOrganisations?: boolean;
+  /** Whether targets send second copies of answers and reject shares of the requests at times. */
+  readonly hasCopies?: boolean;
+  /** Programs that the gateways run, in turn; that of this build by default. */
+  readonly gatewayMains?: readonly string[];
   /** Called when a fault starts. */
   readonly onFault?: (name: string, atMs: number) => void;
 }
@@ -90,7 +95,7 @@
 /** Returns the faults that the options add, by name. */
 function getOptionalFaults(options: SoakOptions): Readonly<Record<string, Fault>> {
   const { hasRollouts, hasLimits, hasStatements, hasRestores } = options;
-  const { hasCrashes, hasCuts, hasFailures, hasExpiries, hasOrganisations } = options;
+  const { hasCrashes, hasCuts, hasFailures, hasExpiries, hasOrganisations, hasCopies } = options;
   return {
     ...(hasRollouts === true ? { orderRollout } : {}),
     ...(hasLimits === true ? { nameLimit } : {}),
@@ -101,6 +106,7 @@
     ...(hasFailures === true ? { failWhileRestarting } : {}),
     ...(hasExpiries === true ? { expireWhileAway } : {}),
     ...(hasOrganisations === true ? { changeKeys, exceedQuota } : {}),
+    ...(hasCopies === true ? { copyAnswers } : {}),
   };
 }
 
@@ -187,7 +193,8 @@
       : undefined;
   const replacement =
     options.hasReturns === true ? RETURNS[options.seed % RETURNS.length] : undefined;
-  const world = new SoakWorld(dir, { organisations, replacement });
+  const { seed, gatewayMains } = options;
+  const world = new SoakWorld(dir, { seed, organisations, replacement, gatewayMains });
   const noticed: string[] = [];
   await world.start();
   const ports = world.gateways.map((gateway) => gateway.options.ports);
@@ -208,7 +215,7 @@
     noticed.push(...(await findLostTargets(world)));
     callers.stop();
     await wait(DRAIN_MS);
-    const { runs, arrivals, bans, namings, pauses, drains, linkFaults } = world;
+    const { runs, arrivals, bans, namings, pauses, drains, linkFaults, copiesMet } = world;
     const excused = world.gateways.flatMap((gateway) =>
       gateway.excused.map((each) => ({
         port: gateway.options.ports.callers,
@@ -225,6 +232,7 @@
       pauses,
       drains,
       linkFaults,
+      copiesMet,
       excused,
       organisations: observeOrganisations(world),
       noticed,
--- a/src/tests/soak/soak.test.ts
+++ b/src/tests/soak/soak.test.ts
@@ -159,3 +159,40 @@
   const { broken } = await runSoak({ seed: 9208, faultsMs: 4_000, hasExpiries: true });
   t.deepEqual(broken, []);
 });
+
+// A copy of a rejection that is taken for the answer to another request promises that this one has not
+// run; its caller, or the gateway, then sends it again.
+test.serial(
+  'no request that may not run twice is refused after it ran while targets answer twice',
+  async (t) => {
+    t.timeout(90_000);
+    const { broken } = await runSoak({ seed: 9402, faultsMs: 6_000, hasCopies: true });
+    t.deepEqual(broken, []);
+  },
+);
+
+// Statuses that promise, also for requests that run only after they were refused.
+test('a request that runs before or after a status that promises breaks the promise', (t) => {
+  const [caller] = SOUND.callers;
+  for (const status of [408, 421, 429, 503]) {
+    for (const at of [12, 5_000]) {
+      const runs = [{ id: 'a', target: 't-1', at }];
+      t.deepEqual(checkSoak({ ...SOUND, callers: [{ ...caller, status }], runs }), [
+        `a was refused with ${status} but ran`,
+      ]);
+    }
+  }
+});
+
+// An answer behind a copy is lost with its connection, and so is what it states; others still count.
+test('a pause counts as received unless the rejection came behind a copy', (t) => {
+  const paused: SoakObservations = {
+    ...SOUND,
+    callers: PAUSED.map((id) => ({ ...SOUND.callers[0], id })),
+    pauses: [{ id: PAUSED[0], target: 't-1', at: 0, pauseMs: 3_000 }],
+    runs: PAUSED.map((id, i) => ({ id, target: 't-1', at: i * 600 })),
+    calmFrom: 1e6,
+  };
+  t.is(checkSoak({ ...paused, copiesMet: [{ id: PAUSED[0], target: 't-2' }] }).length, 1);
+  t.deepEqual(checkSoak({ ...paused, copiesMet: [{ id: PAUSED[0], target: 't-1' }] }), []);
+});
