Log and count the evidence on which a request that was sent is refused

The lines did not say on which statement of which target the promise rested, nor which check an answer failed that was not believed.

request.refused now has an entry for each of the latest five sendings: target and its start, or the other VM and its reason, how it ended, status, which request the answer named, whether the connection was kept, what it had carried (requests and probes), its age, and the bytes handed to the system. attempt.failed says which check a spoilt answer failed, with the other id. masticlink_gateway_refusals_after_sending_total counts by evidence. No decision changes: the facts come with attemptEnded and forwardEnded and are read by lines and the counter only.

A request that succeeds pays for one small object and a map entry.

--- a/src/balancing/PendingRequest.ts
+++ b/src/balancing/PendingRequest.ts
@@ -1,4 +1,5 @@
 import type { AttemptId, RequestId, ServiceName, TargetId } from '../core/model/index.js';
+import type { Evidence } from './evidence.js';
 import type { Route } from './model.js';
 import type { LoadSnapshot } from './ServiceCurve.js';
 import type { TargetRecord } from './TargetRecord.js';
@@ -111,6 +112,10 @@
   readonly triedTargets: Set<TargetId>;
   /** Whether a target may have run it. */
   hasPossiblyRun: boolean;
+  /** Why its latest sendings have not run, as far as that is certain. */
+  evidence: readonly Evidence[];
+  /** Number of sendings that have certainly not run. */
+  evidenceCount: number;
   /** Whether a retry was taken from the budget that has not been sent yet. */
   hasUnsentRetry: boolean;
 }
--- a/src/balancing/createPendingRequest.ts
+++ b/src/balancing/createPendingRequest.ts
@@ -80,6 +80,8 @@
     attempts: new Set(),
     triedTargets: new Set(),
     hasPossiblyRun: false,
+    evidence: [],
+    evidenceCount: 0,
     hasUnsentRetry: false,
   };
 }
--- a/src/balancing/effects.ts
+++ b/src/balancing/effects.ts
@@ -1,6 +1,7 @@
 import type { AttemptId, RequestId, TargetId } from '../core/model/index.js';
 import type { CrashNews } from '../crashes/index.js';
 import type { ForwardTerms } from './events.js';
+import type { EvidenceKind } from './evidence.js';
 import type { QuotaAnswer, QuotaAsk } from '../quotas/index.js';
 import type { LimitedTarget, LimitReport, PermitAnswer, PermitAsk } from '../limits/index.js';
 
@@ -48,6 +49,8 @@
   readonly kind: 'log';
   readonly event: BalancerLogEvent;
   readonly fields: Readonly<Record<string, unknown>>;
+  /** Kinds of evidence that a refusal rests on; counted and not logged. */
+  readonly evidence?: readonly EvidenceKind[];
 }
 
 /** Events that the balancer logs; `docs/OPERATIONS.md` lists their fields. */
--- a/src/balancing/endings.ts
+++ b/src/balancing/endings.ts
@@ -3,6 +3,7 @@
 import { getNextAvailableAt } from './availability.js';
 import type { BalancerContext, BalancerState } from './BalancerState.js';
 import type { BalancerEffect, LocalAnswerReason } from './effects.js';
+import { getEvidenceFields, getEvidenceKinds } from './evidence.js';
 import type { PendingRequest, PendingAttempt } from './PendingRequest.js';
 import { returnPermits } from './limits.js';
 import { getServiceAdmission, recordPriorityEnd } from './priorities.js';
@@ -247,9 +248,11 @@
         rounds: pending.roundCount,
         configuration: state.table?.version,
         tried: [...pending.triedTargets],
+        ...(isRefusal ? getEvidenceFields(pending) : {}),
         ...(reason === 'crashesTargets' ? getSuspectFields(state, pending, context.now) : {}),
         retryAfterMs,
       },
+      ...(isRefusal && pending.evidenceCount > 0 ? { evidence: getEvidenceKinds(pending) } : {}),
     },
   ];
 }
--- a/src/balancing/events.ts
+++ b/src/balancing/events.ts
@@ -102,10 +102,50 @@
   /** The answer belongs to another request, or was corrupted on the way. */
   | ({ readonly kind: 'spoilt' } & TargetStatements);
 
+/** Which check of its head an answer has failed. */
+export type SpoiltCheck =
+  /** It names another request. */
+  | 'otherId'
+  /** It names no request. */
+  | 'noId'
+  /** It is a success without a signature. */
+  | 'unsigned'
+  | 'encoded'
+  /** Too many interim answers came before it. */
+  | 'interimAnswers';
+
+/** The connection on which a request was sent. */
+export interface ConnectionFacts {
+  /** Whether it was established before this request. */
+  readonly isKept: boolean;
+  /** Requests and probes that it had carried before. */
+  readonly requests: number;
+  readonly probes: number;
+  /** Time since its first use, in milliseconds. */
+  readonly ageMs: number;
+  /** Bytes of this request that were handed to the system. */
+  readonly sentBytes: number;
+}
+
+/** What is known of a sending besides its result; only logged. */
+export interface SendingFacts {
+  /** Status of the answer; undefined if there was none. */
+  readonly status?: number;
+  /** Which request the answer named. */
+  readonly named?: 'this' | 'other' | 'none';
+  /** Id that it named, if it is not this request's. */
+  readonly otherId?: string;
+  /** Which check a spoilt answer has failed. */
+  readonly check?: SpoiltCheck;
+  /** Undefined if the request got no connection. */
+  readonly connection?: ConnectionFacts;
+}
+
 export interface AttemptEnded {
   readonly kind: 'attemptEnded';
   readonly attempt: AttemptId;
   readonly end: AttemptResult;
+  readonly facts?: SendingFacts;
 }
 
 /** Result of passing a request on to another VM. */
@@ -125,6 +165,7 @@
   readonly kind: 'forwardEnded';
   readonly attempt: AttemptId;
   readonly end: ForwardResult;
+  readonly facts?: SendingFacts;
 }
 
 /** An answer arrived for an attempt that had been cancelled. */
--- a/src/balancing/forwarding.ts
+++ b/src/balancing/forwarding.ts
@@ -2,6 +2,7 @@
 import type { BalancerEffect, LocalAnswerReason } from './effects.js';
 import { answerLocally, refuseOrFail, removeForward, removeRequest } from './endings.js';
 import type { ForwardEnded, ForwardResult } from './events.js';
+import { addEvidence } from './evidence.js';
 import type { PendingRequest } from './PendingRequest.js';
 import { returnQuotaPermit } from './quotaPermits.js';
 import { probeForRecovery } from './reachability.js';
@@ -136,10 +137,22 @@
   return end.kind === 'unsent';
 }
 
+/** Records why a helper has not run a request. */
+function recordEvidence(
+  pending: PendingRequest,
+  { attempt, end, facts }: Omit<ForwardEnded, 'kind'>,
+  via: string,
+  tookMs: number,
+): void {
+  const kind = end.kind === 'unsent' ? 'unsent' : 'refusedByVm';
+  const reason = 'reason' in end ? end.reason : undefined;
+  addEvidence(pending, { kind, attempt, via, reason, tookMs, facts });
+}
+
 /** Delivers a helper's answer, asks another one, or answers the request locally. */
 export function handleForwardEnded(
   state: BalancerState,
-  { attempt, end }: ForwardEnded,
+  { attempt, end, facts }: ForwardEnded,
   context: BalancerContext,
 ): BalancerEffect[] {
   const pending = state.forwards.get(attempt);
@@ -186,6 +199,7 @@
     const own = reason === 'timedOut' ? 'timedOut' : 'targetFailed';
     return [line, ...answerLocally(state, pending, own, context)];
   }
+  recordEvidence(pending, { attempt, end, facts }, vm, fields.tookMs);
   if (!hasSentNothing) {
     state.helpers.recordHelp(vm, now);
     if (hasOpenAttempt) return [line];
--- a/src/balancing/index.ts
+++ b/src/balancing/index.ts
@@ -2,6 +2,7 @@
 export * from './countTargets.js';
 export * from './effects.js';
 export * from './events.js';
+export type { Evidence, EvidenceKind } from './evidence.js';
 export { getLongestPauses } from './getLongestPauses.js';
 export * from './model.js';
 export { takeOutcomeReports } from './outcomes.js';
--- a/src/balancing/requestHandlers.ts
+++ b/src/balancing/requestHandlers.ts
@@ -5,6 +5,7 @@
 import type { BalancerEffect } from './effects.js';
 import { answerLocally, refuseOrFail, removeRequest, removeAttempt } from './endings.js';
 import type { AttemptResult, AttemptEnded, CallerLeft, RequestArrived, WakeDue } from './events.js';
+import { addEvidence, shortenId } from './evidence.js';
 import { isHelpingAtLimit } from './forwarding.js';
 import type { PendingRequest, PendingAttempt } from './PendingRequest.js';
 import { learnFromAttempt } from './learning.js';
@@ -106,6 +107,19 @@
   ];
 }
 
+/** Records why an attempt has not run at the target, if that is certain. */
+function recordEvidence(
+  pending: PendingRequest,
+  { id, target: { entry }, sentAt }: PendingAttempt,
+  { end, facts }: AttemptEnded,
+  now: number,
+): void {
+  if (end.kind !== 'rejected' && end.kind !== 'misdirected' && end.kind !== 'unsent') return;
+  const tookMs = Math.round(now - sentAt);
+  const { id: target, bornAt } = entry;
+  addEvidence(pending, { kind: end.kind, attempt: id, target, bornAt, tookMs, facts });
+}
+
 /** Whether an attempt with this result has certainly not run at the target. */
 const HAS_NOT_RUN: Readonly<Record<AttemptResult['kind'], boolean>> = {
   answered: false,
@@ -183,6 +197,13 @@
   return attempts.size > 0 || forward !== undefined;
 }
 
+/** Fields that say why an answer was not accepted. */
+function getSpoiltFields({ end, facts }: AttemptEnded): Readonly<Record<string, unknown>> {
+  if (end.kind !== 'spoilt' || facts === undefined) return {};
+  const { check, status, otherId } = facts;
+  return { check, status, otherId: otherId === undefined ? undefined : shortenId(otherId) };
+}
+
 /** Delivers the answer of a completed attempt, sends the request again, or answers it locally. */
 function endAttempt(
   state: BalancerState,
@@ -198,6 +219,7 @@
   const mayRetry = mayRetryAfterCrashes(state, pending, end.kind === 'broken', now);
   const effects = learnFromAttempt(state, pending, attempt, end, context);
   if (!HAS_NOT_RUN[end.kind]) pending.hasPossiblyRun = true;
+  recordEvidence(pending, attempt, event, now);
   leaveTrial(state, pending, now);
   if (end.kind === 'unsent') pending.triedTargets.delete(attempt.target.entry.id);
   const isFailure = end.kind !== 'answered' || end.status >= MIN_FAILURE_STATUS;
@@ -212,6 +234,7 @@
       fingerprint: pending.fingerprint,
       end: end.kind,
       status: end.kind === 'answered' ? end.status : undefined,
+      ...getSpoiltFields(event),
       tookMs: Math.round(now - attempt.sentAt),
     },
   });
--- a/src/gateway/ActiveRequests.ts
+++ b/src/gateway/ActiveRequests.ts
@@ -1,4 +1,9 @@
-import type { BalancerEffect, BalancerEvent, ForwardResult } from '../balancing/index.js';
+import type {
+  BalancerEffect,
+  BalancerEvent,
+  ForwardResult,
+  SendingFacts,
+} from '../balancing/index.js';
 import type { AttemptId, RequestId } from '../core/model/index.js';
 import type { Clock, TimerService } from '../timing/index.js';
 import { writeTargetHeaders } from '../platform/index.js';
@@ -109,8 +114,9 @@
       headers: writeTargetHeaders(headers, to.target, allowedMs, body?.length),
       body,
       classifyHead: (head) => classifyTargetHead(callerRequestId, head),
-      onEnd: (end) => {
-        this.parts.dispatch({ kind: 'attemptEnded', attempt, end });
+      onEnd: (end, trace) => {
+        const facts = trace.describe(callerRequestId, end.kind);
+        this.parts.dispatch({ kind: 'attemptEnded', attempt, end, facts });
         this.removeAttempt(attempt);
       },
       onLateStatements: (statements) => {
@@ -130,8 +136,8 @@
     const { request, attempt, vm, allowedMs, terms } = effect;
     const exchange = this.exchanges.get(request);
     if (exchange === undefined) return;
-    const finish = (end: ForwardResult): void => {
-      this.parts.dispatch({ kind: 'forwardEnded', attempt, end });
+    const finish = (end: ForwardResult, facts?: SendingFacts): void => {
+      this.parts.dispatch({ kind: 'forwardEnded', attempt, end, facts });
       this.removeAttempt(attempt);
     };
     if (address === undefined) {
@@ -157,7 +163,8 @@
         result = classifyForwardHead(callerRequestId, head);
         return result && { kind: result.kind === 'broken' ? 'spoilt' : 'rejected' };
       },
-      onEnd: (end) => finish(toForwardResult(end, result)),
+      onEnd: (end, trace) =>
+        finish(toForwardResult(end, result), trace.describe(callerRequestId, end.kind)),
     });
     this.attempts.set(attempt, vmRequest);
   }
--- a/src/gateway/GatewayMetrics.ts
+++ b/src/gateway/GatewayMetrics.ts
@@ -1,5 +1,6 @@
 import type {
   AdmissionFigures,
+  EvidenceKind,
   SlowdownEstimates,
   LogEffect,
   RolloutStats,
@@ -9,6 +10,7 @@
 import type { PrometheusMetrics } from './createGauges.js';
 import {
   createAdmissionGauges,
+  createEvidenceCounter,
   createQuotaGauges,
   createRolloutGauges,
   createTargetGauges,
@@ -143,6 +145,7 @@
       labelNames: ['service'],
       registers,
     }),
+    refusalsAfterSending: createEvidenceCounter(prom, registers),
     ...createTargetGauges(prom, registers),
     ...createRolloutGauges(prom, registers),
     ...createQuotaGauges(prom, registers),
@@ -159,6 +162,9 @@
   /** @internal */
   private readonly counts = new Map<string, number>();
 
+  /** Refusals after a sending, by kind of evidence. @internal */
+  private readonly refusalsAfterSending = new Map<EvidenceKind, number>();
+
   /** @internal */
   private earlyObservations: Observation[] = [];
 
@@ -178,10 +184,13 @@
    * Counts a balancer event; for an answered request also records its latency.
    * @param effect - The log effect of the event.
    */
-  record({ event, fields }: LogEffect): void {
+  record({ event, fields, evidence = [] }: LogEffect): void {
     const reason = typeof fields.reason === 'string' ? fields.reason : '';
     const key = `${event} ${reason}`;
     this.counts.set(key, (this.counts.get(key) ?? 0) + 1);
+    for (const kind of evidence) {
+      this.refusalsAfterSending.set(kind, (this.refusalsAfterSending.get(kind) ?? 0) + 1);
+    }
     if (event !== 'request.answered') return;
     this.earlyObservations.push({
       seconds: Number(fields.tookMs) / MS_PER_SECOND,
@@ -208,6 +217,7 @@
   private updateCounts({
     answers,
     events,
+    refusalsAfterSending,
     storeCalls,
     probes,
     feedMessages,
@@ -219,6 +229,10 @@
       const [event, reason] = key.split(' ');
       events.inc({ event, reason }, count);
     }
+    refusalsAfterSending.reset();
+    for (const [evidence, count] of this.refusalsAfterSending) {
+      refusalsAfterSending.inc({ evidence }, count);
+    }
     storeCalls.reset();
     for (const [key, count] of this.sources.getStoreCallCounts()) {
       const [method, section] = key.split(' ');
--- a/src/gateway/TargetProber.ts
+++ b/src/gateway/TargetProber.ts
@@ -4,6 +4,7 @@
 import { PROBE_TIMEOUT_MS } from '../balancing/index.js';
 import { readStatements, readTargetHead } from '../platform/index.js';
 import type { Clock } from '../timing/index.js';
+import { recordConnectionUse } from './SendingTrace.js';
 import type { TargetAgents } from './TargetAgents.js';
 
 const OK = 200;
@@ -53,6 +54,7 @@
       req.destroy();
     }, PROBE_TIMEOUT_MS);
     req.once('socket', (socket) => {
+      recordConnectionUse(socket, 'probes', this.clock.now());
       if (!socket.connecting) isConnected = true;
       else {
         socket.once('connect', () => {
--- a/src/gateway/TargetRequest.ts
+++ b/src/gateway/TargetRequest.ts
@@ -7,6 +7,7 @@
 import { readStatements, readTargetHead } from '../platform/index.js';
 import type { Clock } from '../timing/index.js';
 import type { BodyMemory, MemoryReservation } from './BodyMemory.js';
+import { SendingTrace } from './SendingTrace.js';
 
 /** Timeout for connecting to a target, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 250;
@@ -60,7 +61,7 @@
   readonly body: Buffer | undefined;
   /** Returns the outcome if the head of the answer decides it, undefined if the body is needed. */
   classifyHead(head: AnswerHead): AttemptResult | undefined;
-  readonly onEnd: (end: AttemptResult) => void;
+  readonly onEnd: (end: AttemptResult, trace: SendingTrace) => void;
   /** Called at most once, with the statements of an answer that arrives just after a cancel. */
   readonly onLateStatements?: (statements: TargetStatements) => void;
 }
@@ -143,16 +144,21 @@
   /** @internal */
   private hasEnded = false;
 
+  /** @internal */
+  private readonly trace: SendingTrace;
+
   /** Memory of the answer as far as it is buffered. @internal */
   private reservation: MemoryReservation | undefined;
 
   /** @param options - The request and its target. */
   constructor(private readonly options: TargetRequestOptions) {
     const { address, method, path, body, headers, agent } = options;
+    this.trace = new SendingTrace(options.clock);
     const [host, port] = address.split(':');
     this.req = request({ host, port, method, path, agent, headers });
     const connectTimer = setTimeout(() => this.abortConnecting(), CONNECT_TIMEOUT_MS);
     this.req.once('socket', (socket) => {
+      this.trace.start(socket);
       const markConnected = (): void => {
         this.isConnected = true;
         clearTimeout(connectTimer);
@@ -197,7 +203,7 @@
     if (this.hasEnded) return;
     this.hasEnded = true;
     if (end.kind !== 'answered') this.reservation?.release();
-    this.options.onEnd(end);
+    this.options.onEnd(end, this.trace);
   }
 
   /** @internal */
@@ -207,6 +213,7 @@
     const { headers } = res;
     const targetHead = readTargetHead(headers, true, this.options.clock.now());
     const head = { ...targetHead, status, headers, statements };
+    this.trace.head = head;
     const end = this.options.classifyHead(head);
     if (this.hasEnded) {
       this.options.onLateStatements?.(end === undefined ? statements : getStatements(end));
--- a/src/gateway/createGauges.ts
+++ b/src/gateway/createGauges.ts
@@ -4,6 +4,7 @@
 export interface PrometheusMetrics {
   readonly registry: Registry;
   readonly events: Counter;
+  readonly refusalsAfterSending: Counter;
   readonly answers: Histogram;
   readonly storeCalls: Counter;
   readonly probes: Counter;
@@ -26,6 +27,16 @@
 
 type Prom = typeof import('prom-client');
 
+/** Creates the counter of refusals by the evidence that the request has not run. */
+export function createEvidenceCounter(prom: Prom, registers: Registry[]): Counter {
+  return new prom.Counter({
+    name: 'masticlink_gateway_refusals_after_sending_total',
+    help: 'Refused requests that had been sent, by why they have certainly not run.',
+    labelNames: ['evidence'],
+    registers,
+  });
+}
+
 /** Creates the metrics of targets. */
 export function createTargetGauges(
   prom: Prom,
--- a/src/report/explainRequest.ts
+++ b/src/report/explainRequest.ts
@@ -63,16 +63,29 @@
   timedOut: 'it timed out while a target may still have been running it',
 };
 
-function describeEnd({
-  status,
-  reason,
-  tookMs,
-  retryAfterMs,
-  rounds,
-  sinceFirstMs,
-  crashed,
-  organisation,
-}: Readonly<Record<string, unknown>>): string {
+/** Descriptions of the check that an answer has failed. */
+const CHECK_DESCRIPTIONS: Readonly<Record<string, string>> = {
+  otherId: 'it names another request',
+  noId: 'it names no request',
+  unsigned: 'it is a success without a signature',
+  encoded: 'it is encoded',
+  interimAnswers: 'too many interim answers came before it',
+};
+
+function describeSpoilt({ check, otherId }: Readonly<Record<string, unknown>>): string {
+  if (check === undefined) return '';
+  const why = CHECK_DESCRIPTIONS[formatValue(check)] ?? formatValue(check);
+  return `; ${why}${otherId === undefined ? '' : ` (${formatValue(otherId)})`}`;
+}
+
+function describeEvidence({ evidence }: Readonly<Record<string, unknown>>): string {
+  if (!Array.isArray(evidence) || evidence.length === 0) return '';
+  return `; it has not run: ${evidence.join('; ')}`;
+}
+
+function describeEnd(fields: Readonly<Record<string, unknown>>): string {
+  const { status, reason, tookMs, retryAfterMs, rounds, sinceFirstMs, crashed, organisation } =
+    fields;
   const why = REASON_DESCRIPTIONS[formatValue(reason)] ?? formatValue(reason);
   const retryText =
     retryAfterMs === undefined
@@ -86,7 +99,7 @@
     organisation === undefined ? '' : ` (organisation ${formatValue(organisation)})`;
   // A request that is refused before its route is known has no `tookMs`.
   const durationText = tookMs === undefined ? 'at once' : `after ${formatValue(tookMs)} ms`;
-  return `answered ${formatValue(status)} ${durationText}: ${why}${organisationText}${crashedText}${roundsText}${firstRequestText}${retryText}`;
+  return `answered ${formatValue(status)} ${durationText}: ${why}${organisationText}${crashedText}${roundsText}${firstRequestText}${describeEvidence(fields)}${retryText}`;
 }
 
 function describeRetry(f: Readonly<Record<string, unknown>>): string {
@@ -120,7 +133,7 @@
   'attempt.failed': (f) =>
     `${formatValue(f.target)} failed the attempt after ${formatValue(f.tookMs)} ms: ${formatValue(f.end)}${
       f.status === undefined ? '' : ` with ${formatValue(f.status)}`
-    }`,
+    }${describeSpoilt(f)}`,
   'retry.granted': describeRetry,
   'retry.refused': describeRetry,
   'request.forwarded': (f) =>
--- a/src/tests/gateway/GatewayMetrics.test.ts
+++ b/src/tests/gateway/GatewayMetrics.test.ts
@@ -52,6 +52,11 @@
     fields: { route: 'r-1', tookMs: 120 },
   });
   metrics.record({ kind: 'log', event: 'request.refused', fields: { reason: 'overloaded' } });
+  const evidence = ['rejected', 'unsent'] as const;
+  for (const kinds of [evidence, evidence.slice(0, 1)]) {
+    const fields = { reason: 'rejected' };
+    metrics.record({ kind: 'log', event: 'request.refused', fields, evidence: kinds });
+  }
   const { text } = await metrics.read();
   t.snapshot(text.split('\n').filter((line) => line !== '' && !line.startsWith('#')));
 });
--- a/src/tests/report/explainRequest.test.ts
+++ b/src/tests/report/explainRequest.test.ts
@@ -70,6 +70,36 @@
   );
 });
 
+test('a refusal after a sending is explained with its evidence, and a spoilt answer with its fault', (t) => {
+  const evidence =
+    'attempt=5 target=t-3 bornAt=1 end=rejected status=503 named=this tookMs=4 connection=kept ' +
+    'requests=3 probes=2 ageMs=812 sentBytes=431';
+  t.snapshot(
+    explainRequest(
+      [
+        line('vm-1', 130, 'attempt.failed', {
+          id: 'r-1',
+          target: 't-2',
+          end: 'spoilt',
+          check: 'otherId',
+          status: 503,
+          otherId: 'r-0',
+          tookMs: 30,
+        }),
+        line('vm-2', 140, 'request.refused', {
+          id: 'r-1',
+          status: 503,
+          reason: 'rejected',
+          tookMs: 12,
+          evidence: [evidence],
+          retryAfterMs: 700,
+        }),
+      ],
+      'r-1',
+    ),
+  );
+});
+
 test('lines are grouped by VM and not sorted by time, since clocks differ', (t) => {
   // The clock of one VM is a day behind. Sorted by time, its last lines would appear first.
   const lines = explainRequest(
