--- a/src/gateway/ActiveRequests.ts
+++ b/src/gateway/ActiveRequests.ts
@@ -3,6 +3,7 @@
   BalancerEvent,
   ForwardResult,
   LogEffect,
+  SendingFacts,
 } from '../balancing/index.js';
 import type { AttemptId, RequestId } from '../core/model/index.js';
 import type { Clock, TimerService } from '../timing/index.js';
@@ -110,8 +111,9 @@
         const fields = { id: callerRequestId, attempt, target: to.target, answeredId, status };
         this.parts.log({ kind: 'log', event: 'answer.skipped', fields });
       },
-      onEnd: (end) => {
-        this.parts.dispatch({ kind: 'attemptEnded', attempt, end });
+      onEnd: (end, trace) => {
+        const facts = trace.describe(callerRequestId, end.kind);
+        this.parts.dispatch({ kind: 'attemptEnded', attempt, end, facts });
         this.removeAttempt(attempt);
       },
       onLateStatements: (statements) => {
@@ -131,8 +133,8 @@
     const { request, attempt, vm, allowedMs, terms } = effect;
     const exchange = this.exchanges.get(request);
     if (exchange === undefined) return;
-    const finish = (end: ForwardResult): void => {
-      this.parts.dispatch({ kind: 'forwardEnded', attempt, end });
+    const finish = (end: ForwardResult, facts?: SendingFacts): void => {
+      this.parts.dispatch({ kind: 'forwardEnded', attempt, end, facts });
       this.removeAttempt(attempt);
     };
     if (address === undefined) {
@@ -161,7 +163,8 @@
         result = classifyForwardHead(callerRequestId, head);
         return result && { kind: result.kind === 'broken' ? 'spoilt' : 'rejected' };
       },
-      onEnd: (end) => finish(toForwardResult(end, result)),
+      onEnd: (end, trace) =>
+        finish(toForwardResult(end, result), trace.describe(callerRequestId, end.kind)),
     });
     this.attempts.set(attempt, vmRequest);
   }
--- a/src/gateway/TargetRequest.ts
+++ b/src/gateway/TargetRequest.ts
@@ -7,6 +7,7 @@
 import { readStatements, readTargetHead } from '../platform/index.js';
 import type { Clock } from '../timing/index.js';
 import type { BodyMemory, MemoryReservation } from './BodyMemory.js';
+import { SendingTrace } from './SendingTrace.js';
 import { skipAnswer } from './skipAnswer.js';
 
 /** Timeout for connecting to a target, in milliseconds. */
@@ -66,7 +67,7 @@
   readonly callerRequestId?: string;
   /** Returns the outcome if the head of the answer decides it, undefined if the body is needed. */
   classifyHead(head: AnswerHead): AttemptResult | undefined;
-  readonly onEnd: (end: AttemptResult) => void;
+  readonly onEnd: (end: AttemptResult, trace: SendingTrace) => void;
   /** Called for each answer to another request that is skipped. */
   readonly onSkip?: (head: AnswerHead) => void;
   /** Called at most once, with the statements of an answer that arrives just after a cancel. */
@@ -157,16 +158,21 @@
   /** How the request ends if its own answer does not follow those skipped. @internal */
   private endWithoutAnswer: AttemptResult | undefined;
 
+  /** @internal */
+  private readonly trace: SendingTrace;
+
   /** Memory of the answer as far as it is buffered. @internal */
   private reservation: MemoryReservation | undefined;
 
   /** @param options - The request and its target. */
   constructor(private readonly options: TargetRequestOptions) {
     const { address, method, path, body, headers, agent } = options;
+    this.trace = new SendingTrace(options.clock);
     const [host, port] = address.split(':');
     this.req = request({ host, port, method, path, agent, headers });
     const connectTimer = setTimeout(() => this.abortConnecting(), CONNECT_TIMEOUT_MS);
     this.req.once('socket', (socket) => {
+      this.trace.start(socket);
       const markConnected = (): void => {
         this.isConnected = true;
         clearTimeout(connectTimer);
@@ -216,7 +222,7 @@
     if (this.hasEnded) return;
     this.hasEnded = true;
     if (end.kind !== 'answered') this.reservation?.release();
-    this.options.onEnd(end);
+    this.options.onEnd(end, this.trace);
   }
 
   /** @internal */
@@ -226,6 +232,7 @@
     const { headers } = res;
     const targetHead = readTargetHead(headers, true, this.options.clock.now());
     const head = { ...targetHead, status, headers, statements };
+    this.trace.head = head;
     const end = this.options.classifyHead(head);
     if (this.hasEnded) {
       this.options.onLateStatements?.(end === undefined ? statements : getStatements(end));
