Refusal trials: links to targets that are suspended or late, and the dose of a soak

A request that runs only after it was refused needs data that arrive late; no trial played that together with copies and rejections. The soak prints how many copies met a request, and its test fails if none did, as it would then show nothing.

--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -28,7 +28,7 @@
   const hasCopies = process.argv.includes('--copies');
   let failed = 0;
   for (let seed = first; seed < first + seeds; seed++) {
-    const { broken, requests, served, faults, dir } = await runSoak({
+    const { broken, requests, served, faults, copiesMet, dir } = await runSoak({
       seed,
       faultsMs,
       hasRollouts,
@@ -48,8 +48,9 @@
       },
     });
     const verdict = broken.length === 0 ? 'passed' : `FAILED, logs in ${dir}`;
+    const copies = hasCopies ? `, ${copiesMet} copies of answers met requests` : '';
     process.stdout.write(
-      `seed ${seed}: ${faults.length} faults, ${served} of ${requests} requests served: ${verdict}\n`,
+      `seed ${seed}: ${faults.length} faults${copies}, ${served} of ${requests} requests served: ${verdict}\n`,
     );
     for (const sentence of broken.slice(0, 10)) process.stdout.write(`  ${sentence}\n`);
     if (broken.length > 0) failed += 1;
--- a/src/soak/refusalMain.ts
+++ b/src/soak/refusalMain.ts
@@ -4,6 +4,7 @@
 import type { RefusalTrialOptions } from './runRefusalTrial.js';
 import { runRefusalTrial } from './runRefusalTrial.js';
 
+/** Seed of callers and targets. */
 const SEED = Number(process.env.MASTICLINK_SOAK_SEED ?? 1);
 
 /** Few answers are sent twice. */
@@ -28,9 +29,13 @@
   of15Few: OF_15_FEW,
   of15Many: { ...OF_15_FEW, ...MANY },
   of15ManyAccepted: { ...OF_15_FEW, ...MANY, rejectedShare: 0 },
+  of15ManySuspended: { ...OF_15_FEW, ...MANY, linkFault: 'suspended' },
+  of15ManyLate: { ...OF_15_FEW, ...MANY, linkFault: 'halfLate' },
   of19Few: OF_19_FEW,
   of19Many: { ...OF_19_FEW, ...MANY },
   of19ManyAccepted: { ...OF_19_FEW, ...MANY, rejectedShare: 0 },
+  of19ManySuspended: { ...OF_19_FEW, ...MANY, linkFault: 'suspended' },
+  of19ManyLate: { ...OF_19_FEW, ...MANY, linkFault: 'halfLate' },
 };
 
 runNamedTrials(TRIALS, runRefusalTrial, ({ refused, twice }) => refused + twice === 0).catch(
--- a/src/soak/runRefusalTrial.ts
+++ b/src/soak/runRefusalTrial.ts
@@ -7,7 +7,8 @@
 import { findBrokenPromises } from './checkSoak.js';
 import type { FleetTraffic } from './fleetTraffic.js';
 import { startFleetTraffic } from './fleetTraffic.js';
-import { GATEWAY_FAULTS } from './retryFaults.js';
+import type { TargetLinkFault } from './retryFaults.js';
+import { GATEWAY_FAULTS, TARGET_LINK_FAULTS } from './retryFaults.js';
 import { SoakCallers } from './SoakCallers.js';
 import { SoakWorld } from './SoakWorld.js';
 
@@ -31,6 +32,8 @@
   readonly rejectedShare: number;
   /** Time with copies and rejections; in its middle all gateways are killed, in milliseconds. */
   readonly forMs: number;
+  /** What happens to the links to targets before and after the gateways are killed. */
+  readonly linkFault?: TargetLinkFault;
   /** Seed of the random numbers of callers and targets. */
   readonly seed: number;
   /** Programs that the gateways run, in turn; that of this build by default. */
@@ -90,16 +93,20 @@
 
 /** Lets targets send copies and reject requests, and kills all gateways in the middle. */
 async function injectCopies(world: SoakWorld, options: RefusalTrialOptions): Promise<void> {
-  const { copyingTargets, copyShare, rejectedShare, forMs } = options;
+  const { copyingTargets, copyShare, rejectedShare, forMs, linkFault } = options;
   for (const [i, { model }] of world.targets.entries()) {
     // The services of a fleet are listed one after the other; so each has its share.
     const isCopying = Math.floor((i + 1) * copyingTargets) > Math.floor(i * copyingTargets);
     model.copies.share = isCopying ? copyShare : 0;
     model.rejectedShare = rejectedShare;
   }
-  await wait(forMs / 2);
+  const disturbLinks = async (): Promise<void> => {
+    await wait(forMs / 4);
+    if (linkFault !== undefined) await TARGET_LINK_FAULTS[linkFault](world);
+  };
+  await Promise.all([disturbLinks(), wait(forMs / 2)]);
   await GATEWAY_FAULTS.allKilled(world);
-  await wait(forMs / 2);
+  await Promise.all([disturbLinks(), wait(forMs / 2)]);
   for (const { model } of world.targets) {
     model.copies.share = 0;
     model.rejectedShare = 0;
--- a/src/soak/runSoak.ts
+++ b/src/soak/runSoak.ts
@@ -65,6 +65,8 @@
   readonly requests: number;
   readonly served: number;
   readonly faults: readonly string[];
+  /** Copies of answers that were sent before the answer to a request. */
+  readonly copiesMet: number;
   /** Directory with the gateways' settings and logs. */
   readonly dir: string;
 }
@@ -239,7 +241,8 @@
       calmFrom,
     });
     const served = callers.records.filter(({ status }) => status === 200).length;
-    return { broken, requests: callers.records.length, served, faults, dir };
+    const requests = callers.records.length;
+    return { broken, requests, served, faults, copiesMet: copiesMet.length, dir };
   } finally {
     callers.stop();
     callers.close();
--- a/src/tests/soak/soak.test.ts
+++ b/src/tests/soak/soak.test.ts
@@ -166,8 +166,9 @@
   'no request that may not run twice is refused after it ran while targets answer twice',
   async (t) => {
     t.timeout(90_000);
-    const { broken } = await runSoak({ seed: 9402, faultsMs: 6_000, hasCopies: true });
+    const { broken, copiesMet } = await runSoak({ seed: 9402, faultsMs: 6_000, hasCopies: true });
     t.deepEqual(broken, []);
+    t.true(copiesMet > 0);
   },
 );
 
