--- a/src/soak/SoakWorld.ts
+++ b/src/soak/SoakWorld.ts
@@ -159,6 +159,9 @@
     readonly until: number;
   }[] = [];
 
+  /** Ids of requests before whose answers a target has sent a copy of another one. */
+  readonly copiesMet: string[] = [];
+
   /** Version of newly started targets, unless another one is given. */
   version = 'v1';
 
@@ -298,6 +301,7 @@
       random: createRandom((this.options.seed ?? 0) * SEED_STEP + bornAt),
       onRun: (requestId, source) =>
         this.runs.push({ id: requestId, target: id, version, source, at: Date.now() }),
+      onCopyMet: (requestId) => this.copiesMet.push(requestId),
       onArrival: (requestId) => this.arrivals.push({ id: requestId, service, at: Date.now() }),
       onIdentity: (requestId, identity) =>
         this.identities.push({ id: requestId, target: id, identity }),
--- a/src/soak/runSoak.ts
+++ b/src/soak/runSoak.ts
@@ -241,7 +241,7 @@
     });
     const served = callers.records.filter(({ status }) => status === 200).length;
     const requests = callers.records.length;
-    return { broken, requests, served, faults, copiesMet: copiesMet.length, dir };
+    return { broken, requests, served, faults, copiesMet: world.copiesMet.length, dir };
   } finally {
     callers.stop();
     callers.close();
