A refused CONNECT leaves the answers before it whole, and a hedge is not sent on an old decision

Change: CallerConnection does what the listeners did, and closes the connection after a time; sendAttempt checks that a request may be sent again, whatever was decided before. A 421 without an id is not skipped as a probe's answer, as probes get none. Tests: promises, refusals.

--- a/src/balancing/endings.ts
+++ b/src/balancing/endings.ts
@@ -198,8 +198,11 @@
   };
 }
 
-/** Whether a target may have run a request, or may still run it. */
-function mayRun({ hasPossiblyRun, attempts, forward }: PendingRequest): boolean {
+/**
+ * Whether a target may have run a request, or may still run it.
+ * @param pending - The request.
+ */
+export function mayRun({ hasPossiblyRun, attempts, forward }: PendingRequest): boolean {
   return hasPossiblyRun || attempts.size > 0 || forward !== undefined;
 }
 
--- a/src/balancing/placing.ts
+++ b/src/balancing/placing.ts
@@ -6,13 +6,14 @@
 import type { Candidate } from './candidates.js';
 import { findBestCandidate, getUsableTargets } from './candidates.js';
 import type { BalancerEffect } from './effects.js';
-import { refuseOrFail, endProbeRound } from './endings.js';
+import { answerLocally, endProbeRound, mayRun, refuseOrFail } from './endings.js';
 import type { PendingRequest, ProbeRound, PendingAttempt } from './PendingRequest.js';
 import { forwardRequest, hasHelper, isForwardable } from './forwarding.js';
 import { usePermit } from './limits.js';
 import { ensureQuota, getQuotaOverdueAt, hasQuota } from './quotas.js';
 import { recordPrioritySent, sortWaiting } from './priorities.js';
 import { getReachVerdict } from './reachability.js';
+import { isRepeatable } from './routes.js';
 import { startProbeRound, toDestination } from './probing.js';
 import {
   HEDGE_DELAY_FACTOR,
@@ -45,6 +46,20 @@
   return at;
 }
 
+/** Ends the search for a target for a request that may not be sent again. */
+function endPlacing(
+  state: BalancerState,
+  pending: PendingRequest,
+  context: BalancerContext,
+): BalancerEffect[] {
+  const isOpen = pending.attempts.size > 0 || pending.forward !== undefined;
+  if (!isOpen) return answerLocally(state, pending, 'targetFailed', context);
+  return [
+    ...endProbeRound(state, pending, context.now),
+    { kind: 'wake', request: pending.id, at: getNextWakeAt(pending) },
+  ];
+}
+
 /** Sends a request to a target, and records the attempt. */
 function sendAttempt(
   state: BalancerState,
@@ -53,6 +68,10 @@
   context: BalancerContext,
 ): BalancerEffect[] {
   const { now } = context;
+  // The configuration may have changed since it was decided that the request is sent again.
+  if (mayRun(pending) && !isRepeatable(state.table, pending.route)) {
+    return endPlacing(state, pending, context);
+  }
   const limitPerSecond = usePermit(state, record, now);
   const permitReturns = endProbeRound(state, pending, now);
   const { id, service } = record.entry;
--- a/src/entry/api/CallerConnection.ts
+++ b/src/entry/api/CallerConnection.ts
@@ -124,10 +124,24 @@
   refuseConnect(): void {
     const { socket } = this;
     this.hasFinalRequest = true;
-    // Node has removed its own listeners, and would no longer notice that the caller leaves.
+    this.replaceNodeListeners();
+    this.endWith(() => {
+      refuseConnect(socket);
+      this.endWithLinger();
+    });
+  }
+
+  /**
+   * Does what Node's listeners did that it removes at a CONNECT request: open answers go on when the
+   * caller reads, and end when it leaves.
+   * @internal
+   */
+  private replaceNodeListeners(): void {
+    const { socket } = this;
+    socket.on('drain', () => this.pendingAnswers[0]?.emit('drain'));
     socket.on('error', () => socket.destroy());
+    socket.once('end', () => socket.end());
     socket.resume();
-    this.endWith(() => refuseConnect(socket));
   }
 
   /** @internal */
--- a/src/gateway/TargetRequest.ts
+++ b/src/gateway/TargetRequest.ts
@@ -282,12 +282,14 @@
    * come. Probes have no id, and share connections with requests.
    * @internal
    */
-  private mayOwnAnswerFollow({ callerRequestId, target, hasNotRun, headers }: AnswerHead): boolean {
+  private mayOwnAnswerFollow(head: AnswerHead): boolean {
     const { callerRequestId: own } = this.options;
+    const { callerRequestId: id, target, hasNotRun, status, headers } = head;
     if (own === undefined || this.skippedCount >= MAX_SKIPPED_ANSWERS) return false;
-    const isOfProbe = callerRequestId === undefined && (target !== undefined || hasNotRun);
-    const isOfOther = callerRequestId !== undefined && callerRequestId !== own;
-    return (isOfProbe || isOfOther) && headers.connection?.toLowerCase() !== 'close';
+    // Probes are never misdirected, as they name no target.
+    const isOfProbe = status !== MISDIRECTED_REQUEST && (target !== undefined || hasNotRun);
+    const isOfOther = id === undefined ? isOfProbe : id !== own;
+    return isOfOther && headers.connection?.toLowerCase() !== 'close';
   }
 
   /** Reads the body of a rejection to its end, or closes the connection. @internal */
--- a/src/tests/balancing/refusals.test.ts
+++ b/src/tests/balancing/refusals.test.ts
@@ -35,3 +35,19 @@
     t.like(line, { event: 'request.failed' });
   });
 }
+
+// Guards against a second run of a request whose route may not be repeated any more.
+test('a hedge that was decided on is not sent if the route is not idempotent any more', (t) => {
+  const scene = new Scene([makeTarget('t-1'), makeTarget('t-2')], [ROUTE]);
+  const request = scene.arrive();
+  scene.answerProbes();
+  scene.wait(600, request);
+  const table = { ...scene.state.table!, version: 2, routes: [ONCE] };
+  scene.dispatch({ kind: 'tableRead', table });
+  scene.answerProbes();
+  t.is(scene.all('sendAttempt').length, 1);
+  t.deepEqual(scene.all('answer'), []);
+  scene.end({ kind: 'broken' });
+  t.is(scene.all('sendAttempt').length, 1);
+  t.is(scene.all('answer')[0].status, 502);
+});
--- a/src/tests/gateway/promises.test.ts
+++ b/src/tests/gateway/promises.test.ts
@@ -14,6 +14,9 @@
 
 const HOST = 'Host: door.example';
 
+/** More than the buffers of a connection hold. */
+const LARGE_ANSWER_BYTES = 8_000_000;
+
 function send({ socket }: CallerSocket, requestLine: string, headers: readonly string[]): void {
   const deadline = `X-Masticlink-Deadline-Ms: ${ALLOWED_MS}`;
   socket.write([`${requestLine} HTTP/1.1`, ...headers, deadline, '', ''].join('\r\n'));
@@ -50,6 +53,41 @@
   t.deepEqual(caller.statuses, [200, 501]);
 });
 
+// Guards against an answer that stalls, or a connection that stays open, once Node has let go of it.
+test('a large answer before a refused CONNECT arrives whole, and the connection ends', async (t) => {
+  const harness = await GatewayHarness.start();
+  t.teardown(() => harness.stop());
+  harness.answerBytes = LARGE_ANSWER_BYTES;
+  const { socket } = await harness.connect();
+  let receivedBytes = 0;
+  socket.removeAllListeners('data');
+  socket.on('data', (chunk: Buffer) => {
+    receivedBytes += chunk.length;
+  });
+  const caller = { socket } as CallerSocket;
+  send(caller, 'GET /horaires/x', [HOST, 'X-Masticlink-Request-Id: a']);
+  await harness.waitForStarted(1);
+  send(caller, 'CONNECT door.example:80', [HOST]);
+  await harness.pause(100);
+  harness.release('a');
+  await harness.waitUntil(() => socket.closed);
+  t.true(receivedBytes > LARGE_ANSWER_BYTES);
+});
+
+// Guards against a target that works for a caller that has left.
+test('a caller that leaves behind a refused CONNECT is noticed', async (t) => {
+  const harness = await GatewayHarness.start();
+  t.teardown(() => harness.stop());
+  const caller = await harness.connect();
+  send(caller, 'GET /horaires/x', [HOST, 'X-Masticlink-Request-Id: a']);
+  await harness.waitForStarted(1);
+  send(caller, 'CONNECT door.example:80', [HOST]);
+  await harness.pause(100);
+  caller.socket.end();
+  await harness.waitUntil(() => harness.abortedIds.includes('a'));
+  t.deepEqual(harness.abortedIds, ['a']);
+});
+
 // A late rejection of one of them would be taken for the answer to the other.
 test('requests with an empty id share no connection to a target', async (t) => {
   const harness = await GatewayHarness.start();
