Test that a late copy of a rejected probe is not believed for a request

Cause: probes share the connections of requests and name no request, and a target that sheds load rejects both alike, so copies of rejected probes meet requests too. The test fails when an answer without an id is believed.

--- a/src/tests/gateway/promises.test.ts
+++ b/src/tests/gateway/promises.test.ts
@@ -1,10 +1,13 @@
+import type { Socket } from 'node:net';
+
 import test from 'ava';
 
-import type { BalancerEvent, ForwardResult } from '../../balancing/index.js';
+import type { AttemptResult, BalancerEvent, ForwardResult } from '../../balancing/index.js';
 import { ActiveRequests } from '../../gateway/ActiveRequests.js';
 import { BodyMemory } from '../../gateway/BodyMemory.js';
 import { CallerExchange } from '../../gateway/CallerExchange.js';
 import { TargetAgents } from '../../gateway/TargetAgents.js';
+import { TargetProber } from '../../gateway/TargetProber.js';
 import { SystemClock } from '../../timing/index.js';
 import { waitUntil } from '../entry/fixtures.js';
 import type { CallerSocket } from './CallerSocket.js';
@@ -133,3 +136,46 @@
     t.deepEqual(await forwardBehindAnother(refusal), { kind: 'broken' });
   });
 }
+
+// Probes share the connections of requests and name none; a target that sheds load rejects both.
+test('a late copy of a rejected probe says nothing about the request behind it', async (t) => {
+  const rejection = formatResponse('503 Service Unavailable', [
+    'X-Masticlink-Not-Executed: 1',
+    'X-Masticlink-Server-Load: 0,0,8,100',
+    'Content-Length: 0',
+  ]);
+  const sockets = new Set<Socket>();
+  const { server, address } = await startTarget((socket) =>
+    socket.on('data', () => {
+      sockets.add(socket);
+      // To the request, this is the copy of what its predecessor was answered.
+      socket.write(rejection);
+    }),
+  );
+  const agents = new TargetAgents();
+  const to = { target: 't-1', bornAt: 1, address };
+  const clock = new SystemClock();
+  await new Promise<void>((resolve) => {
+    new TargetProber(agents, clock, () => resolve()).probe(to, '/health');
+  });
+  await waitUntil(() => Object.keys(agents.getAgent(to).freeSockets).length > 0);
+  const ends: AttemptResult[] = [];
+  const requests = new ActiveRequests({
+    agents,
+    vmAgents: new TargetAgents(),
+    clock,
+    memory: new BodyMemory(350, () => 0),
+    dispatch: (event: BalancerEvent) => event.kind === 'attemptEnded' && ends.push(event.end),
+    onAnswerCut: () => {},
+  });
+  const req = { method: 'GET', url: '/', rawHeaders: [], headers: {} };
+  const headers = ['X-Masticlink-Request-Id', 'r-1'];
+  const exchange = new CallerExchange(req as never, {} as never, headers, undefined, 'r-1');
+  const request = requests.add(exchange);
+  requests.startAttempt({ kind: 'sendAttempt', request, attempt: 1, to, allowedMs: ALLOWED_MS });
+  await waitUntil(() => ends.length === 1);
+  t.is(sockets.size, 1);
+  t.is(ends[0].kind, 'spoilt');
+  agents.destroy();
+  server.close();
+});
