--- a/src/tests/gateway/promises.test.ts
+++ b/src/tests/gateway/promises.test.ts
@@ -183,11 +183,14 @@
     'Content-Length: 0',
   ]);
   const sockets = new Set<Socket>();
+  let messageCount = 0;
   const { server, address } = await startTarget((socket) =>
     socket.on('data', () => {
       sockets.add(socket);
+      messageCount += 1;
       // To the request, this is the copy of what its predecessor was answered.
-      socket.write(rejection);
+      if (messageCount === 1) socket.write(rejection);
+      else socket.end(rejection);
     }),
   );
   const agents = new TargetAgents();
@@ -204,7 +207,7 @@
     clock,
     memory: new BodyMemory(350, () => 0),
     dispatch: (event: BalancerEvent) => event.kind === 'attemptEnded' && ends.push(event.end),
-    onAnswerCut: () => {},
+    log: () => {},
   });
   const req = { method: 'GET', url: '/', rawHeaders: [], headers: {} };
   const headers = ['X-Masticlink-Request-Id', 'r-1'];
