A late rejection in the place of a probe's answer asks for no pause

Found in review: a late answer to a request that a probe received restarted the pause that its own rejection had begun, and a 421 marked the wrong target as draining; TargetRequest leaves both out of the same answer. Change: both use getLastingStatements. The test failed before (pauseMs 3000).

--- a/src/gateway/TargetProber.ts
+++ b/src/gateway/TargetProber.ts
@@ -5,6 +5,7 @@
 import { readStatements, readTargetHead } from '../platform/index.js';
 import type { Clock } from '../timing/index.js';
 import { recordConnectionUse } from './SendingTrace.js';
+import { getLastingStatements } from './TargetRequest.js';
 import type { TargetAgents } from './TargetAgents.js';
 
 const OK = 200;
@@ -69,7 +70,7 @@
       // A late answer to an earlier request on this connection, received in place of the probe's.
       const isLateAnswer = head.callerRequestId !== undefined;
       if (isLateAnswer) {
-        finish({ kind: 'broken', ...statements });
+        finish({ kind: 'broken', ...getLastingStatements(res.statusCode ?? 0, statements) });
         req.destroy();
         return;
       }
--- a/src/gateway/TargetRequest.ts
+++ b/src/gateway/TargetRequest.ts
@@ -97,8 +97,13 @@
 /**
  * Returns what an answer to another request still states about the target. A pause has begun when
  * its own request was rejected, and a misdirected request was answered by another target.
+ * @param status - Status of the answer.
+ * @param statements - All that it states.
  */
-function getLastingStatements(status: number, statements: TargetStatements): TargetStatements {
+export function getLastingStatements(
+  status: number,
+  statements: TargetStatements,
+): TargetStatements {
   return status === MISDIRECTED_REQUEST ? {} : { ...statements, pauseMs: undefined };
 }
 
--- a/src/tests/gateway/promises.test.ts
+++ b/src/tests/gateway/promises.test.ts
@@ -220,3 +220,25 @@
   agents.destroy();
   server.close();
 });
+
+// Guards against a pause that a late rejection of a request begins again.
+test('a late answer to a request asks for no pause where a probe is awaited', async (t) => {
+  const late = formatResponse('503 Service Unavailable', [
+    'X-Masticlink-Request-Id: r-1',
+    'X-Masticlink-Not-Executed: 1',
+    'Retry-After: 3',
+    'Server-Leaving: 1',
+    'Content-Length: 0',
+  ]);
+  const { server, address } = await startTarget((socket) =>
+    socket.on('data', () => socket.write(late)),
+  );
+  const agents = new TargetAgents();
+  const end = await new Promise((resolve) => {
+    const prober = new TargetProber(agents, new SystemClock(), (_to, result) => resolve(result));
+    prober.probe({ target: 't-1', bornAt: 1, address }, '/health');
+  });
+  t.like(end, { kind: 'broken', pauseMs: undefined, isDraining: true });
+  agents.destroy();
+  server.close();
+});
