Log why a request that may run would have been refused; ids of skipped answers are shortened

insteadOf of request.failed names the reason that answerLocally turned into 502. Found in review: the guard left no trace, and answer.skipped wrote ids of any length.

--- a/src/balancing/endings.ts
+++ b/src/balancing/endings.ts
@@ -258,6 +258,8 @@
         rounds: pending.roundCount,
         configuration: state.table?.version,
         tried: [...pending.triedTargets],
+        // Why it would have been refused if it had certainly not run.
+        ...(reason === wanted ? {} : { insteadOf: wanted }),
         ...(isRefusal ? getEvidenceFields(pending) : {}),
         ...(reason === 'crashesTargets' ? getSuspectFields(state, pending, context.now) : {}),
         retryAfterMs,
--- a/src/balancing/index.ts
+++ b/src/balancing/index.ts
@@ -3,6 +3,7 @@
 export * from './effects.js';
 export * from './events.js';
 export type { Evidence, EvidenceKind } from './evidence.js';
+export { shortenId } from './evidence.js';
 export { getLongestPauses } from './getLongestPauses.js';
 export * from './model.js';
 export { takeOutcomeReports } from './outcomes.js';
--- a/src/gateway/ActiveRequests.ts
+++ b/src/gateway/ActiveRequests.ts
@@ -5,6 +5,7 @@
   LogEffect,
   SendingFacts,
 } from '../balancing/index.js';
+import { shortenId } from '../balancing/index.js';
 import type { AttemptId, RequestId } from '../core/model/index.js';
 import type { Clock, TimerService } from '../timing/index.js';
 import { writeTargetHeaders } from '../platform/index.js';
@@ -107,7 +108,8 @@
       body,
       callerRequestId,
       classifyHead: (head) => classifyTargetHead(callerRequestId, head),
-      onSkip: ({ callerRequestId: answeredId, status }) => {
+      onSkip: ({ callerRequestId: id, status }) => {
+        const answeredId = id === undefined ? undefined : shortenId(id);
         const fields = { id: callerRequestId, attempt, target: to.target, answeredId, status };
         this.parts.log({ kind: 'log', event: 'answer.skipped', fields });
       },
--- a/src/tests/gateway/skippedAnswers.test.ts
+++ b/src/tests/gateway/skippedAnswers.test.ts
@@ -67,6 +67,13 @@
   }
 });
 
+// Guards against taking the own rejection, which is a promise, for a late one.
+test('a rejection behind a late one rejects its own request', async (t) => {
+  const own = LATE_ANSWERS.rejection.replace('r-0', 'r-1');
+  const { end } = await sendRequest((socket) => socket.write(LATE_ANSWERS.rejection + own));
+  t.is(end.kind, 'rejected');
+});
+
 // Guards against a caller that is told that its request ran when only other requests' answers came.
 for (const [name, end] of Object.entries({
   'the connection closes': (socket: Socket) => socket.end(),
