The connection of an HTTP/1.0 caller ends with its first answer

What callers saw: none reported it; oldCallers.test failed: a request pipelined behind an answer without a length reached its target, and the connection closed; its caller takes it for unread and repeats it. Cause: Node closes a connection of HTTP/1.0 behind an answer without a length, which is known only when the answer begins. Class: an answer that the HTTP library ends. Change: the first request of such a connection is its final one. Callers of HTTP/1.0 that ask for keep-alive open a connection for each request. The test passes.

--- a/src/entry/api/CallerServer.ts
+++ b/src/entry/api/CallerServer.ts
@@ -164,7 +164,10 @@
   ): void {
     const connection = this.connections.get(req.socket);
     const isHostMissing = req.headers.host === undefined && req.httpVersion === '1.1';
-    connection?.acceptRequest(res, this.isStopping || isHostMissing, (queuedMs) => {
+    // Node closes such a connection behind an answer without a length, which is not known yet.
+    const isOldCaller = req.httpVersion === '1.0';
+    const isFinal = this.isStopping || isHostMissing || isOldCaller;
+    connection?.acceptRequest(res, isFinal, (queuedMs) => {
       if (isHostMissing) refuseWithoutHost(req, res);
       else this.handle(req, res, hasExpectContinue, queuedMs);
     });
