Whether a request may be repeated follows the route that it would have now

Found in review: a longer prefix that is not idempotent was ignored by the open requests below it, as their route was looked up by its own prefix. Change: it is looked up by host and path, as on arrival.

--- a/src/balancing/PendingRequest.ts
+++ b/src/balancing/PendingRequest.ts
@@ -63,6 +63,10 @@
   readonly callerRequestId: string | undefined;
   /** Hash of what the request asks for and for whom, the same for its copies at all entry VMs. */
   readonly fingerprint: string;
+  /** Host header. */
+  readonly host: string;
+  /** Path with its query string. */
+  readonly path: string;
   readonly route: Route;
   readonly service: ServiceName;
   /** Name of the caller's organisation; undefined if it has none. */
--- a/src/balancing/createPendingRequest.ts
+++ b/src/balancing/createPendingRequest.ts
@@ -55,6 +55,8 @@
     id: event.request,
     callerRequestId: event.callerRequestId,
     fingerprint: getFingerprint(event, organisation),
+    host: event.host,
+    path: event.path,
     route,
     service,
     organisation: organisation?.name,
--- a/src/balancing/forwarding.ts
+++ b/src/balancing/forwarding.ts
@@ -50,13 +50,10 @@
 }
 
 /** Whether a request may be passed on, by what it has been sent to already. */
-export function isForwardable(
-  { table }: BalancerState,
-  { route, ...pending }: PendingRequest,
-): boolean {
+export function isForwardable({ table }: BalancerState, pending: PendingRequest): boolean {
   if (pending.isForwarded || pending.forward !== undefined) return false;
   if (pending.attempts.size === 0 && !pending.hasPossiblyRun) return true;
-  return isRepeatable(table, route) && pending.triedTargets.size < pending.maxTargets;
+  return isRepeatable(table, pending) && pending.triedTargets.size < pending.maxTargets;
 }
 
 function getOtherVms({ liveVms, settings }: BalancerState): readonly string[] {
--- a/src/balancing/placing.ts
+++ b/src/balancing/placing.ts
@@ -69,7 +69,7 @@
 ): BalancerEffect[] {
   const { now } = context;
   // The configuration may have changed since it was decided that the request is sent again.
-  if (mayRun(pending) && !isRepeatable(state.table, pending.route)) {
+  if (mayRun(pending) && !isRepeatable(state.table, pending)) {
     return endPlacing(state, pending, context);
   }
   const limitPerSecond = usePermit(state, record, now);
--- a/src/balancing/requestHandlers.ts
+++ b/src/balancing/requestHandlers.ts
@@ -172,8 +172,8 @@
 ): RetryDecision {
   // Nothing has arrived at a target yet.
   if (end.kind === 'unsent') return { isGranted: true, effects: [] };
-  const { route, triedTargets, maxTargets } = pending;
-  const mayRunAgain = HAS_NOT_RUN[end.kind] || isRepeatable(state.table, route);
+  const { triedTargets, maxTargets } = pending;
+  const mayRunAgain = HAS_NOT_RUN[end.kind] || isRepeatable(state.table, pending);
   if (!mayRetryAfterCrash || !mayRunAgain || triedTargets.size >= maxTargets) {
     return { isGranted: false, effects: [] };
   }
@@ -289,10 +289,10 @@
   pending: PendingRequest,
   context: BalancerContext,
 ): BalancerEffect[] {
-  const { route, triedTargets, maxTargets } = pending;
+  const { triedTargets, maxTargets } = pending;
   const { now } = context;
   leaveTrial(state, pending, now);
-  if (!isRepeatable(state.table, route) || triedTargets.size >= maxTargets) return [];
+  if (!isRepeatable(state.table, pending) || triedTargets.size >= maxTargets) return [];
   // A hedge of a request that crashes targets would crash a second one.
   if (!mayRetryAfterCrashes(state, pending, true, now)) return [];
   const { isGranted, effects } = takeRetry(state, pending, 'hedge', now);
--- a/src/balancing/routes.ts
+++ b/src/balancing/routes.ts
@@ -1,6 +1,15 @@
 import type { ServiceName } from '../core/model/index.js';
 import type { Route, RoutingTable, WeightedService } from './model.js';
 
+/** What the route of a request is found by, and what it was on arrival. */
+export interface RoutedRequest {
+  /** Host header. */
+  readonly host: string;
+  /** Path with its query string. */
+  readonly path: string;
+  readonly route: Route;
+}
+
 /**
  * Finds the route of a request: the one of its host with the longest matching path prefix.
  * @param table - The current configuration.
@@ -22,18 +31,19 @@
 }
 
 /**
- * Whether requests of a route may run more than once, by the configuration under which they arrived
- * and by the current one.
+ * Whether a request may run more than once, by the configuration under which it arrived and by the
+ * current one.
  * @param table - The current configuration, if any is known.
- * @param route - The route as it was when the request arrived.
+ * @param request - Where it is sent, and its route on arrival.
  * @example
- * isRepeatable(state.table, pending.route);
+ * isRepeatable(state.table, pending);
  */
-export function isRepeatable(table: RoutingTable | undefined, route: Route): boolean {
+export function isRepeatable(
+  table: RoutingTable | undefined,
+  { host, path, route }: RoutedRequest,
+): boolean {
   if (!route.isIdempotent) return false;
-  const current = table?.routes.find(
-    ({ host, pathPrefix }) => host === route.host && pathPrefix === route.pathPrefix,
-  );
+  const current = table === undefined ? undefined : findRoute(table, host, path);
   return current === undefined || current.isIdempotent;
 }
 
