A target that rejects a long body unread does not keep its connection in use

Found in review: with a body larger than the buffers, the rest of the request is never taken, and the connection counted as in use for good (8 MB; one still in use after 2 s). Cause: the time limit for the rest of a rejection ended with the rejection itself. Change: it holds until the request has been written.

--- a/src/gateway/TargetRequest.ts
+++ b/src/gateway/TargetRequest.ts
@@ -301,7 +301,10 @@
   private discardBody(res: IncomingMessage): void {
     let size = 0;
     const timer = setTimeout(() => this.req.destroy(), DISCARD_TIMEOUT_MS);
-    res.once('close', () => clearTimeout(timer));
+    res.once('close', () => {
+      // Otherwise the target does not read the rest of the request, and the connection stays in use.
+      if (this.req.writableFinished) clearTimeout(timer);
+    });
     res.on('data', (chunk: Buffer) => {
       size += chunk.length;
       if (size > MAX_DISCARDED_BYTES) this.req.destroy();
