--- a/src/soak/SoakWorld.ts
+++ b/src/soak/SoakWorld.ts
@@ -12,7 +12,7 @@
 } from '../platform/standIn/index.js';
 import { createRandom } from '../standIns/models/index.js';
 import type { IdentityRecord } from './checkOrganisations.js';
-import type { Ban, CrashRecord, PauseRecord, RunRecord } from './checkSoak.js';
+import type { Ban, CrashRecord, PauseRecord, RunRecord, TargetDrain } from './checkSoak.js';
 import type { LinkMode } from './FaultProxy.js';
 import { FaultProxy } from './FaultProxy.js';
 import { findPorts } from './findPorts.js';
@@ -144,7 +144,7 @@
   readonly pauses: PauseRecord[] = [];
 
   /** When the answers of a target began to state that it is shutting down. */
-  readonly drains: { readonly target: string; readonly at: number }[] = [];
+  readonly drains: TargetDrain[] = [];
 
   /** Targets that requests have crashed, in order of time. */
   readonly crashes: CrashRecord[] = [];
--- a/src/soak/checkSoak.ts
+++ b/src/soak/checkSoak.ts
@@ -56,7 +56,7 @@
   readonly namings?: readonly LimitChange[];
   readonly pauses?: readonly PauseRecord[];
   /** When the answers of a target began to state that it is shutting down. */
-  readonly drains?: readonly { readonly target: string; readonly at: number }[];
+  readonly drains?: readonly TargetDrain[];
   /** Periods in which the link to a target was disturbed, so that its answers may be lost. */
   readonly linkFaults?: readonly {
     readonly target: string;
@@ -79,6 +79,14 @@
   readonly calmFrom: number;
 }
 
+/** Period in which the answers of a target state that it is shutting down. */
+export interface TargetDrain {
+  readonly target: string;
+  readonly at: number;
+  /** When the target started again under its id; undefined if it did not. */
+  until?: number;
+}
+
 /** Statuses which guarantee that the request was not executed and will not be. */
 const REFUSALS: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
@@ -196,9 +204,12 @@
     if (record === undefined || pauseMs === undefined || isLost) return [];
     return [{ target, vm: source ?? String(record.port), at, pauseMs }];
   });
+  const isAnnounced = ({ target, at }: { readonly target: string; readonly at: number }): boolean =>
+    drains.some(
+      ({ until = Infinity, ...drain }) => drain.target === target && drain.at <= at && at <= until,
+    );
   const drainsReceived = arrivals.flatMap(({ target, at, vm, record: { endedAt, status } }) => {
-    const isAnnounced = drains.some((each) => each.target === target && each.at <= at);
-    const isReceived = isAnnounced && endedAt !== undefined && status === 200;
+    const isReceived = isAnnounced({ target, at }) && endedAt !== undefined && status === 200;
     return isReceived ? [{ target, vm, at: endedAt }] : [];
   });
   const excuses = excused.map(({ port, source, from, until }) => ({
@@ -207,7 +218,8 @@
     until,
   }));
   const stated = { arrivals, pauses: received, drainsReceived, excused: excuses };
-  return [...findBrokenPauses(stated), ...findLateArrivals(stated)];
+  const duringDrains = { ...stated, arrivals: arrivals.filter(isAnnounced) };
+  return [...findBrokenPauses(stated), ...findLateArrivals(duringDrains)];
 }
 
 /**
--- a/src/soak/replaceCrashedTarget.ts
+++ b/src/soak/replaceCrashedTarget.ts
@@ -87,6 +87,9 @@
   },
   sameId: async (world, crashed) => {
     const started = await startBehindLink(world, crashed, crashed.entry.id);
+    for (const drain of world.drains) {
+      if (drain.target === crashed.entry.id) drain.until ??= Date.now();
+    }
     runLater(() => {
       if (started !== undefined && world.targets.includes(started)) {
         putTarget(world.store, started.entry);
--- a/src/tests/soak/soak.test.ts
+++ b/src/tests/soak/soak.test.ts
@@ -184,3 +184,18 @@
     }
   }
 });
+
+// A run that has announced nothing must not be judged by what the run before it announced.
+test('a target that starts again under its id has not announced a shutdown', (t) => {
+  const [caller] = SOUND.callers;
+  const ids = ['a', 'b'];
+  const announced: SoakObservations = {
+    ...SOUND,
+    callers: ids.map((id) => ({ ...caller, id, endedAt: caller.sentAt + 10 })),
+    runs: ids.map((id, i) => ({ id, target: 't-1', at: caller.sentAt + i * 3_000 })),
+    calmFrom: 1e6,
+  };
+  const { sentAt: at } = caller;
+  t.is(checkSoak({ ...announced, drains: [{ target: 't-1', at }] }).length, 1);
+  t.deepEqual(checkSoak({ ...announced, drains: [{ target: 't-1', at, until: at + 1_000 }] }), []);
+});
