Log why the rest of an answer is passed on as it comes

answer.passedOn says whether an answer was large or had no room, what marks its end, and how much memory bodies had reserved, so that an answer that reached its caller in chunks can be told apart by its cause.

--- a/src/balancing/effects.ts
+++ b/src/balancing/effects.ts
@@ -60,6 +60,7 @@
   | 'request.refused'
   | 'request.failed'
   | 'request.callerLeft'
+  | 'answer.passedOn'
   | 'answer.cut'
   | 'answer.skipped'
   | 'request.kept'
--- a/src/gateway/ActiveRequests.ts
+++ b/src/gateway/ActiveRequests.ts
@@ -206,11 +206,16 @@
   private startTransfer(exchange: CallerExchange, answer: TargetAnswer, deadlineAt: number): void {
     const { clock, log } = this.parts;
     const startedAt = clock.now();
+    const { callerRequestId: id } = exchange;
+    const { status, passOnReason } = answer;
+    if (passOnReason !== undefined) {
+      log({ kind: 'log', event: 'answer.passedOn', fields: { id, status, ...passOnReason } });
+    }
     const transfer = exchange.deliver(answer, deadlineAt, (reason) => {
       this.transfers.delete(transfer);
       if (reason === 'complete') return;
       const tookMs = Math.round(clock.now() - startedAt);
-      const fields = { id: exchange.callerRequestId, status: answer.status, reason, tookMs };
+      const fields = { id, status, reason, tookMs };
       log({ kind: 'log', event: 'answer.cut', fields });
     });
     this.transfers.add(transfer);
--- a/src/gateway/TargetRequest.ts
+++ b/src/gateway/TargetRequest.ts
@@ -74,6 +74,19 @@
   readonly onLateStatements?: (statements: TargetStatements) => void;
 }
 
+/** What marks the end of an answer's body. */
+export type AnswerFraming = 'length' | 'chunks' | 'close';
+
+/** Why the rest of an answer is passed on as it comes. */
+export interface PassOnReason {
+  readonly reason: 'large' | 'noMemory';
+  readonly framing: AnswerFraming;
+  /** Bytes that had been read by then. */
+  readonly bufferedBytes: number;
+  /** Memory that was reserved for all bodies by then, in bytes. */
+  readonly reservedBytes: number;
+}
+
 /** A target's answer that can be forwarded to the caller. */
 export interface TargetAnswer {
   readonly status: number;
@@ -83,6 +96,8 @@
   readonly body: Buffer;
   /** Stream of the rest of a large body; undefined if `body` is complete. */
   readonly remainder: IncomingMessage | undefined;
+  /** Undefined if `body` is complete. */
+  readonly passOnReason: PassOnReason | undefined;
   /** Memory of `body`. */
   readonly reservation: MemoryReservation;
 }
@@ -136,11 +151,11 @@
   return 'isDraining' in end ? end : {};
 }
 
-/** Whether the end of an answer's body is marked only by the close of the connection. */
-function isCloseDelimited({ headers, statusCode }: IncomingMessage): boolean {
-  const isFramed =
-    headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-  return !isFramed && statusCode !== NO_CONTENT && statusCode !== NOT_MODIFIED;
+/** What marks the end of an answer's body; `close` is the close of the connection. */
+function getFraming({ headers, statusCode }: IncomingMessage): AnswerFraming {
+  if (headers['transfer-encoding'] !== undefined) return 'chunks';
+  const isWithoutBody = statusCode === NO_CONTENT || statusCode === NOT_MODIFIED;
+  return headers['content-length'] !== undefined || isWithoutBody ? 'length' : 'close';
 }
 
 /** One HTTP request to a target, made for one attempt. */
@@ -258,7 +273,8 @@
       else this.req.destroy();
       return;
     }
-    if (isCloseDelimited(res)) this.detectReset(res);
+    const framing = getFraming(res);
+    if (framing === 'close') this.detectReset(res);
     const chunks: Buffer[] = [];
     let size = 0;
     this.reservation = this.options.memory.tryReserve(0);
@@ -270,7 +286,12 @@
       if (hasRoom && size <= MAX_BUFFERED_ANSWER_BYTES) return;
       res.off('data', onData);
       res.pause();
-      this.completeAnswer(status, res, chunks, head, res);
+      this.completeAnswer(status, res, chunks, head, {
+        reason: hasRoom ? 'large' : 'noMemory',
+        framing,
+        bufferedBytes: size,
+        reservedBytes: this.options.memory.reservedBytes,
+      });
     };
     res.on('data', onData);
     res.once('end', () => {
@@ -339,7 +360,7 @@
     res: IncomingMessage,
     chunks: readonly Buffer[],
     { reading, limit, statements }: AnswerHead,
-    remainder: IncomingMessage | undefined,
+    passOnReason: PassOnReason | undefined,
   ): void {
     if (this.hasEnded) return;
     const { headers } = cleanHeaders(res.rawHeaders);
@@ -349,10 +370,11 @@
       status: isMisleading ? BAD_GATEWAY : status,
       headers: isMisleading ? [] : headers,
       body: isMisleading ? Buffer.alloc(0) : Buffer.concat(chunks),
-      remainder: isMisleading ? undefined : remainder,
+      remainder: isMisleading || passOnReason === undefined ? undefined : res,
+      passOnReason: isMisleading ? undefined : passOnReason,
       reservation: this.reservation ?? NO_RESERVATION,
     };
-    if (isMisleading && remainder !== undefined) this.req.destroy();
+    if (isMisleading && passOnReason !== undefined) this.req.destroy();
     this.finish({ kind: 'answered', status, reading, limit, ...statements });
   }
 
