An answer that is reset while it is passed on gets no last chunk

Callers got a success with a proper end and without its last part. Cause: where an answer ends with its connection, Node's client ends the body on a socket error as well (socketErrorListener calls parser.finish()). While an answer is buffered the error of the request comes first and ends the attempt; once it is passed on nobody listened to it, and pipe() turned the end of the body into the last chunk.

AnswerEnd now decides by framing whether the end of a body is the end of its answer: for a length or chunks the parser has seen it, for the close of the connection a write behind the target's end has succeeded. The response to the caller is ended by this alone. Buffered answers go the same way, so that they no longer depend on the order of two events.

--- a/src/gateway/AnswerTransfer.ts
+++ b/src/gateway/AnswerTransfer.ts
@@ -1,4 +1,6 @@
-import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { ServerResponse } from 'node:http';
+
+import type { AnswerRemainder } from './TargetRequest.js';
 
 /** How sending an answer to its caller ended. */
 export type TransferEnd =
@@ -12,8 +14,8 @@
 
 /** An answer that is being sent. */
 export interface AnswerTransferOptions {
-  /** Stream of the part of the body that the target has not sent yet; undefined if there is none. */
-  readonly remainder: IncomingMessage | undefined;
+  /** The part of the body that the target has not sent yet; undefined if there is none. */
+  readonly remainder: AnswerRemainder | undefined;
   /** When the caller must have the answer, in monotonic milliseconds. */
   readonly deadlineAt: number;
   /** Called once. */
@@ -40,12 +42,12 @@
     res.once('finish', () => this.end('complete'));
     res.once('close', () => this.end('callerLeft'));
     if (remainder === undefined) return;
-    remainder.once('aborted', () => this.end('targetBroke'));
-    remainder.once('error', () => this.end('targetBroke'));
-    remainder.once('close', () => {
-      if (!remainder.readableEnded) this.end('targetBroke');
+    // The stream also ends where the target breaks off, so that it must not end the response.
+    remainder.stream.pipe(res, { end: false });
+    remainder.end.subscribe((outcome) => {
+      if (outcome === 'whole') res.end();
+      else this.end('targetBroke');
     });
-    remainder.pipe(res);
   }
 
   /**
@@ -64,8 +66,8 @@
     if (this.hasEnded) return;
     this.hasEnded = true;
     if (end !== 'complete') {
-      this.options.remainder?.unpipe(this.res);
-      this.options.remainder?.destroy();
+      this.options.remainder?.stream.unpipe(this.res);
+      this.options.remainder?.stream.destroy();
       this.res.destroy();
     }
     this.options.onEnd(end);
--- a/src/gateway/TargetRequest.ts
+++ b/src/gateway/TargetRequest.ts
@@ -7,6 +7,8 @@
 import { readStatements, readTargetHead } from '../platform/index.js';
 import type { Clock } from '../timing/index.js';
 import type { BodyMemory, MemoryReservation } from './BodyMemory.js';
+import type { AnswerFraming } from './AnswerEnd.js';
+import { AnswerEnd, getFraming } from './AnswerEnd.js';
 import { SendingTrace } from './SendingTrace.js';
 import { skipAnswer } from './skipAnswer.js';
 
@@ -46,8 +48,6 @@
 const NO_RESERVATION: MemoryReservation = { grow: () => false, release: () => {} };
 
 const BAD_GATEWAY = 502;
-const NO_CONTENT = 204;
-const NOT_MODIFIED = 304;
 
 /** A request to a target, or to another entry VM, and where to send it. */
 export interface TargetRequestOptions {
@@ -74,9 +74,6 @@
   readonly onLateStatements?: (statements: TargetStatements) => void;
 }
 
-/** What marks the end of an answer's body. */
-export type AnswerFraming = 'length' | 'chunks' | 'close';
-
 /** Why the rest of an answer is passed on as it comes. */
 export interface PassOnReason {
   readonly reason: 'large' | 'noMemory';
@@ -87,6 +84,13 @@
   readonly reservedBytes: number;
 }
 
+/** The part of a large answer that is passed on as it comes. */
+export interface AnswerRemainder {
+  readonly stream: IncomingMessage;
+  /** Whether the stream's end is the end of the answer. */
+  readonly end: AnswerEnd;
+}
+
 /** A target's answer that can be forwarded to the caller. */
 export interface TargetAnswer {
   readonly status: number;
@@ -94,8 +98,8 @@
   readonly headers: readonly string[];
   /** The body as far as it has been read. */
   readonly body: Buffer;
-  /** Stream of the rest of a large body; undefined if `body` is complete. */
-  readonly remainder: IncomingMessage | undefined;
+  /** The rest of a large body; undefined if `body` is complete. */
+  readonly remainder: AnswerRemainder | undefined;
   /** Undefined if `body` is complete. */
   readonly passOnReason: PassOnReason | undefined;
   /** Memory of `body`. */
@@ -151,13 +155,6 @@
   return 'isDraining' in end ? end : {};
 }
 
-/** What marks the end of an answer's body; `close` is the close of the connection. */
-function getFraming({ headers, statusCode }: IncomingMessage): AnswerFraming {
-  if (headers['transfer-encoding'] !== undefined) return 'chunks';
-  const isWithoutBody = statusCode === NO_CONTENT || statusCode === NOT_MODIFIED;
-  return headers['content-length'] !== undefined || isWithoutBody ? 'length' : 'close';
-}
-
 /** One HTTP request to a target, made for one attempt. */
 export class TargetRequest {
   /** The answer; set before `onEnd` is called with `answered`. */
@@ -273,8 +270,8 @@
       else this.req.destroy();
       return;
     }
-    const framing = getFraming(res);
-    if (framing === 'close') this.detectReset(res);
+    const framing = getFraming(this.options.method, res);
+    const answerEnd = new AnswerEnd(this.req, res, framing);
     const chunks: Buffer[] = [];
     let size = 0;
     this.reservation = this.options.memory.tryReserve(0);
@@ -286,7 +283,8 @@
       if (hasRoom && size <= MAX_BUFFERED_ANSWER_BYTES) return;
       res.off('data', onData);
       res.pause();
-      this.completeAnswer(status, res, chunks, head, {
+      const remainder = { stream: res, end: answerEnd };
+      this.completeAnswer(status, res, chunks, head, remainder, {
         reason: hasRoom ? 'large' : 'noMemory',
         framing,
         bufferedBytes: size,
@@ -294,13 +292,11 @@
       });
     };
     res.on('data', onData);
-    res.once('end', () => {
-      if (res.complete) this.completeAnswer(status, res, chunks, head, undefined);
+    answerEnd.subscribe((outcome) => {
+      if (outcome === 'whole') this.completeAnswer(status, res, chunks, head);
       else this.finish({ kind: 'broken' });
-      this.destroyIfRequestIncomplete();
     });
-    res.once('aborted', () => this.finish({ kind: 'broken' }));
-    res.once('error', () => this.finish({ kind: 'broken' }));
+    res.once('end', () => this.destroyIfRequestIncomplete());
   }
 
   /**
@@ -332,35 +328,14 @@
     });
   }
 
-  /**
-   * Detects a reset at the end of an answer that is delimited by the close of its connection.
-   *
-   * A reset that arrives together with the last bytes is reported as an ordinary end, because there
-   * was still data to read, and the caller would take a truncated answer for a complete one. A
-   * write distinguishes the two: after a reset it fails at once. The empty line that is written has
-   * no meaning, as servers ignore empty lines before a request.
-   * @internal
-   */
-  private detectReset(res: IncomingMessage): void {
-    const { socket } = res;
-    // Otherwise the socket could not be written to after the target has ended its side.
-    socket.allowHalfOpen = true;
-    socket.prependOnceListener('end', () => {
-      socket.write('\r\n', (err) => {
-        if (!err) return;
-        this.finish({ kind: 'broken' });
-        res.destroy(err);
-      });
-    });
-  }
-
   /** @internal */
   private completeAnswer(
     status: number,
     res: IncomingMessage,
     chunks: readonly Buffer[],
     { reading, limit, statements }: AnswerHead,
-    passOnReason: PassOnReason | undefined,
+    remainder?: AnswerRemainder,
+    passOnReason?: PassOnReason,
   ): void {
     if (this.hasEnded) return;
     const { headers } = cleanHeaders(res.rawHeaders);
@@ -370,18 +345,18 @@
       status: isMisleading ? BAD_GATEWAY : status,
       headers: isMisleading ? [] : headers,
       body: isMisleading ? Buffer.alloc(0) : Buffer.concat(chunks),
-      remainder: isMisleading || passOnReason === undefined ? undefined : res,
+      remainder: isMisleading ? undefined : remainder,
       passOnReason: isMisleading ? undefined : passOnReason,
       reservation: this.reservation ?? NO_RESERVATION,
     };
-    if (isMisleading && passOnReason !== undefined) this.req.destroy();
+    if (isMisleading && remainder !== undefined) this.req.destroy();
     this.finish({ kind: 'answered', status, reading, limit, ...statements });
   }
 
   /** Closes the connection of an answer that is not delivered, unless the answer is complete. */
   discardAnswer(): void {
     this.reservation?.release();
-    this.answer?.remainder?.destroy();
+    this.answer?.remainder?.stream.destroy();
   }
 
   /**
