A broken-off answer resets the connection of an HTTP/1.0 caller

For such a caller an answer without a length ends with its connection, so that an orderly close made a truncated answer look complete: when the target broke off, at the deadline, and when a planned stop ended the process in the middle of it. Broken-off answers of this kind now end with a reset, and a planned stop breaks off what is open at the end of its grace period itself instead of leaving it to the end of the process.

--- a/src/gateway/ActiveRequests.ts
+++ b/src/gateway/ActiveRequests.ts
@@ -196,6 +196,16 @@
     timers.subscribe(LATE_CHECK_MS, () => this.endLateTransfers());
   }
 
+  /**
+   * Breaks off the answers that have not reached their callers, as the process stops.
+   * @returns Number of requests that were still open.
+   */
+  stop(): number {
+    const { size } = this;
+    for (const transfer of this.transfers) transfer.stop();
+    return size;
+  }
+
   /** @internal */
   private endLateTransfers(): void {
     const now = this.parts.clock.now();
--- a/src/gateway/AnswerTransfer.ts
+++ b/src/gateway/AnswerTransfer.ts
@@ -10,12 +10,16 @@
   /** The target broke its answer off. */
   | 'targetBroke'
   /** The deadline passed, as the caller did not read or the target did not end. */
-  | 'late';
+  | 'late'
+  /** The process stopped. */
+  | 'stopped';
 
 /** An answer that is being sent. */
 export interface AnswerTransferOptions {
   /** The part of the body that the target has not sent yet; undefined if there is none. */
   readonly remainder: AnswerRemainder | undefined;
+  /** Whether the caller takes the close of its connection for the end of the answer. */
+  readonly isEndedByClose: boolean;
   /** When the caller must have the answer, in monotonic milliseconds. */
   readonly deadlineAt: number;
   /** Called once. */
@@ -61,6 +65,11 @@
     if (now > deadlineAt && !isQueued) this.end('late');
   }
 
+  /** Breaks the answer off, as the process stops. */
+  stop(): void {
+    this.end('stopped');
+  }
+
   /** @internal */
   private end(end: TransferEnd): void {
     if (this.hasEnded) return;
@@ -68,6 +77,8 @@
     if (end !== 'complete') {
       this.options.remainder?.stream.unpipe(this.res);
       this.options.remainder?.stream.destroy();
+      // Only a reset tells such a caller that the answer is incomplete.
+      if (this.options.isEndedByClose) this.res.socket?.resetAndDestroy();
       this.res.destroy();
     }
     this.options.onEnd(end);
--- a/src/gateway/CallerExchange.ts
+++ b/src/gateway/CallerExchange.ts
@@ -76,7 +76,9 @@
     this.res.writeHead(status, [...keptHeaders, ...lengthHeader]);
     if (remainder === undefined) this.res.end(body);
     else this.res.write(body, () => reservation.release());
-    return new AnswerTransfer(this.res, { remainder, deadlineAt, onEnd });
+    const isEndedByClose =
+      remainder !== undefined && remainder.framing !== 'length' && this.req.httpVersion === '1.0';
+    return new AnswerTransfer(this.res, { remainder, isEndedByClose, deadlineAt, onEnd });
   }
 
   /**
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -285,7 +285,7 @@
         clock.after(STOP_POLL_MS, resolve);
       });
     }
-    log.write('process.stopped', { requests: this.activeRequests.size });
+    log.write('process.stopped', { requests: this.activeRequests.stop() });
   }
 
   /** Stops all components at once, without waiting for open requests. */
--- a/src/gateway/TargetRequest.ts
+++ b/src/gateway/TargetRequest.ts
@@ -87,6 +87,7 @@
 /** The part of a large answer that is passed on as it comes. */
 export interface AnswerRemainder {
   readonly stream: IncomingMessage;
+  readonly framing: AnswerFraming;
   /** Whether the stream's end is the end of the answer. */
   readonly end: AnswerEnd;
 }
@@ -283,7 +284,7 @@
       if (hasRoom && size <= MAX_BUFFERED_ANSWER_BYTES) return;
       res.off('data', onData);
       res.pause();
-      const remainder = { stream: res, end: answerEnd };
+      const remainder = { stream: res, framing, end: answerEnd };
       this.completeAnswer(status, res, chunks, head, remainder, {
         reason: hasRoom ? 'large' : 'noMemory',
         framing,
--- a/src/tests/gateway/AnswerTransfer.test.ts
+++ b/src/tests/gateway/AnswerTransfer.test.ts
@@ -13,6 +13,7 @@
   const res = Object.assign(new EventEmitter(), state);
   const transfer = new AnswerTransfer(res as unknown as ServerResponse, {
     remainder: undefined,
+    isEndedByClose: false,
     deadlineAt: 10,
     onEnd: (end) => ends.push(end),
   });
