masticlink entry: a reset in the middle of an answer without a length is no end

TargetClient tells each request which connection it is sent on, and TargetConnection notes a reset before undici ends the body; a reset together with the last bytes is told by a write that fails. The answer then counts as cut, and the caller's connection is reset.

The test of a reset 30 ms later failed before (the caller saw an orderly end); the one with the last bytes passed.

--- a/src/entry/attempts/TargetAttempt.ts
+++ b/src/entry/attempts/TargetAttempt.ts
@@ -6,6 +6,8 @@
 import type { Attempt } from './Attempt.js';
 import type { AttemptReporter } from './AttemptReporter.js';
 import { readLoadReport, readRetryAfterMs } from './loadReport.js';
+import type { TargetDispatchOptions } from './TargetClient.js';
+import type { TargetConnection } from './TargetConnection.js';
 
 const FIRST_FINAL_STATUS = 200;
 
@@ -50,6 +52,12 @@
   /** @internal */
   private isDrainable = false;
 
+  /** @internal */
+  private connection: TargetConnection | undefined;
+
+  /** Whether the close of the connection is the end of the answer. @internal */
+  private endsWithConnection = false;
+
   /** @param parts - The request to send, and the dispatcher that sends it. */
   constructor(private readonly parts: TargetAttemptParts) {}
 
@@ -57,22 +65,19 @@
   start(): void {
     const { exchange, dispatcher, remainingMs, onBodyTooLarge } = this.parts;
     const { method, path, headers } = exchange.head;
-    dispatcher.dispatch(
-      {
-        method,
-        path,
-        headers: [
-          ...headers,
-          'masticlink-deadline-ms',
-          String(Math.max(0, Math.floor(remainingMs))),
-        ],
-        body: exchange.body.open(onBodyTooLarge),
-        // The core enforces deadlines; undici's own timeouts would abort requests within them.
-        headersTimeout: 0,
-        bodyTimeout: 0,
+    const options: TargetDispatchOptions = {
+      method,
+      path,
+      headers: [...headers, 'masticlink-deadline-ms', String(Math.max(0, Math.floor(remainingMs)))],
+      body: exchange.body.open(onBodyTooLarge),
+      // The core enforces deadlines; undici's own timeouts would abort requests within them.
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      onConnection: (connection) => {
+        this.connection = connection;
       },
-      this,
-    );
+    };
+    dispatcher.dispatch(options, this);
   }
 
   cancel(): void {
@@ -124,6 +129,7 @@
     const contentLength =
       clean.contentLength === undefined ? undefined : Number(clean.contentLength);
     const endsWithConnection = !isFramed;
+    this.endsWithConnection = endsWithConnection;
     const head = { status, headers, contentType, contentLength, endsWithConnection, origin };
     this.isDrainable = contentLength !== undefined && contentLength <= MAX_DRAINED_ANSWER_BYTES;
     return this.parts.reporter.reportHead(head, event);
@@ -136,7 +142,8 @@
 
   /** @internal */
   onComplete(): void {
-    this.parts.reporter.reportEnd('complete');
+    const isCut = this.endsWithConnection && this.connection?.wasReset === true;
+    this.parts.reporter.reportEnd(isCut ? 'cut' : 'complete');
   }
 
   /** @internal */
--- a/src/entry/attempts/TargetPools.ts
+++ b/src/entry/attempts/TargetPools.ts
@@ -1,12 +1,7 @@
 import { Pool } from 'undici';
 
 import type { CoreEvent, TargetId } from '../../core/index.js';
-
-/**
- * Within one region a connection is established in about a millisecond; one that takes much longer
- * indicates a fault.
- */
-const CONNECT_TIMEOUT_MS = 500;
+import { TargetClient } from './TargetClient.js';
 
 /**
  * Idle connections are closed after this time. Targets often close theirs after 5 s, and one that
@@ -67,7 +62,7 @@
   private open(target: TargetId, address: string): Pool {
     const pool = new Pool(`http://${address}`, {
       pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
+      factory: TargetClient.create,
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
     });
     pool.on('connect', () => this.reportConnectionChange(target, 'opened'));
