An answer whose last transfer coding is not chunked ends with its connection

What callers saw: an answer with such a coding (identity, gzip) that its target reset looked complete, also if it was small and buffered.

Cause: any Transfer-Encoding counted as chunks. Node's parser reads a body to its last chunk only if chunked is the last coding, and otherwise up to the close of the connection (RFC 9112, 6.3). It ends such a body on a reset, too, and the reset was looked for only behind bodies that count as ending with their connection.

Why it works: the framing is now decided by the last coding, as the parser does, so that the end of such a body counts only behind an orderly close.

--- a/src/gateway/AnswerEnd.ts
+++ b/src/gateway/AnswerEnd.ts
@@ -9,8 +9,12 @@
 /** Statuses of answers that never have a body. */
 const STATUSES_WITHOUT_BODY: ReadonlySet<number | undefined> = new Set([204, 304]);
 
+/** Transfer codings of which `chunked` is the last one. */
+const ENDS_IN_CHUNKS = /(?:^|,)\s*chunked\s*$/i;
+
 /**
- * Returns what marks the end of an answer's body (RFC 9112, 6.3).
+ * Returns what marks the end of an answer's body (RFC 9112, 6.3). With any other last transfer
+ * coding than `chunked`, it is the close of the connection.
  * @param method - Method of the request.
  * @param res - The answer.
  * @example
@@ -21,7 +25,8 @@
   { headers, statusCode }: IncomingMessage,
 ): AnswerFraming {
   if (method === 'HEAD' || STATUSES_WITHOUT_BODY.has(statusCode)) return 'none';
-  if (headers['transfer-encoding'] !== undefined) return 'chunks';
+  const codings = headers['transfer-encoding'];
+  if (codings !== undefined) return ENDS_IN_CHUNKS.test(codings) ? 'chunks' : 'close';
   return headers['content-length'] === undefined ? 'close' : 'length';
 }
 
