An answer in a transfer coding that changes its bytes is not accepted

What callers saw: the encoded bytes of an answer with Transfer-Encoding gzip (or gzip, chunked) as a complete success without any encoding named.

Cause: only Content-Encoding counted as an encoding, while Transfer-Encoding is not forwarded and Node's parser decodes chunks only.

Evidence: the test with the three encodings passes; trial on the code before: not run.

Why it works: any transfer coding other than chunked and identity now makes an answer encoded, so that it counts as spoilt, as with Content-Encoding.

--- a/src/platform/requests.ts
+++ b/src/platform/requests.ts
@@ -151,6 +151,18 @@
   return callerRequestId === undefined ? {} : { [REQUEST_ID_HEADER]: callerRequestId };
 }
 
+/** Transfer codings that leave the bytes of a body as they are once it has been read. */
+const PLAIN_TRANSFER_CODINGS: ReadonlySet<string> = new Set(['chunked', 'identity']);
+
+/**
+ * Whether a transfer coding changes the bytes of a body. The header is not forwarded, so that
+ * callers would take the encoded bytes for the body.
+ */
+function hasEncodingTransferCoding({ 'transfer-encoding': codings }: IncomingHttpHeaders): boolean {
+  const names = codings?.split(',').map((name) => name.trim().toLowerCase()) ?? [];
+  return names.some((name) => name !== '' && !PLAIN_TRANSFER_CODINGS.has(name));
+}
+
 /** Contents of the headers of a target's answer. */
 export interface TargetHead {
   /** Id of the request that is answered. */
@@ -161,7 +173,7 @@
   readonly isSigned: boolean;
   /** Whether the target has not run the request and never will. */
   readonly hasNotRun: boolean;
-  /** Whether the body has a content encoding and is therefore not as the target made it. */
+  /** Whether the body has an encoding that is kept, and is therefore not as the target made it. */
   readonly isEncoded: boolean;
   readonly reading: LoadReading | undefined;
   /** Time that the target remains cold, in milliseconds. */
@@ -187,7 +199,7 @@
     target: getSingleHeader(headers, TARGET_ID_HEADER),
     isSigned: headers[RESPONSE_SIGNATURE_HEADER] !== undefined,
     hasNotRun: headers[NOT_EXECUTED_HEADER] !== undefined,
-    isEncoded: headers['content-encoding'] !== undefined,
+    isEncoded: headers['content-encoding'] !== undefined || hasEncodingTransferCoding(headers),
     reading: readLoad(getSingleHeader(headers, LOAD_HEADER), isHealthy, now),
     coldMs: Number.isFinite(coldMs) ? coldMs : 0,
     limit: readLimit(getSingleHeader(headers, LIMIT_HEADER)),
--- a/src/tests/gateway/TargetRequest.test.ts
+++ b/src/tests/gateway/TargetRequest.test.ts
@@ -65,16 +65,16 @@
 test('an encoded answer is not accepted', async (t) => {
   // Something between the target and this VM encoded the body although no encoding was requested.
   // The caller could not read it.
-  const { end } = await sendRequest((socket) =>
-    socket.write(
-      formatResponse(
-        '200 OK',
-        [...VALID_HEADERS, 'Content-Encoding: gzip', 'Content-Length: 1'],
-        'x',
-      ),
-    ),
-  );
-  t.is(end.kind, 'spoilt');
+  for (const headers of [
+    ['Content-Encoding: gzip', 'Content-Length: 1'],
+    ['Transfer-Encoding: gzip'],
+    ['Transfer-Encoding: gzip, chunked'],
+  ]) {
+    const { end } = await sendRequest((socket) =>
+      socket.end(formatResponse('200 OK', [...VALID_HEADERS, ...headers], '1\r\nx\r\n0\r\n\r\n')),
+    );
+    t.is(end.kind, 'spoilt', headers[0]);
+  }
 });
 
 test('a rejection by the target means that the request has not run', async (t) => {
