Take only addresses of hosts from entries, announcements and other VMs

decodeTarget accepted any digits for octets and port. The HTTP client throws ERR_SOCKET_BAD_PORT for such a port while an effect is carried out. Addresses of VMs were not checked at all, and what VMs pass on to each other neither.

An announcement loses only its unusable VMs, since one VM may announce all others.

--- a/src/fleet/feedMessages.ts
+++ b/src/fleet/feedMessages.ts
@@ -1,11 +1,12 @@
 import { constants, deflateRawSync, inflateRawSync } from 'node:zlib';
 
-import type { VmAnnouncement } from '../balancing/index.js';
+import type { TargetRegistration, VmAnnouncement, VmRoster } from '../balancing/index.js';
 import type { StorePosition } from '../core/model/index.js';
 import { UNKNOWN_EPOCH } from '../core/model/index.js';
 import type { RolloutOrder } from '../rollouts/index.js';
 import type { Section, StoredItem } from './FleetStore.js';
 import type { Confirmation, SectionChange } from './sectionChanges.js';
+import { isSocketAddress } from './socketAddress.js';
 
 /** First message of a follower: what it has already. */
 export interface FollowRequest {
@@ -58,11 +59,29 @@
   } as unknown as StoredItem<S>;
 }
 
-function decodeItem<S extends Section>(section: S, item: StoredItem<S>): StoredItem<S> {
-  if (section !== 'rollouts' || item.value === undefined) return item;
-  const { revision = 0, ...order } = item.value as SentOrder;
+function decodeOrder({ revision = 0, ...order }: SentOrder): RolloutOrder {
   const { position = { epoch: UNKNOWN_EPOCH, revision } } = order;
-  return { ...item, value: { ...order, position } } as unknown as StoredItem<S>;
+  return { ...order, position };
+}
+
+function isReachable({ callers, peers }: VmAnnouncement): boolean {
+  return isSocketAddress(callers) && isSocketAddress(peers);
+}
+
+/**
+ * Decoders of the values that are not used as they are received. VMs of earlier versions pass on
+ * addresses that cannot be connected to.
+ */
+const VALUE_DECODERS: Readonly<Partial<Record<Section, (value: unknown) => unknown>>> = {
+  targets: (value) => (isSocketAddress((value as TargetRegistration).address) ? value : undefined),
+  rollouts: (value) => decodeOrder(value as SentOrder),
+  vms: (value) => ({ vms: (value as VmRoster).vms.filter(isReachable) }),
+};
+
+function decodeItem<S extends Section>(section: S, item: StoredItem<S>): StoredItem<S> {
+  const decode = VALUE_DECODERS[section];
+  if (decode === undefined || item.value === undefined) return item;
+  return { ...item, value: decode(item.value) } as StoredItem<S>;
 }
 
 function encodeChange({
@@ -99,13 +118,15 @@
 export function decodeFollowRequest({
   revisions,
   epochs = {},
+  announce,
   ...request
 }: SentRequest): FollowRequest {
   const positions = Object.entries(revisions).map(([section, revision]) => [
     section,
     { epoch: epochs[section as Section] ?? UNKNOWN_EPOCH, revision },
   ]);
-  return { ...request, positions: Object.fromEntries(positions) };
+  const announced = announce !== undefined && isReachable(announce) ? { announce } : {};
+  return { ...request, ...announced, positions: Object.fromEntries(positions) };
 }
 
 /** Longest accepted line, in characters; a whole section of the largest fleet is much shorter. */
--- a/src/platform/ObjectStore.ts
+++ b/src/platform/ObjectStore.ts
@@ -69,8 +69,15 @@
 /** Object kind of a section, and the decoder of its objects. */
 interface SectionDecoder<S extends Section> {
   readonly kind: string;
-  /** Returns undefined for objects of this kind that do not belong to the section. */
-  decode(object: StoredObject, epoch: number): SectionValues[S] | undefined;
+  /**
+   * Returns undefined for objects of this kind that do not belong to the section. `onUnreadable` is
+   * called with the reason for each part that is left out.
+   */
+  decode(
+    object: StoredObject,
+    epoch: number,
+    onUnreadable: (reason: string) => void,
+  ): SectionValues[S] | undefined;
 }
 
 /**
@@ -101,12 +108,15 @@
     decode: ({ metadata, spec, status }, epoch) =>
       metadata.deleting === true ? undefined : decodeRollout(metadata, spec, status, epoch),
   },
-  vms: { kind: 'entry-vms', decode: ({ spec }) => decodeRoster(spec) },
+  vms: {
+    kind: 'entry-vms',
+    decode: ({ spec }, _epoch, onUnreadable) => decodeRoster(spec, onUnreadable),
+  },
 };
 
 /** Handlers of what the store's answers show besides their content. */
 export interface ObjectStoreHandlers {
-  /** Called for each stored object that cannot be decoded. */
+  /** Called for each stored object that cannot be decoded, and each part of one. */
   onUnreadable(section: Section, name: string, reason: string): void;
   /** Called when an answer states a later epoch than all before it. */
   onEpochChange?(before: number, epoch: number): void;
@@ -267,11 +277,13 @@
     epoch: number,
   ): StoredItem<S> {
     const { name } = object.metadata;
+    const onUnreadable = (reason: string): void =>
+      this.handlers.onUnreadable(section, name, reason);
     try {
-      return { name, value: DECODERS[section].decode(object, epoch) };
+      return { name, value: DECODERS[section].decode(object, epoch, onUnreadable) };
     } catch (err) {
       if (!(err instanceof DecodeError)) throw err;
-      this.handlers.onUnreadable(section, name, err.message);
+      onUnreadable(err.message);
       return { name, value: undefined };
     }
   }
--- a/src/platform/decode.ts
+++ b/src/platform/decode.ts
@@ -11,6 +11,7 @@
   WeightedService,
 } from '../balancing/index.js';
 import type { StorePosition } from '../core/model/index.js';
+import { isSocketAddress } from '../fleet/socketAddress.js';
 import { digestApiKey } from '../organisations/index.js';
 import type { RolloutOrder, RolloutState } from '../rollouts/index.js';
 
@@ -38,6 +39,11 @@
   return value;
 }
 
+function asSocketAddress(value: unknown, name: string): string {
+  if (!isSocketAddress(value)) throw new DecodeError(`${name} must be IPv4:port of a host`);
+  return value;
+}
+
 function asNonNegativeNumber(value: unknown, name: string): number {
   if (typeof value !== 'number' || !Number.isFinite(value) || value < 0) {
     throw new DecodeError(`${name} must be a non-negative number`);
@@ -233,14 +239,12 @@
   const info = asObject(entry.info, 'info');
   const status = asObject(entry.status, 'status');
   if (!TARGET_STATES.has(status.state)) throw new DecodeError('state must be ready or draining');
-  const address = asNonEmptyString(entry.address, 'address');
-  if (!/^\d+\.\d+\.\d+\.\d+:\d+$/.test(address)) throw new DecodeError('address must be IPv4:port');
   // Not used, but an entry without a sequence was not written by a target.
   asNonNegativeNumber(status.sequence, 'sequence');
   return {
     id,
     service: asNonEmptyString(info.service, 'service'),
-    address,
+    address: asSocketAddress(entry.address, 'address'),
     zone: asNonEmptyString(info.zone, 'zone'),
     version: asNonEmptyString(info.version, 'version'),
     bornAt: entry.born === undefined ? 0 : asPositiveInteger(entry.born, 'born'),
@@ -255,19 +259,30 @@
   return {
     name: asNonEmptyString(entry.name, 'name'),
     zone: asNonEmptyString(entry.zone, 'zone'),
-    callers: asNonEmptyString(entry.callers, 'callers'),
-    peers: asNonEmptyString(entry.peers, 'peers'),
+    callers: asSocketAddress(entry.callers, 'callers'),
+    peers: asSocketAddress(entry.peers, 'peers'),
     linkMbps: typeof entry.linkMbps === 'number' ? entry.linkMbps : 0,
   };
 }
 
 /**
- * Decodes the list of entry VMs that one of them has announced.
+ * Decodes the list of entry VMs that one of them has announced. An entry that describes no usable VM
+ * is left out, since one VM may have announced all others.
  * @param spec - Content of the stored object.
+ * @param onUnreadable - Called with the reason for each entry that is left out.
  */
-export function decodeRoster(spec: unknown): VmRoster {
+export function decodeRoster(spec: unknown, onUnreadable: (reason: string) => void): VmRoster {
   const { vms } = asObject(spec, 'announcement');
-  return { vms: asArray(vms, 'vms').map(decodeVm) };
+  const readVm = (value: unknown): readonly VmAnnouncement[] => {
+    try {
+      return [decodeVm(value)];
+    } catch (err) {
+      if (!(err instanceof DecodeError)) throw err;
+      onUnreadable(err.message);
+      return [];
+    }
+  };
+  return { vms: asArray(vms, 'vms').flatMap(readVm) };
 }
 
 const ROLLOUT_STATES: Readonly<Record<string, RolloutState>> = {
--- a/src/tests/fleet/feedMessages.test.ts
+++ b/src/tests/fleet/feedMessages.test.ts
@@ -108,3 +108,19 @@
     messages,
   );
 });
+
+// Guards against addresses that VMs without the check pass on: connections to them throw.
+test('entries with addresses that cannot be connected to are not taken from other VMs', (t) => {
+  const vm = { name: 'vm-1', zone: 'a', callers: '10.0.0.1:80', peers: '10.0.0.1:90', linkMbps: 9 };
+  const oddVm = { ...vm, name: 'vm-2', peers: '10.0.0.2:70000' };
+  const read = (section: 'targets' | 'vms', value: unknown): unknown => {
+    const items = [{ name: 'o-1', value }];
+    const sent = { kind: 'change', section, items, revision: 3, isWhole: true };
+    const message = decodeFeedMessage(sent as Parameters<typeof decodeFeedMessage>[0]);
+    return message.kind === 'change' ? message.items[0].value : message;
+  };
+  t.is(read('targets', { id: 'o-1', address: '127.0.0.1:70000' }), undefined);
+  t.deepEqual(read('vms', { vms: [oddVm, vm] }), { vms: [vm] });
+  t.is(decodeFollowRequest({ revisions: {}, announce: oddVm }).announce, undefined);
+  t.deepEqual(decodeFollowRequest({ revisions: {}, announce: vm }).announce, vm);
+});
--- a/src/tests/platform/decode.test.ts
+++ b/src/tests/platform/decode.test.ts
@@ -2,6 +2,7 @@
 
 import {
   decodeRollout,
+  decodeRoster,
   decodeRoutingTable,
   decodeTarget,
   encodeRolloutStatus,
@@ -101,6 +102,51 @@
   });
 }
 
+const UNREACHABLE_ADDRESSES = [
+  '127.0.0.1:70000',
+  `127.0.0.1:${'9'.repeat(40)}`,
+  '127.0.0.1:0',
+  '127.0.0.1:080',
+  '127.0.0.1:-1',
+  '127.0.0.1:8080 ',
+  '127.0.0.1',
+  '300.1.1.1:80',
+  '010.1.1.1:80',
+  '1.2.3:80',
+  '0.0.0.0:80',
+  '0.1.2.3:80',
+  '224.0.0.1:80',
+  '255.255.255.255:80',
+  '[::1]:80',
+];
+
+for (const address of UNREACHABLE_ADDRESSES) {
+  // Guards against addresses for which the HTTP client throws, or that reach another host.
+  test(`an entry with the address ${address} is rejected`, (t) => {
+    t.throws(() => decodeTarget('i-1', { ...ENTRY, address }), { name: 'DecodeError' });
+  });
+}
+
+// Guards against addresses of hosts that the check rejects.
+test('addresses of hosts are accepted to the last octet and port', (t) => {
+  for (const address of ['127.0.0.1:1', '1.0.0.0:80', '223.255.255.255:65535']) {
+    t.is(decodeTarget('i-1', { ...ENTRY, address }).address, address);
+  }
+});
+
+// Guards against VMs that nobody finds, as another VM of their announcement has an unusable address.
+test('VMs with unusable addresses are left out of an announcement', (t) => {
+  const vm = { name: 'vm-1', zone: 'a', callers: '10.0.0.1:80', peers: '10.0.0.1:90', linkMbps: 9 };
+  const odd = { ...vm, name: 'vm-2' };
+  const vms = [{ ...odd, peers: '10.0.0.2:70000' }, vm, { ...odd, callers: '0.0.0.0:80' }, 7];
+  const reasons: string[] = [];
+  t.deepEqual(
+    decodeRoster({ vms }, (reason) => reasons.push(reason)),
+    { vms: [vm] },
+  );
+  t.is(reasons.length, 3);
+});
+
 test('a load report is parsed with its slowdown, and an invalid one is ignored', (t) => {
   t.deepEqual(readLoad('3,1,8,400', true, 5), {
     at: 5,
