Only the object named main is the configuration

A gateway that was running lost its configuration for readiness and limits as well: with an object config/second written, isReady was false in 8 of 8 readings over 2 s, until the next version of the configuration was published.

ObjectStore gives such an object as an item without a value, and FleetView reports items without a value that it does not know, as followers may know them. For the configuration, which is one object without a name, this item replaced the table. Other VMs passed it on in the same way.

FleetView now leaves out items of this section that have another name, before anything else is decided, so that lists, watches, restores and changes from other VMs are covered by one check.

--- a/src/fleet/FleetView.ts
+++ b/src/fleet/FleetView.ts
@@ -19,7 +19,7 @@
   SectionChange,
   SectionRestore,
 } from './sectionChanges.js';
-import { hasGap, keepLatestItems, PARTIAL_POSITION } from './sectionChanges.js';
+import { CONFIGURATION_NAME, hasGap, keepLatestItems, PARTIAL_POSITION } from './sectionChanges.js';
 import { StoreConfirmations } from './StoreConfirmations.js';
 
 /**
@@ -322,7 +322,7 @@
   private getEntries(section: Section): ReadonlyMap<string, unknown> {
     if (section === 'vms') return this.rosters;
     if (section !== 'configuration') return this[section];
-    return new Map(this.table === undefined ? [] : [['main', this.table]]);
+    return new Map(this.table === undefined ? [] : [[CONFIGURATION_NAME, this.table]]);
   }
 
   /**
--- a/src/fleet/sectionChanges.ts
+++ b/src/fleet/sectionChanges.ts
@@ -40,14 +40,23 @@
   readonly isListed?: boolean;
 }
 
+/** Name of the only object of the section `configuration`. */
+export const CONFIGURATION_NAME = 'main';
+
+function isOfSection(section: Section, name: string): boolean {
+  return section !== 'configuration' || name === CONFIGURATION_NAME;
+}
+
 /**
- * Reduces changes to the latest one of each object.
+ * Reduces changes to the latest one of each object of the section. Other objects of the kind of the
+ * configuration are left out: without a value, they would take the place of the configuration.
  * @param change - Changes in order of time; an answer of the store may hold several of one object.
  * @example
  * keepLatestItems({ ...change, items: [removed, writtenAgain] }).items; // [writtenAgain]
  */
 export function keepLatestItems<S extends Section>(change: SectionChange<S>): SectionChange<S> {
-  const latest = new Map(change.items.map((item) => [item.name, item]));
+  const own = change.items.filter(({ name }) => isOfSection(change.section, name));
+  const latest = new Map(own.map((item) => [item.name, item]));
   return latest.size === change.items.length ? change : { ...change, items: [...latest.values()] };
 }
 
--- a/src/platform/ObjectStore.ts
+++ b/src/platform/ObjectStore.ts
@@ -14,6 +14,7 @@
   WatchAnswer,
 } from '../fleet/FleetStore.js';
 import { StoreCallError } from '../fleet/FleetStore.js';
+import { CONFIGURATION_NAME } from '../fleet/sectionChanges.js';
 import type { RolloutOrder, RolloutState } from '../rollouts/index.js';
 import type { RolloutMetadata } from './decode.js';
 import {
@@ -93,7 +94,7 @@
   configuration: {
     kind: 'config',
     decode: ({ metadata, spec }) =>
-      metadata.name === 'main' ? decodeRoutingTable(spec) : undefined,
+      metadata.name === CONFIGURATION_NAME ? decodeRoutingTable(spec) : undefined,
   },
   targets: {
     kind: 'servers',
--- a/src/tests/fleet/FleetView.test.ts
+++ b/src/tests/fleet/FleetView.test.ts
@@ -186,3 +186,20 @@
   });
   t.deepEqual([...view.targets.keys()], ['t-2']);
 });
+
+// Guards against a configuration that is dropped for another object of its kind.
+test('objects beside the configuration are neither applied nor reported', (t) => {
+  const { view } = makeView();
+  const reported: string[] = [];
+  view.onChange(({ section, items }) => {
+    if (section === 'configuration') reported.push(...items.map(({ name }) => name));
+  });
+  const main = { name: 'main', value: TABLE };
+  const others = ['a', 'z'].map((name) => ({ name, value: undefined }));
+  const later = { name: 'later', value: { ...TABLE, version: TABLE.version + 1 } };
+  const section = 'configuration';
+  view.apply({ section, items: [others[0], main, others[1]], position: at(6), isWhole: true });
+  view.apply({ section, items: [...others, later], position: at(7), isWhole: false });
+  view.apply({ section, items: [others[1], later], position: at(3, 2), isWhole: true });
+  t.deepEqual([view.table, reported], [TABLE, ['main']]);
+});
