No request waits behind a late answer that no other one can follow

Cause: the late answer was skipped and the own one awaited. It cannot come where the close of the connection ends the late one (no length, a coding other than chunks, HTTP/1.0, 'close' among other options of Connection). A 204 or 304 with a length or chunks makes Node's parser read the start of the own answer as the body that the headers name.

Why it works: such an answer ends the request as spoilt at its head, so that it is sent again if it may run twice and answered with 502 otherwise.

--- a/src/gateway/TargetRequest.ts
+++ b/src/gateway/TargetRequest.ts
@@ -10,7 +10,7 @@
 import type { AnswerFraming } from './AnswerEnd.js';
 import { AnswerEnd, getFraming } from './AnswerEnd.js';
 import { SendingTrace } from './SendingTrace.js';
-import { skipAnswer } from './skipAnswer.js';
+import { isLastAnswer, skipAnswer } from './skipAnswer.js';
 
 /** Timeout for connecting to a target, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 250;
@@ -257,7 +257,7 @@
       this.req.destroy();
       return;
     }
-    if (end !== undefined && this.mayOwnAnswerFollow(head)) {
+    if (end !== undefined && this.mayOwnAnswerFollow(head, res)) {
       this.endWithoutAnswer = end;
       this.skippedCount += 1;
       this.options.onSkip?.(head);
@@ -305,14 +305,14 @@
    * come. Probes have no id, and share connections with requests.
    * @internal
    */
-  private mayOwnAnswerFollow(head: AnswerHead): boolean {
-    const { callerRequestId: own } = this.options;
-    const { callerRequestId: id, target, hasNotRun, status, headers } = head;
+  private mayOwnAnswerFollow(head: AnswerHead, res: IncomingMessage): boolean {
+    const { callerRequestId: own, method } = this.options;
+    const { callerRequestId: id, target, hasNotRun, status } = head;
     if (own === undefined || this.skippedCount >= MAX_SKIPPED_ANSWERS) return false;
     // Probes are never misdirected, as they name no target.
     const isOfProbe = status !== MISDIRECTED_REQUEST && (target !== undefined || hasNotRun);
     const isOfOther = id === undefined ? isOfProbe : id !== own;
-    return isOfOther && headers.connection?.toLowerCase() !== 'close';
+    return isOfOther && !isLastAnswer(method, res);
   }
 
   /** Reads the body of a rejection to its end, or closes the connection. @internal */
--- a/src/gateway/skipAnswer.ts
+++ b/src/gateway/skipAnswer.ts
@@ -1,5 +1,7 @@
 import type { ClientRequest, IncomingMessage } from 'node:http';
 
+import { getFraming } from './AnswerEnd.js';
+
 /** A request of Node's client, with the parts that decide what becomes of a further answer. */
 interface SkippingRequest extends ClientRequest {
   /** The answer that was received; a further one would close the connection. */
@@ -13,6 +15,24 @@
 /** A status of the interim answers behind which Node's client reads on. */
 const PROCESSING = 102;
 
+/**
+ * Whether no further answer can be read behind an answer to another request: its target closes the
+ * connection, or Node's client cannot tell where the next one begins.
+ * @param method - Method of the request that waits for its answer.
+ * @param res - The answer.
+ */
+export function isLastAnswer(method: string, res: IncomingMessage): boolean {
+  const { headers, httpVersion } = res;
+  const framing = getFraming(method, res);
+  if (framing === 'close') return true;
+  const namesBody =
+    headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
+  // The parser takes what follows a 204 or 304 for the body that the headers name.
+  if (framing === 'none' && method !== 'HEAD' && namesBody) return true;
+  const options = (headers.connection ?? '').toLowerCase().split(/[\s,]+/);
+  return options.includes('close') || (httpVersion === '1.0' && !options.includes('keep-alive'));
+}
+
 /**
  * Skips an answer that belongs to another request, and reads the next one on its connection as the
  * answer to this request. The request emits `response` again.
--- a/src/tests/gateway/answerEnds.test.ts
+++ b/src/tests/gateway/answerEnds.test.ts
@@ -60,6 +60,9 @@
   return chunks.map((chunk) => `${chunk.length.toString(16)}\r\n${chunk}\r\n`).join('');
 }
 
+/** An answer to another request, which is skipped. */
+const LATE_ANSWER = `${formatHead('200 OK', 'r-0', ['Content-Length: 4'])}late`;
+
 /** How an answer's end is marked. */
 interface Framing {
   readonly method: string;
@@ -100,6 +103,18 @@
       body,
     }),
   },
+  'up to the close behind a late answer': {
+    ...BODIED,
+    endsWithConnection: true,
+    format: (id, body) => ({ head: LATE_ANSWER + formatHead('200 OK', id), body }),
+  },
+  'in chunks behind a late answer': {
+    ...BODIED,
+    format: (id, body) => ({
+      head: LATE_ANSWER + formatHead('200 OK', id, ['Transfer-Encoding: chunked']),
+      body: formatChunks(body),
+    }),
+  },
   'with status 204': {
     ...BODILESS,
     format: (id) => ({ head: formatHead('204 No Content', id), body: '' }),
--- a/src/tests/gateway/rawTarget.ts
+++ b/src/tests/gateway/rawTarget.ts
@@ -16,6 +16,8 @@
 }
 
 interface SendOptions {
+  /** By default `POST` with a body, otherwise `GET`. */
+  readonly method?: string;
   readonly body?: Buffer;
   readonly agent?: TargetAgent;
 }
@@ -37,7 +39,11 @@
 /** Sends one request to a target that handles each connection with `serve`. */
 export async function sendRequest(
   serve: (socket: Socket, request: string) => void,
-  { body, agent = new TargetAgent(4) }: SendOptions = {},
+  {
+    body,
+    method = body === undefined ? 'GET' : 'POST',
+    agent = new TargetAgent(4),
+  }: SendOptions = {},
 ): Promise<Outcome> {
   const { server, address } = await startTarget((socket) =>
     socket.on('data', (data) => serve(socket, data.toString('latin1'))),
@@ -48,7 +54,7 @@
       clock: new SystemClock(),
       memory: new BodyMemory(350, () => 0),
       address,
-      method: body === undefined ? 'GET' : 'POST',
+      method,
       path: '/horaires/',
       headers: writeTargetHeaders(
         ['Host', 'door.example', 'X-Masticlink-Request-Id', 'r-1'],
--- a/src/tests/gateway/skippedAnswers.test.ts
+++ b/src/tests/gateway/skippedAnswers.test.ts
@@ -1,8 +1,10 @@
 import type { Socket } from 'node:net';
+import { setImmediate } from 'node:timers/promises';
 
 import test from 'ava';
 
 import { TargetAgent } from '../../gateway/TargetAgent.js';
+import { waitUntil } from '../entry/fixtures.js';
 import { formatResponse, sendRequest, VALID_HEADERS } from './rawTarget.js';
 
 /** Time between two writes that the receiver reads one by one, in milliseconds. */
@@ -10,6 +12,11 @@
 
 const OWN_ANSWER = formatResponse('200 OK', [...VALID_HEADERS, 'Content-Length: 3'], 'own');
 
+/** Pieces in which a late answer arrives; a small one arrives byte by byte. */
+const PIECES = 400;
+
+const OTHER_HEADERS = ['X-Masticlink-Request-Id: r-0', VALID_HEADERS[1]];
+
 /** Answers to other requests and to probes, as a target sends them late. */
 const LATE_ANSWERS: Readonly<Record<string, string>> = {
   rejection: formatResponse('503 Service Unavailable', [
@@ -27,6 +34,23 @@
     ['X-Masticlink-Request-Id: r-0', VALID_HEADERS[1], 'Transfer-Encoding: chunked'],
     '5\r\nother\r\n0\r\n\r\n',
   ),
+  'chunked success with trailers': formatResponse(
+    '200 OK',
+    [...OTHER_HEADERS, 'Transfer-Encoding: chunked'],
+    '5\r\nother\r\n0\r\nX-Masticlink-Request-Id: r-1\r\n\r\n',
+  ),
+  'success that fills buffers': formatResponse(
+    '200 OK',
+    [...OTHER_HEADERS, 'Content-Length: 60000'],
+    'x'.repeat(60_000),
+  ),
+  'success behind interim answers': formatResponse(
+    '103 Early Hints',
+    [],
+    formatResponse('102 Processing', [], formatResponse('204 No Content', OTHER_HEADERS)),
+  ),
+  'success without a body': formatResponse('204 No Content', OTHER_HEADERS),
+  'unchanged one': formatResponse('304 Not Modified', OTHER_HEADERS),
   redirection: formatResponse('421 Misdirected Request', [
     'X-Masticlink-Request-Id: r-0',
     'Content-Length: 0',
@@ -42,7 +66,7 @@
 };
 
 /** Ways in which the late answer and the own one reach the receiver. */
-const ARRIVALS: Readonly<Record<string, (socket: Socket, late: string) => void>> = {
+const ARRIVALS: Readonly<Record<string, (socket: Socket, late: string) => unknown>> = {
   'in one read': (socket, late) => socket.write(late + OWN_ANSWER),
   'one by one': (socket, late) => {
     socket.write(late);
@@ -54,6 +78,15 @@
     socket.write(bytes.slice(0, middle));
     setTimeout(() => socket.write(bytes.slice(middle)), WRITE_GAP_MS);
   },
+  'in pieces': async (socket, late) => {
+    const bytes = late + OWN_ANSWER;
+    const size = Math.ceil(bytes.length / PIECES);
+    socket.setNoDelay();
+    for (let at = 0; at < bytes.length; at += size) {
+      socket.write(bytes.slice(at, at + size));
+      await setImmediate();
+    }
+  },
 };
 
 // Guards against failing a request whose own answer follows a late answer to another request.
@@ -89,12 +122,62 @@
   });
 }
 
+/** Late answers behind which no other one can come, although the connection stays open. */
+const LAST_ANSWERS: Readonly<Record<string, string>> = {
+  'has a length and no body': formatResponse('304 Not Modified', [
+    ...OTHER_HEADERS,
+    'Content-Length: 5',
+  ]),
+  'is in chunks and has no body': formatResponse('204 No Content', [
+    ...OTHER_HEADERS,
+    'Transfer-Encoding: chunked',
+  ]),
+  'announces the close of its connection': LATE_ANSWERS.rejection.replace(
+    'Content',
+    'Connection: Close, X-Any\r\nContent',
+  ),
+  'is of HTTP/1.0': LATE_ANSWERS.success.replace('HTTP/1.1', 'HTTP/1.0'),
+  'ends with its connection': formatResponse('200 OK', OTHER_HEADERS, 'other'),
+  'has a coding other than chunks': formatResponse(
+    '200 OK',
+    [...OTHER_HEADERS, 'Transfer-Encoding: identity'],
+    'other',
+  ),
+};
+
 // Guards against waiting for an answer that cannot follow on a connection that its target closes.
-test('a late answer that announces the close of its connection is the last one', async (t) => {
-  const { end } = await sendRequest((socket) =>
-    socket.write(LATE_ANSWERS.rejection.replace('Content', 'Connection: close\r\nContent')),
-  );
-  t.is(end.kind, 'spoilt');
+for (const [name, late] of Object.entries(LAST_ANSWERS)) {
+  test(`a late answer that ${name} is the last one`, async (t) => {
+    const { end } = await sendRequest((socket) => socket.write(late));
+    t.is(end.kind, 'spoilt');
+  });
+}
+
+// Guards against taking what follows a broken-off late answer for an answer to this request.
+for (const [name, breakOff] of Object.entries({
+  'ends by FIN': (socket: Socket) => socket.end(),
+  'is reset': (socket: Socket) => socket.resetAndDestroy(),
+})) {
+  test(`a request fails behind a late answer that ${name} within its body`, async (t) => {
+    for (const kind of ['success', 'chunked success', 'success that fills buffers']) {
+      const { end, answer } = await sendRequest((socket) =>
+        socket.write(LATE_ANSWERS[kind].slice(0, -2), () => breakOff(socket)),
+      );
+      t.is(end.kind, 'spoilt', kind);
+      t.is(answer, undefined);
+    }
+  });
+}
+
+// Guards against reading the own answer as the body that a skipped answer to HEAD names.
+test('a late answer to HEAD is skipped without a body', async (t) => {
+  const late = formatResponse('200 OK', [...OTHER_HEADERS, 'Content-Length: 5']);
+  const own = formatResponse('200 OK', [...VALID_HEADERS, 'Content-Length: 3']);
+  const { end, answer } = await sendRequest((socket) => socket.write(late + own), {
+    method: 'HEAD',
+  });
+  t.is(end.kind, 'answered');
+  t.is(answer?.body.length, 0);
 });
 
 // Guards against a faulty target that sends other requests' answers without end.
@@ -115,9 +198,7 @@
       });
     });
     t.is(end.kind, 'spoilt');
-    await new Promise((resolve) => {
-      setTimeout(resolve, WRITE_GAP_MS);
-    });
+    await waitUntil(() => !isOpen);
     t.false(isOpen);
   });
 }
