A skipped answer that stalls ends its request after a second without bytes

What callers saw: 504 at the deadline for a request behind a late answer to another request that was cut short and then stalled.

Cause: nothing bounded the time of a skipped answer; only its size is bounded.

Why it works: the request ends as spoilt, which is sent again if it may run twice, once no byte of the skipped answer has come for a second. It is not a bound on the whole answer: one that arrives slowly is still skipped, as a request that may not run twice has only its own answer.

--- a/src/gateway/skipAnswer.ts
+++ b/src/gateway/skipAnswer.ts
@@ -12,6 +12,13 @@
 /** Largest body of a skipped answer, in bytes. */
 const MAX_SKIPPED_BYTES = 64 * 1024;
 
+/**
+ * Time without further bytes of a skipped answer after which its request fails, in milliseconds.
+ * Otherwise a request that may be sent again would wait for its deadline behind an answer that
+ * stalls.
+ */
+const STALL_TIMEOUT_MS = 1_000;
+
 /** A status of the interim answers behind which Node's client reads on. */
 const PROCESSING = 102;
 
@@ -52,9 +59,13 @@
   res.statusCode = PROCESSING;
   // At the end of an answer, Node's listener would release the connection.
   res.removeAllListeners('end');
+  const timer = setTimeout(() => req.destroy(), STALL_TIMEOUT_MS);
+  req.once('close', () => clearTimeout(timer));
   let size = 0;
   res.on('data', (chunk: Buffer) => {
+    timer.refresh();
     size += chunk.length;
     if (size > MAX_SKIPPED_BYTES) req.destroy();
   });
+  res.once('end', () => clearTimeout(timer));
 }
--- a/src/tests/gateway/skippedAnswers.test.ts
+++ b/src/tests/gateway/skippedAnswers.test.ts
@@ -153,6 +153,14 @@
   });
 }
 
+// Guards against a request that waits for its deadline behind a late answer that stalls.
+for (const kind of ['success', 'chunked success', 'success that fills buffers']) {
+  test(`a request fails behind a late ${kind} that stalls`, async (t) => {
+    const { end } = await sendRequest((socket) => socket.write(LATE_ANSWERS[kind].slice(0, -2)));
+    t.is(end.kind, 'spoilt');
+  });
+}
+
 // Guards against taking what follows a broken-off late answer for an answer to this request.
 for (const [name, breakOff] of Object.entries({
   'ends by FIN': (socket: Socket) => socket.end(),
