A request ends if Node's client does not read on behind a skipped answer

What callers would see: with a version of Node whose client keeps its state elsewhere or releases the connection behind the skipped answer, every such request waits for its deadline.

Cause: skipAnswer relies on fields of Node's client (req.res, shouldKeepAlive, the status that it reads again at the end of an answer) without a check.

Evidence: three tests stand for such versions: the fields are not there, the connection is released at the end of the skipped answer, the next answer is taken for a second one. Node 20.19 only; other versions were not run.

Why it works: nothing is skipped without the fields, and at the end of the skipped answer the client's reader must still be attached to the connection, otherwise the request is destroyed, which ends it as spoilt.

--- a/src/gateway/TargetRequest.ts
+++ b/src/gateway/TargetRequest.ts
@@ -257,11 +257,10 @@
       this.req.destroy();
       return;
     }
-    if (end !== undefined && this.mayOwnAnswerFollow(head, res)) {
+    if (end !== undefined && this.mayOwnAnswerFollow(head, res) && skipAnswer(this.req, res)) {
       this.endWithoutAnswer = end;
       this.skippedCount += 1;
       this.options.onSkip?.(head);
-      skipAnswer(this.req, res);
       return;
     }
     if (end !== undefined) {
--- a/src/gateway/skipAnswer.ts
+++ b/src/gateway/skipAnswer.ts
@@ -45,15 +45,23 @@
  * answer to this request. The request emits `response` again.
  *
  * Node's client reads on only behind interim answers, so the answer is made one. Where Node does not
- * follow, it closes the connection at the next answer, and the request fails as without skipping.
+ * follow, the request fails as without skipping: if it takes the next answer for a second one, it
+ * closes the connection; if it does not read on, this is recognised at the end of the answer.
  * The connection closes after the next answer, as its target may send further answers late.
  * @param req - The request that waits for its answer.
  * @param res - The answer to skip, of which only the head has been read.
+ * @returns Whether the answer is skipped; false if Node's client does not have the parts for it.
  * @example
- * req.on('response', (res) => (isOwn(res) ? read(res) : skipAnswer(req, res)));
+ * req.on('response', (res) => {
+ *   if (isOwn(res)) read(res);
+ *   else if (!skipAnswer(req, res)) req.destroy();
+ * });
  */
-export function skipAnswer(req: ClientRequest, res: IncomingMessage): void {
+export function skipAnswer(req: ClientRequest, res: IncomingMessage): boolean {
   const skipping = req as SkippingRequest;
+  if (skipping.res !== res || typeof skipping.shouldKeepAlive !== 'boolean') return false;
+  const { socket } = res;
+  const readers = socket.listeners('data');
   skipping.res = null;
   skipping.shouldKeepAlive = false;
   res.statusCode = PROCESSING;
@@ -67,5 +75,11 @@
     size += chunk.length;
     if (size > MAX_SKIPPED_BYTES) req.destroy();
   });
-  res.once('end', () => clearTimeout(timer));
+  res.once('end', () => {
+    clearTimeout(timer);
+    const listeners = socket.listeners('data');
+    const isReadingOn = readers.length > 0 && readers.every((reader) => listeners.includes(reader));
+    if (skipping.res === null && !isReadingOn) req.destroy();
+  });
+  return true;
 }
--- a/src/tests/gateway/skippedAnswers.test.ts
+++ b/src/tests/gateway/skippedAnswers.test.ts
@@ -1,11 +1,14 @@
+import type { ClientRequest, IncomingMessage } from 'node:http';
+import { request } from 'node:http';
 import type { Socket } from 'node:net';
 import { setImmediate } from 'node:timers/promises';
 
 import test from 'ava';
 
+import { skipAnswer } from '../../gateway/skipAnswer.js';
 import { TargetAgent } from '../../gateway/TargetAgent.js';
 import { waitUntil } from '../entry/fixtures.js';
-import { formatResponse, sendRequest, VALID_HEADERS } from './rawTarget.js';
+import { formatResponse, sendRequest, startTarget, VALID_HEADERS } from './rawTarget.js';
 
 /** Time between two writes that the receiver reads one by one, in milliseconds. */
 const WRITE_GAP_MS = 30;
@@ -188,6 +191,55 @@
   t.is(answer?.body.length, 0);
 });
 
+/** Ways in which Node's client may not read on behind a skipped answer. */
+const FOREIGN_CLIENTS: Readonly<
+  Record<string, (req: ClientRequest, res: IncomingMessage) => boolean>
+> = {
+  'keeps its answer elsewhere': (req, res) => {
+    const { shouldKeepAlive } = req;
+    return skipAnswer(Object.assign(Object.create(req), { res: undefined, shouldKeepAlive }), res);
+  },
+  'has released the connection at the end of the answer': (req, res) => {
+    const { statusCode } = res;
+    const isSkipped = skipAnswer(req, res);
+    res.statusCode = statusCode;
+    return isSkipped;
+  },
+  'takes the next answer for a second one': (req, res) => {
+    const isSkipped = skipAnswer(req, res);
+    Object.assign(req, { res });
+    return isSkipped;
+  },
+};
+
+// Guards against a version of Node that does not read on, and a request that waits for nothing.
+for (const [name, skip] of Object.entries(FOREIGN_CLIENTS)) {
+  test(`a request ends if Node's client ${name}`, async (t) => {
+    const { server, address } = await startTarget((socket) =>
+      socket.once('data', () => {
+        socket.write(LATE_ANSWERS.success);
+        setTimeout(() => socket.write(OWN_ANSWER), WRITE_GAP_MS);
+      }),
+    );
+    const agent = new TargetAgent(1);
+    const [host, port] = address.split(':');
+    const req = request({ host, port, agent });
+    let answers = 0;
+    await new Promise<void>((resolve) => {
+      req.on('response', (res) => {
+        answers += 1;
+        if (!skip(req, res)) req.destroy();
+      });
+      req.on('error', () => {});
+      req.once('close', () => resolve());
+      req.end();
+    });
+    t.is(answers, 1);
+    agent.destroy();
+    server.close();
+  });
+}
+
 // Guards against a faulty target that sends other requests' answers without end.
 for (const [name, more] of Object.entries({
   answers: LATE_ANSWERS.success,
