An exception in one effect or event leaves the others alone

With an effect that throws (a port out of range, an answer that cannot be written), everything else that this pass of BalancerLoop had to do was lost, for other requests too: attempts that the state took for sent, answers, timers. Their callers waited until they gave up. uncaughtException logged it and went on. The event that was handled and the order of the queue decided whom it hit.

BalancerLoop now catches what an effect or the reducer throws and goes on with the next one. FaultRecovery says in a table by kind of effect what follows: an attempt or forward counts as unsent, as Node checks address, path and headers before it connects; a probe as unanswered; a caller who cannot be answered, or whose timer is lost, is disconnected. If the reducer throws, the request of the event is refused as not run on its arrival and disconnected otherwise, since half updated state must not send it again.

Reachable without a faulty store: a target that answers with the status 099 makes the response throw in deliver.

Evidence: with the loop rethrowing, BalancerLoop.test fails and faults.test ends with an uncaught exception; with the change, 1 and 6 tests pass.

--- a/src/gateway/ActiveRequests.ts
+++ b/src/gateway/ActiveRequests.ts
@@ -85,6 +85,22 @@
     return this.exchanges.get(request)?.callerRequestId;
   }
 
+  /** Requests that have not been answered. */
+  get requestIds(): Iterable<RequestId> {
+    return this.exchanges.keys();
+  }
+
+  /** Attempts and forwards that have not ended. */
+  get attemptIds(): Iterable<AttemptId> {
+    return this.attempts.keys();
+  }
+
+  /** Closes the connection of a request that cannot be answered. */
+  close(request: RequestId): void {
+    this.exchanges.get(request)?.close();
+    this.exchanges.delete(request);
+  }
+
   /** Removes a request whose caller disconnected. */
   remove(request: RequestId): void {
     this.exchanges.delete(request);
@@ -185,8 +201,9 @@
     const exchange = this.exchanges.get(request);
     const answer = this.attempts.get(attempt)?.answer;
     if (exchange !== undefined && answer !== undefined) {
-      this.attempts.delete(attempt);
       this.startTransfer(exchange, answer, deadlineAt);
+      // An answer that cannot be sent ends with its attempt.
+      this.attempts.delete(attempt);
     }
     this.exchanges.delete(request);
   }
--- a/src/gateway/CallerExchange.ts
+++ b/src/gateway/CallerExchange.ts
@@ -103,6 +103,12 @@
     linger(this.req, this.res);
   }
 
+  /** Closes the caller's connection, or does so once the answers before this one have been sent. */
+  close(): void {
+    this.hasStartedAnswer = true;
+    this.res.destroy();
+  }
+
   /** Whether an answer has been sent to the caller, at least in part. */
   get isAnswered(): boolean {
     return this.hasStartedAnswer;
--- a/src/gateway/GatewayProcess.ts
+++ b/src/gateway/GatewayProcess.ts
@@ -1,4 +1,4 @@
-import type { BalancerContext, BalancerEffect, BalancerState } from '../balancing/index.js';
+import type { BalancerEffect, BalancerState } from '../balancing/index.js';
 import { createBalancerState } from '../balancing/index.js';
 import { isKeyUnknown } from '../balancing/keyChecks.js';
 import type { GatewaySettings } from '../config/index.js';
@@ -20,15 +20,18 @@
 import { BalancerLoop } from './BalancerLoop.js';
 import { BodyMemory } from './BodyMemory.js';
 import { CallerRequestHandler } from './CallerRequestHandler.js';
+import { createContext } from './createContext.js';
 import { createStateSources } from './createStateSources.js';
 import { createStoreHandlers } from './createStoreHandlers.js';
 import { countSharingVms, describeVms, isVmAddress } from './describeVms.js';
+import type { OpenWork } from './FaultRecovery.js';
+import { FaultRecovery } from './FaultRecovery.js';
 import { GatewayEndpoints } from './GatewayEndpoints.js';
 import { GatewayMetrics } from './GatewayMetrics.js';
 import { RequestTimers } from './RequestTimers.js';
 import { TargetAgents } from './TargetAgents.js';
 import { TargetProber } from './TargetProber.js';
-import { VmMessages } from './VmMessages.js';
+import { createMessageHandlers, VmMessages } from './VmMessages.js';
 import { writeAddressAnswer } from './writeAddressAnswer.js';
 
 /** Largest head of a request, in bytes; no configuration so far allows more. */
@@ -67,15 +70,6 @@
   readonly [K in BalancerEffect['kind']]: (effect: Extract<BalancerEffect, { kind: K }>) => void;
 };
 
-function createContext({ clock, random }: GatewayParts): BalancerContext {
-  return {
-    get now() {
-      return clock.now();
-    },
-    random,
-  };
-}
-
 /** The gateway: the process that runs on every entry VM of the platform. */
 export class GatewayProcess {
   /** The balancer's state; tests and reports may read it but must not change it. */
@@ -155,20 +149,19 @@
       this.activeRequests.answer(request, status, reason, retryAfterMs);
     },
     wake: ({ request, at }) => this.wakeTimers.set(request, at),
-    askPermit: (effect) => this.messages.runEffect(effect),
-    answerPermit: (effect) => this.messages.runEffect(effect),
-    returnPermit: (effect) => this.messages.runEffect(effect),
-    askQuota: (effect) => this.messages.runEffect(effect),
-    answerQuota: (effect) => this.messages.runEffect(effect),
-    returnQuota: (effect) => this.messages.runEffect(effect),
-    gossipLimits: (effect) => this.messages.runEffect(effect),
-    gossipCrashes: (effect) => this.messages.runEffect(effect),
+    ...createMessageHandlers(() => this.messages),
     log: (effect) => {
       this.metrics.record(effect);
       this.parts.log.write(effect.event, effect.fields);
     },
   };
 
+  /** @internal */
+  private readonly runEffect: EffectRunner = (effect) => {
+    const handle = this.effectHandlers[effect.kind] as EffectRunner;
+    handle(effect);
+  };
+
   /** @param parts - Settings, clock, log and random numbers. */
   constructor(private readonly parts: GatewayParts) {
     const { settings, clock, log, random } = parts;
@@ -177,10 +170,9 @@
     this.store = new ObjectStore(settings.storeAddress, createStoreHandlers(log));
     const runId = `${settings.self.name}/${random()}`;
     this.view = new FleetView(clock, runId);
-    const { self, listen, seeds } = settings;
+    const { self, listen, seeds, balancing } = settings;
     const { store, view } = this;
-    const { rollouts: exposureBound } = settings.balancing;
-    const sections = exposureBound === undefined ? SECTIONS_WITHOUT_ROLLOUTS : SECTIONS;
+    const sections = balancing.rollouts === undefined ? SECTIONS_WITHOUT_ROLLOUTS : SECTIONS;
     const propagation = dividePropagation(settings.changeBoundMs);
     const fleetParts = { self, store, view, clock, log, sections, propagation, random };
     this.fleetSync = new FleetSync({ ...fleetParts, listen: listen.peers, seeds });
@@ -191,9 +183,13 @@
       requestAnnouncement: (address, onEnd) => new FeedClient(address, view, clock, onEnd, self),
       onVmsKnown: () => this.fleetSync.begin(),
     });
-    this.loop = new BalancerLoop(this.state, createContext(parts), (effect) =>
-      this.runEffect(effect),
-    );
+    const faults = new FaultRecovery({
+      state: this.state,
+      clock,
+      log,
+      getOpenWork: () => this.openWork,
+    });
+    this.loop = new BalancerLoop(this.state, createContext(clock, random), this.runEffect, faults);
     const { dispatch } = this.loop;
     this.prober = new TargetProber(this.agents, clock, ({ target, bornAt }, end) =>
       dispatch({ kind: 'probeEnded', target, bornAt, end }),
@@ -205,7 +201,7 @@
       clock,
       memory: this.memory,
       dispatch,
-      log: (effect) => this.runEffect(effect),
+      log: this.runEffect,
     });
     this.metrics = new GatewayMetrics({
       getStoreCallCounts: () => this.store.calls,
@@ -318,7 +314,7 @@
       activeRequests: this.activeRequests,
       memory: this.memory,
       random: this.parts.random,
-      log: (effect) => this.runEffect(effect),
+      log: this.runEffect,
       dispatch: this.loop.dispatch,
       getCallerLimits: () => this.view.table?.limits,
       isVmAddress: (ip) => isVmAddress(this.view.vms.values(), ip),
@@ -391,8 +387,8 @@
   }
 
   /** @internal */
-  private runEffect(effect: BalancerEffect): void {
-    const handle = this.effectHandlers[effect.kind] as EffectRunner;
-    handle(effect);
+  private get openWork(): OpenWork {
+    const { activeRequests, wakeTimers, loop } = this;
+    return { activeRequests, wakeTimers, dispatch: loop.dispatch };
   }
 }
--- a/src/gateway/RequestTimers.ts
+++ b/src/gateway/RequestTimers.ts
@@ -30,6 +30,11 @@
     this.cancelTimers.set(request, cancel);
   }
 
+  /** Whether a request has a timer. */
+  has(request: RequestId): boolean {
+    return this.cancelTimers.has(request);
+  }
+
   /**
    * Cancels the timer of a request, if it has one.
    * @param request - The request.
--- a/src/gateway/VmMessages.ts
+++ b/src/gateway/VmMessages.ts
@@ -20,6 +20,29 @@
 export type MessageEffect =
   LimitEffect | QuotaEffect | Extract<BalancerEffect, { kind: 'gossipCrashes' }>;
 
+/** Handlers of the effects that send datagrams. */
+export type MessageHandlers = Readonly<
+  Record<MessageEffect['kind'], (effect: MessageEffect) => void>
+>;
+
+/**
+ * Creates the handlers of the effects that send datagrams.
+ * @param getMessages - Returns what sends them.
+ */
+export function createMessageHandlers(getMessages: () => VmMessages): MessageHandlers {
+  const run = (effect: MessageEffect): void => getMessages().runEffect(effect);
+  return {
+    askPermit: run,
+    answerPermit: run,
+    returnPermit: run,
+    askQuota: run,
+    answerQuota: run,
+    returnQuota: run,
+    gossipLimits: run,
+    gossipCrashes: run,
+  };
+}
+
 /** Dependencies of `VmMessages`. */
 export interface VmMessagesParts {
   readonly settings: GatewaySettings;
