Check every figure of a datagram before it is used

Messages about limits, outcomes and rollouts were taken with figures that are infinite, negative or no numbers at all (a share as text, counts of 1e400); a rate of a target or a share of a rollout would have been computed with them. A route with the name of an inherited property, such as constructor, got that property for its share of a rollout. A change of an unknown section in the feed threw outside the handling of unreadable lines.

Errors of these decoders stay TypeError and SyntaxError, which their callers log.

--- a/src/balancing/ServiceVersions.ts
+++ b/src/balancing/ServiceVersions.ts
@@ -149,5 +149,7 @@
  * @param route - Name of the route.
  */
 export function getRouteShare({ guidance }: ServiceRollout, route: string): number {
-  return guidance?.routeShares?.[route] ?? guidance?.share ?? 0;
+  const { routeShares = {}, share = 0 } = guidance ?? {};
+  // A route may have the name of an inherited property.
+  return Object.hasOwn(routeShares, route) ? routeShares[route] : share;
 }
--- a/src/fleet/FeedClient.ts
+++ b/src/fleet/FeedClient.ts
@@ -105,14 +105,11 @@
   private receive(text: string): void {
     if (this.isEnded) return;
     this.lastReceivedAt = this.clock.now();
-    let messages: FeedMessage[];
     try {
-      messages = this.reader.read(text);
+      for (const message of this.reader.read(text)) this.handleMessage(message);
     } catch (err) {
       this.closeWithReason((err as Error).message);
-      return;
     }
-    for (const message of messages) this.handleMessage(message);
   }
 
   /** @internal */
--- a/src/fleet/feedMessages.ts
+++ b/src/fleet/feedMessages.ts
@@ -5,6 +5,7 @@
 import { UNKNOWN_EPOCH } from '../core/model/index.js';
 import type { RolloutOrder } from '../rollouts/index.js';
 import type { Section, StoredItem } from './FleetStore.js';
+import { SECTIONS } from './FleetStore.js';
 import type { Confirmation, SectionChange } from './sectionChanges.js';
 import { isSocketAddress } from './socketAddress.js';
 
@@ -107,6 +108,7 @@
 export function decodeFeedMessage(sent: SentChange | SentAge): FeedMessage {
   if (sent.kind === 'age') return { ...sent, epoch: sent.epoch ?? UNKNOWN_EPOCH };
   const { revision, epoch = UNKNOWN_EPOCH, ...change } = sent;
+  if (!SECTIONS.includes(change.section)) throw new TypeError('feed message is of no section');
   const items = change.items.map((item) => decodeItem(change.section, item));
   return { ...change, items, position: { epoch, revision } };
 }
--- a/src/fleet/limitMessages.ts
+++ b/src/fleet/limitMessages.ts
@@ -1,5 +1,7 @@
 import type { LimitMessage, LimitReport } from '../limits/index.js';
 
+import { checkAmount, checkText } from './messageChecks.js';
+
 /** Prefix of datagrams about limits, which distinguishes them from others on the same socket. */
 const LIMIT_PREFIX = 'limit ';
 
@@ -38,12 +40,18 @@
 }
 
 function unpackReport([target, bornAt, perSecond, ageMs]: PackedReport): LimitReport {
-  const numbers = [bornAt, perSecond ?? 0, ageMs];
+  checkAmount(perSecond ?? 0, 'perSecond');
+  const numbers = [bornAt, ageMs];
   const isValid = typeof target === 'string' && numbers.every((each) => Number.isFinite(each));
   if (!isValid) throw new TypeError('limit message holds a malformed report');
   return { target, bornAt, perSecond: perSecond ?? undefined, ageMs: Math.max(0, ageMs) };
 }
 
+function checkTarget(target: unknown, bornAt: unknown): void {
+  checkText(target, 'target');
+  checkAmount(bornAt, 'bornAt');
+}
+
 /**
  * Whether a datagram is a message about limits.
  * @param text - Content of the datagram.
@@ -71,14 +79,21 @@
       return { kind: 'limitNews', reports: packed[1].map(unpackReport) };
     case 'r': {
       const [, target, bornAt] = packed;
+      checkTarget(target, bornAt);
       return { kind: 'permitReturn', target, bornAt };
     }
     case 'q': {
       const [, reports, ask, target, bornAt] = packed;
+      checkTarget(target, bornAt);
+      checkAmount(ask, 'ask');
       return { kind: 'permitAsk', reports: reports.map(unpackReport), ask, target, bornAt };
     }
     case 'a': {
       const [, reports, ask, target, bornAt, isGranted, waitMs] = packed;
+      checkTarget(target, bornAt);
+      checkAmount(ask, 'ask');
+      checkAmount(waitMs, 'waitMs');
+      if (typeof isGranted !== 'boolean') throw new TypeError('isGranted is not a flag');
       const answer = { ask, target, bornAt, isGranted, waitMs };
       return { kind: 'permitAnswer', reports: reports.map(unpackReport), ...answer };
     }
--- a/src/fleet/outcomeMessages.ts
+++ b/src/fleet/outcomeMessages.ts
@@ -1,5 +1,7 @@
 import type { OutcomeReport } from '../balancing/index.js';
 
+import { checkAmount, checkText } from './messageChecks.js';
+
 /** Prefix of datagrams about outcomes, which distinguishes them from others on the same socket. */
 const OUTCOME_PREFIX = 'outcomes ';
 
@@ -11,9 +13,10 @@
 }
 
 function unpackReport([target, bornAt, successes, failures]: PackedReport): OutcomeReport {
-  const isValid =
-    typeof target === 'string' && Number.isFinite(bornAt) && successes >= 0 && failures >= 0;
-  if (!isValid) throw new TypeError('outcome message holds a malformed report');
+  checkText(target, 'target');
+  checkAmount(bornAt, 'bornAt');
+  checkAmount(successes, 'successes');
+  checkAmount(failures, 'failures');
   return { target, bornAt, counts: { successes, failures } };
 }
 
--- a/src/fleet/rolloutMessages.ts
+++ b/src/fleet/rolloutMessages.ts
@@ -1,4 +1,6 @@
 import type { EvidenceCounts, RolloutGuidance, RolloutReport } from '../rollouts/index.js';
+import { ROLLOUT_PHASES } from '../rollouts/index.js';
+import { checkAmount, checkText } from './messageChecks.js';
 
 /** Answer of a coordinator to a report. */
 export interface GuidanceMessage extends RolloutGuidance {
@@ -33,6 +35,33 @@
   return JSON.stringify({ ...message, counts });
 }
 
+function checkPhase(phase: unknown): void {
+  if (!ROLLOUT_PHASES.some((known) => known === phase)) throw new TypeError('phase is unknown');
+}
+
+function checkGuidance({ order, phase, share, routeShares, ageMs }: GuidanceMessage): void {
+  checkText(order, 'order');
+  checkPhase(phase);
+  const shares = [share, ...Object.values(routeShares ?? {})];
+  for (const each of shares) checkAmount(each, 'share');
+  checkAmount(ageMs, 'ageMs');
+}
+
+type SentReport = PackedReport & Omit<RolloutReport, 'counts'>;
+
+function checkReport(report: SentReport): void {
+  const { order, vm, run, phase, sequence, ageMs, oldRequests } = report;
+  for (const text of [order, vm, run]) checkText(text, 'name');
+  checkPhase(phase);
+  for (const amount of [sequence, ageMs, oldRequests]) checkAmount(amount, 'amount');
+  if (!Array.isArray(report.counts)) throw new TypeError('counts are no list');
+  for (const [key, answers, bad] of report.counts) {
+    checkText(key, 'key');
+    checkAmount(answers, 'answers');
+    checkAmount(bad, 'bad');
+  }
+}
+
 function unpackCounts(counts: readonly PackedCount[]): EvidenceCounts {
   return Object.fromEntries(counts.map(([key, answers, bad]) => [key, { answers, bad }]));
 }
@@ -43,10 +72,12 @@
  * @param text - Content of the datagram.
  */
 export function readRolloutMessage(text: string): RolloutMessage {
-  const message = JSON.parse(text) as PackedReport | GuidanceMessage;
-  if (message.kind === 'guidance') return message;
-  if (message.kind !== 'report' || !Array.isArray(message.counts)) {
-    throw new TypeError('datagram is not a rollout message');
+  const message = JSON.parse(text) as SentReport | GuidanceMessage;
+  if (message.kind === 'guidance') {
+    checkGuidance(message);
+    return message;
   }
-  return { ...message, counts: unpackCounts(message.counts) } as RolloutMessage;
+  if (message.kind !== 'report') throw new TypeError('datagram is not a rollout message');
+  checkReport(message);
+  return { ...message, counts: unpackCounts(message.counts) };
 }
