Reject what the store cannot mean, and never stop at one odd object

Durations of 400 digits were read as infinite (warm-up, time-outs, rollouts), a version of 400 digits as one that no later one replaces, priorities and link speeds as any number, a Retry-After of 400 digits as an infinite pause, and the state constructor of a rollout as an inherited function. An id with control characters makes Node throw where it is sent in a header. An object without metadata or a name made each list and watch fail with a TypeError, so that the VM stopped following.

Durations must be finite and are reduced to 2,000,000,000 ms, above which Node's timers fire at once; numbers are bounded by 2^53 - 1; versions are safe integers; names are bounded, and ids are what a header can carry. Objects without a name are logged and left out. Answers without a revision are protocol errors.

Lists with an entry of 100,000 levels are parsed; the test in ObjectStore covers them.

--- a/src/platform/ObjectStore.ts
+++ b/src/platform/ObjectStore.ts
@@ -58,6 +58,18 @@
   readonly status?: unknown;
 }
 
+/** A change as received. */
+interface StoreEvent {
+  readonly object: StoredObject;
+  readonly deleted: boolean;
+}
+
+/** Name of an object as received; undefined if it has none. */
+function getName(object: StoredObject | undefined | null): string | undefined {
+  const name: unknown = object?.metadata?.name;
+  return typeof name === 'string' && name !== '' ? name : undefined;
+}
+
 type Method = 'GET' | 'POST' | 'PUT';
 
 interface Answer {
@@ -125,6 +137,16 @@
   onEpochUnreadable?(text: string): void;
 }
 
+/**
+ * Returns the position that an answer states.
+ * @throws StoreCallError if it states none: changes could not be put in order any more.
+ */
+function readPosition({ body, epoch }: Answer, call: string): StorePosition {
+  const revision = Number(body.store_revision);
+  if (Number.isSafeInteger(revision)) return { epoch, revision };
+  throw new StoreCallError('protocol', `${call}: the answer states no revision`);
+}
+
 function makeError(call: string, section: Section, status: number): StoreCallError {
   return new StoreCallError(
     'protocol',
@@ -144,7 +166,7 @@
   if (status === UNAVAILABLE) throw new StoreCallError('unavailable', `${call}: store unavailable`);
   const text = Buffer.concat(chunks).toString();
   try {
-    return { status, epoch, body: text === '' ? {} : (JSON.parse(text) as Answer['body']) };
+    return { status, epoch, body: text === '' ? {} : (JSON.parse(text) ?? {}) };
   } catch {
     throw new StoreCallError('protocol', `${call}: the answer is not valid JSON`);
   }
@@ -194,19 +216,23 @@
       if (after !== '') query.set('after', after);
       if (freshness === 'mayBeOld') query.set('allow_stale', '1');
       const path = `${OBJECTS_PATH}/${DECODERS[section].kind}${query.size > 0 ? `?${query}` : ''}`;
-      const { status, body, epoch } = await this.call('GET', path, section);
+      const answer = await this.call('GET', path, section);
+      const { status, body, epoch } = answer;
       if (status !== OK || !Array.isArray(body.items)) throw makeError('list', section, status);
       // A watch from the first page reports changes that were made between the pages.
-      position ??= { epoch, revision: Number(body.store_revision) };
+      position ??= readPosition(answer, `GET ${path}`);
       if (epoch !== position.epoch) {
         throw new StoreCallError('outdated', `the store was restored during a list of ${section}`);
       }
       const objects = body.items as StoredObject[];
-      const page = objects.map((object) => this.decode(section, object, epoch));
-      items.push(...page);
+      const page = objects.flatMap((object) => this.decode(section, object, epoch));
+      for (const item of page) items.push(item);
       if (body.has_more !== true) return { items, position };
       onPage(page);
-      after = objects[objects.length - 1].metadata.name;
+      const last = objects.findLast((object) => getName(object) !== undefined);
+      // Without a name to continue from, the same page would be read for ever.
+      if (last === undefined) throw makeError('list', section, status);
+      after = last.metadata.name;
     }
   }
 
@@ -217,16 +243,18 @@
   ): Promise<WatchAnswer<S>> {
     const { kind } = DECODERS[section];
     const path = `${OBJECTS_PATH}/${kind}?watch=${revision}&wait_ms=${waitMs}`;
-    const { status, body, epoch } = await this.call('GET', path, section, undefined, waitMs);
+    const answer = await this.call('GET', path, section, undefined, waitMs);
+    const { status, body, epoch } = answer;
     if (status === GONE) return 'historyGone';
     if (status !== OK || !Array.isArray(body.events)) throw makeError('watch', section, status);
-    const events = body.events as { object: StoredObject; deleted: boolean }[];
-    const items = events.map(({ object, deleted }) =>
-      deleted
-        ? { name: object.metadata.name, value: undefined }
-        : this.decode(section, object, epoch),
-    );
-    return { items, position: { epoch, revision: Number(body.store_revision) } };
+    const events = body.events as (Partial<StoreEvent> | null)[];
+    const items = events.flatMap((event) => {
+      const name = getName(event?.object);
+      return event?.deleted === true && name !== undefined
+        ? [{ name, value: undefined }]
+        : this.decode(section, event?.object, epoch);
+    });
+    return { items, position: readPosition(answer, `GET ${path}`) };
   }
 
   async announce(announcer: string, roster: VmRoster, hasAnnounced: boolean): Promise<void> {
@@ -271,21 +299,25 @@
     this.agent.destroy();
   }
 
-  /** @internal */
+  /** Decodes an object; returns nothing if it has no name to know it by. @internal */
   private decode<S extends Section>(
     section: S,
-    object: StoredObject,
+    object: StoredObject | undefined | null,
     epoch: number,
-  ): StoredItem<S> {
-    const { name } = object.metadata;
+  ): StoredItem<S>[] {
+    const name = getName(object);
+    if (name === undefined || object === undefined || object === null) {
+      this.handlers.onUnreadable(section, '', 'the object has no name');
+      return [];
+    }
     const onUnreadable = (reason: string): void =>
       this.handlers.onUnreadable(section, name, reason);
     try {
-      return { name, value: DECODERS[section].decode(object, epoch, onUnreadable) };
+      return [{ name, value: DECODERS[section].decode(object, epoch, onUnreadable) }];
     } catch (err) {
       if (!(err instanceof DecodeError)) throw err;
       onUnreadable(err.message);
-      return { name, value: undefined };
+      return [{ name, value: undefined }];
     }
   }
 
--- a/src/platform/decode.ts
+++ b/src/platform/decode.ts
@@ -44,8 +44,34 @@
   return value;
 }
 
+/**
+ * Longest name of a target, a VM, a service or a zone, in characters. Names are sent in headers, logged
+ * and passed on to other VMs.
+ */
+const MAX_NAME_LENGTH = 1_024;
+
+function asName(value: unknown, name: string): string {
+  const text = asNonEmptyString(value, name);
+  if (text.length > MAX_NAME_LENGTH) throw new DecodeError(`${name} is too long`);
+  return text;
+}
+
+/** Characters of a name that is sent in a header; Node throws for others. */
+const SENDABLE_NAME_PATTERN = /^[!-~]+$/;
+
+function asSendableName(value: unknown, name: string): string {
+  const text = asName(value, name);
+  if (!SENDABLE_NAME_PATTERN.test(text)) {
+    throw new DecodeError(`${name} cannot be sent in a header`);
+  }
+  return text;
+}
+
+/** Sums and products of larger numbers need not be finite. */
+const MAX_NUMBER = Number.MAX_SAFE_INTEGER;
+
 function asNonNegativeNumber(value: unknown, name: string): number {
-  if (typeof value !== 'number' || !Number.isFinite(value) || value < 0) {
+  if (typeof value !== 'number' || !(value >= 0 && value <= MAX_NUMBER)) {
     throw new DecodeError(`${name} must be a non-negative number`);
   }
   return value;
@@ -60,16 +86,27 @@
 
 const DURATION_PATTERN = /^(\d+(?:\.\d+)?)(ms|s)$/;
 
+/**
+ * Longest duration that is used, in milliseconds; longer ones are reduced to it. Node's timers fire at
+ * once for more than 2^31 - 1 ms, and a margin may be added.
+ */
+const MAX_DURATION_MS = 2_000_000_000;
+
 function asDurationMs(value: unknown, name: string): number {
   const match = typeof value === 'string' ? DURATION_PATTERN.exec(value) : null;
-  if (match === null) throw new DecodeError(`${name} must be a duration in ms or s`);
-  return Number(match[1]) * (match[2] === 's' ? 1_000 : 1);
+  const ms = match === null ? NaN : Number(match[1]) * (match[2] === 's' ? 1_000 : 1);
+  if (!Number.isFinite(ms)) throw new DecodeError(`${name} must be a duration in ms or s`);
+  return Math.min(ms, MAX_DURATION_MS);
 }
 
 function asTableVersion(value: unknown): number {
   const match = typeof value === 'string' ? /^r(\d+)$/.exec(value) : null;
-  if (match === null) throw new DecodeError('version must be "r" followed by digits');
-  return Number(match[1]);
+  const version = match === null ? NaN : Number(match[1]);
+  // No later version would replace one that cannot be counted on from.
+  if (!Number.isSafeInteger(version)) {
+    throw new DecodeError('version must be "r" followed by the digits of a number');
+  }
+  return version;
 }
 
 function decodeServices(action: JsonObject): WeightedService[] {
@@ -107,7 +144,8 @@
     pathPrefix,
     isIdempotent: rule.kind === 'idempotent',
     objectiveMs: asDurationMs(rule.target_latency, 'target_latency'),
-    priority: typeof rule.priority === 'number' ? rule.priority : 0,
+    priority:
+      typeof rule.priority === 'number' ? asNonNegativeNumber(rule.priority, 'priority') : 0,
     services: decodeServices(action),
     timeoutMs: asDurationMs(action.timeout, 'timeout'),
     maxTargets:
@@ -242,11 +280,11 @@
   // Not used, but an entry without a sequence was not written by a target.
   asNonNegativeNumber(status.sequence, 'sequence');
   return {
-    id,
-    service: asNonEmptyString(info.service, 'service'),
+    id: asSendableName(id, 'id'),
+    service: asName(info.service, 'service'),
     address: asSocketAddress(entry.address, 'address'),
-    zone: asNonEmptyString(info.zone, 'zone'),
-    version: asNonEmptyString(info.version, 'version'),
+    zone: asName(info.zone, 'zone'),
+    version: asName(info.version, 'version'),
     bornAt: entry.born === undefined ? 0 : asPositiveInteger(entry.born, 'born'),
     slots: asPositiveInteger(info.max_concurrency, 'max_concurrency'),
     isDraining: status.state === 'draining',
@@ -257,11 +295,11 @@
 function decodeVm(value: unknown): VmAnnouncement {
   const entry = asObject(value, 'VM');
   return {
-    name: asNonEmptyString(entry.name, 'name'),
-    zone: asNonEmptyString(entry.zone, 'zone'),
+    name: asName(entry.name, 'name'),
+    zone: asName(entry.zone, 'zone'),
     callers: asSocketAddress(entry.callers, 'callers'),
     peers: asSocketAddress(entry.peers, 'peers'),
-    linkMbps: typeof entry.linkMbps === 'number' ? entry.linkMbps : 0,
+    linkMbps: asNonNegativeNumber(entry.linkMbps ?? 0, 'linkMbps'),
   };
 }
 
@@ -285,11 +323,12 @@
   return { vms: asArray(vms, 'vms').flatMap(readVm) };
 }
 
-const ROLLOUT_STATES: Readonly<Record<string, RolloutState>> = {
-  running: 'running',
-  completed: 'completed',
-  rolled_back: 'rolledBack',
-};
+/** A map and no object, as the store may hold the name of an inherited property for a state. */
+const ROLLOUT_STATES: ReadonlyMap<unknown, RolloutState> = new Map([
+  ['running', 'running'],
+  ['completed', 'completed'],
+  ['rolled_back', 'rolledBack'],
+]);
 
 /** Metadata of a rollout order's object. */
 export interface RolloutMetadata {
@@ -312,17 +351,17 @@
   epoch: StorePosition['epoch'],
 ): RolloutOrder {
   const order = asObject(spec, 'rollout');
-  const version = asNonEmptyString(order.target_version, 'target_version');
+  const version = asName(order.target_version, 'target_version');
   const storedStatus = typeof status === 'object' && status !== null ? (status as JsonObject) : {};
   const isForVersion = storedStatus.target_version === version;
   return {
     id: `${metadata.name}@${metadata.create_revision ?? 0}/${version}`,
     name: metadata.name,
-    service: asNonEmptyString(order.service, 'service'),
+    service: asName(order.service, 'service'),
     version,
     durationMs: asDurationMs(order.duration, 'duration'),
     position: { epoch, revision: asPositiveInteger(metadata.revision, 'revision') },
-    state: isForVersion ? ROLLOUT_STATES[String(storedStatus.state)] : undefined,
+    state: isForVersion ? ROLLOUT_STATES.get(storedStatus.state) : undefined,
   };
 }
 
@@ -332,6 +371,6 @@
  * @param state - State of the rollout.
  */
 export function encodeRolloutStatus(version: string, state: RolloutState): unknown {
-  const [stored] = Object.entries(ROLLOUT_STATES).find(([, known]) => known === state) ?? [state];
+  const [stored] = [...ROLLOUT_STATES].find(([, known]) => known === state) ?? [state];
   return { state: stored, target_version: version };
 }
--- a/src/platform/readLimit.ts
+++ b/src/platform/readLimit.ts
@@ -16,5 +16,5 @@
     .map((part) => part.trim())
     .filter((part) => DECIMAL_PATTERN.test(part))
     .map(Number);
-  return limits.length === 0 ? 'unreadable' : Math.min(...limits);
+  return limits.length === 0 ? 'unreadable' : Math.min(Number.MAX_SAFE_INTEGER, ...limits);
 }
--- a/src/platform/readStatements.ts
+++ b/src/platform/readStatements.ts
@@ -18,7 +18,8 @@
 export function readPauseMs(text: string | undefined): RequestedPause {
   if (text === undefined) return undefined;
   const seconds = text.trim();
-  return DECIMAL_PATTERN.test(seconds) ? Number(seconds) * MS_PER_SECOND : 'unreadable';
+  const pauseMs = DECIMAL_PATTERN.test(seconds) ? Number(seconds) * MS_PER_SECOND : NaN;
+  return Number.isFinite(pauseMs) ? pauseMs : 'unreadable';
 }
 
 /** Whether a status asks the sender for a pause if the answer says for how long. */
--- a/src/platform/requests.ts
+++ b/src/platform/requests.ts
@@ -189,7 +189,7 @@
     hasNotRun: headers[NOT_EXECUTED_HEADER] !== undefined,
     isEncoded: headers['content-encoding'] !== undefined,
     reading: readLoad(getSingleHeader(headers, LOAD_HEADER), isHealthy, now),
-    coldMs: Number.isFinite(coldMs) ? coldMs : 0,
+    coldMs: Number.isFinite(coldMs) ? Math.max(0, coldMs) : 0,
     limit: readLimit(getSingleHeader(headers, LIMIT_HEADER)),
   };
 }
--- a/src/tests/platform/ObjectStore.test.ts
+++ b/src/tests/platform/ObjectStore.test.ts
@@ -1,3 +1,6 @@
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+
 import type { ExecutionContext } from 'ava';
 import test from 'ava';
 
@@ -100,3 +103,48 @@
     ['service-0 v3'],
   );
 });
+
+/** Objects as no writer should write them; the last one is sound. */
+const ODD_OBJECTS = [
+  'null',
+  '7',
+  '{}',
+  '{"metadata":null}',
+  '{"metadata":{"name":7}}',
+  `{"metadata":{"name":"deep"},"spec":${'['.repeat(100_000)}${']'.repeat(100_000)}}`,
+  '{"metadata":{"name":"__proto__"},"spec":{"__proto__":{"address":"10.0.0.1:80"}}}',
+  `{"metadata":{"name":"${'x'.repeat(20_000)}"}}`,
+  `{"metadata":{"name":"t-1"},"spec":{"address":"10.0.0.1:80","info":{"service":"s","version":"v1",
+    "zone":"a","max_concurrency":2}},"status":{"state":"ready","sequence":1,"warmup_left":"0s"}}`,
+];
+
+// Guards against lists and watches that fail, and so never advance, because of one object.
+test('odd objects in an answer leave the others readable', async (t) => {
+  const server = createServer((req, res) => {
+    const isWatch = req.url?.includes('watch=') === true;
+    const events = ODD_OBJECTS.map((object) => `{"object":${object},"deleted":false}`);
+    const content = isWatch ? `"events":[null,{},${events}]` : `"items":[${ODD_OBJECTS}]`;
+    res.end(`{"store_revision":7,${content}}`);
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const unreadable: string[] = [];
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  const store = new ObjectStore(address, { onUnreadable: (_, name) => unreadable.push(name) });
+  t.teardown(() => {
+    store.close();
+    server.close();
+  });
+  const { items, position } = await store.list('targets');
+  const watched = await store.watch('targets', position, 10);
+  if (watched === 'historyGone') throw new Error('the watch was not answered');
+  for (const read of [items, watched.items]) {
+    t.deepEqual(
+      read.filter(({ value }) => value !== undefined).map(({ name }) => name),
+      ['t-1'],
+    );
+    t.is(read.length, 4);
+  }
+  t.is(unreadable.length, 8 + 10);
+});
