Soak: answers without a length, large ones, and ones that are broken off

Half of the requests ask for 300 to 600 KB; the size is part of the id, so that callers know the whole body. One in five callers uses HTTP/1.0, three in ten send on connections that are open whatever addresses they are told.

The link to a target turns the end of a connection into a reset where the target asks for it: a reset that comes with the last bytes is read as an end by the link, so it was passed on as FIN. Copies of answers are no longer written into the body of another answer, which no receiver could tell from the body.

--- a/src/platform/standIn/AnswerCopies.ts
+++ b/src/platform/standIn/AnswerCopies.ts
@@ -110,9 +110,14 @@
   /** @internal */
   private send(socket: Socket, copy: AnswerCopy): void {
     if (!socket.writable) return;
+    const { due, sentIdle, held } = this.getConnection(socket);
+    // Within the body of another answer, no receiver could tell the copy from the body.
+    if (due?.headersSent === true && !due.writableEnded) {
+      held.push(copy);
+      return;
+    }
     socket.write(copy.bytes);
     this.totals.sent += 1;
-    const { due, sentIdle } = this.getConnection(socket);
     if (due === undefined) sentIdle.push(copy);
     else this.countMet(copy, due);
   }
--- a/src/platform/standIn/PlatformTarget.ts
+++ b/src/platform/standIn/PlatformTarget.ts
@@ -17,6 +17,7 @@
 import { AnswerCopies } from './AnswerCopies.js';
 import type { ReceivedIdentity } from './storedObjects.js';
 import { readIdentity } from './storedObjects.js';
+import { VariedAnswers } from './VariedAnswers.js';
 
 /** How a target responds to requests; used to inject faults. */
 export type TargetBehaviour =
@@ -46,6 +47,10 @@
   readonly random?: () => number;
   /** Called when a copy of another answer was sent before the answer to a request. */
   readonly onCopyMet?: (requestId: string) => void;
+  /** Lets the connection from a port be reset in place of its end; for varied answers. */
+  readonly resetAtEnd?: (remotePort: number) => void;
+  /** Called when the answer to a request is about to be broken off on purpose. */
+  readonly onBrokenOff?: (requestId: string) => void;
 }
 
 /** Factor by which the work of a slow target takes longer. */
@@ -62,12 +67,30 @@
 /** Number of requests that may wait for a slot before the target rejects further ones. */
 const QUEUE_SIZE = 4;
 
+/** Number of times that the body of an answer repeats the id of its request. */
+const ID_REPEATS = 40;
+
+/** Size of the body that a request asks for in its id, in bytes. */
+const SIZE_PATTERN = /\.b(\d+)$/;
+
+/**
+ * Returns an id by which a request asks for a body of a given size.
+ * @param requestId - Id of the request without a size.
+ * @param bytes - Size of the body, at least that of the id.
+ */
+export function askForSize(requestId: string, bytes: number): string {
+  return `${requestId}.b${bytes}`;
+}
+
 /**
  * Body of a target's answer, by which a caller checks that the answer is complete and its own.
  * @param requestId - Id of the request.
  */
 export function makeBody(requestId: string): string {
-  return `${requestId} `.repeat(40);
+  const [, size] = SIZE_PATTERN.exec(requestId) ?? [];
+  const part = `${requestId} `;
+  if (size === undefined) return part.repeat(ID_REPEATS);
+  return part.repeat(Math.ceil(Number(size) / part.length)).slice(0, Number(size));
 }
 
 /**
@@ -93,6 +116,9 @@
   /** Second copies of its answers to requests and probes. */
   readonly copies: AnswerCopies;
 
+  /** Answers to requests that are sent without a length or broken off. */
+  readonly varied: VariedAnswers;
+
   /** Whether all answers state that the target is shutting down. */
   isLeaving = false;
 
@@ -116,9 +142,14 @@
 
   /** @param options - Properties of the target. */
   constructor(private readonly options: PlatformTargetOptions) {
-    const { random = Math.random, onCopyMet } = options;
+    const { random = Math.random, onCopyMet, resetAtEnd, onBrokenOff } = options;
     this.random = random;
     this.copies = new AnswerCopies(random, (requestId) => onCopyMet?.(requestId));
+    this.varied = new VariedAnswers(
+      random,
+      (remotePort) => resetAtEnd?.(remotePort),
+      (requestId) => onBrokenOff?.(requestId),
+    );
     this.server = createServer((req, res) => {
       const chunks: Buffer[] = [];
       req.on('data', (chunk: Buffer) => chunks.push(chunk));
@@ -247,11 +278,12 @@
 
   /** @internal */
   private describeAnswer(requestId: string, body: string): Record<string, string | number> {
-    return {
-      [REQUEST_ID_HEADER]: requestId,
-      [RESPONSE_SIGNATURE_HEADER]: `s.${requestId}`,
-      'Content-Length': body.length,
-    };
+    return { ...this.signAnswer(requestId), 'Content-Length': body.length };
+  }
+
+  /** @internal */
+  private signAnswer(requestId: string): Record<string, string> {
+    return { [REQUEST_ID_HEADER]: requestId, [RESPONSE_SIGNATURE_HEADER]: `s.${requestId}` };
   }
 
   /** @internal */
@@ -267,6 +299,14 @@
     if (this.isLeaving) res.setHeader(LEAVING_HEADER, '1');
     const hasFailed = behaviour === 'fails' && this.runCount % FAILURE_INTERVAL === 0;
     const status = hasFailed ? INTERNAL_ERROR : 200;
+    const isVaried = this.varied.trySend(res, {
+      requestId,
+      status,
+      headers: this.signAnswer(requestId),
+      body,
+      onWhole: () => this.copies.afterAnswer(res, body),
+    });
+    if (isVaried) return;
     const headers = this.describeAnswer(requestId, body);
     if (behaviour !== 'cuts') {
       this.answer(res, status, headers, body);
--- a/src/platform/standIn/index.ts
+++ b/src/platform/standIn/index.ts
@@ -2,7 +2,7 @@
 export type { StoreCopy } from './PlatformStore.js';
 export { PlatformStore } from './PlatformStore.js';
 export type { TargetBehaviour } from './PlatformTarget.js';
-export { makeBody, PlatformTarget } from './PlatformTarget.js';
+export { askForSize, makeBody, PlatformTarget } from './PlatformTarget.js';
 export type { ConfiguredOrganisation, ReceivedIdentity } from './storedObjects.js';
 export {
   dropAnnouncements,
--- a/src/soak/FaultProxy.ts
+++ b/src/soak/FaultProxy.ts
@@ -49,6 +49,9 @@
   /** @internal */
   private readonly sockets = new Map<Socket, string>();
 
+  /** Connections whose end by the far side becomes a reset on the near side. @internal */
+  private readonly resetAtEndBy = new WeakSet<Socket>();
+
   /** Connections that were opened while the link was suspended. @internal */
   private readonly queue: Socket[] = [];
 
@@ -96,6 +99,18 @@
     for (const [socket, each] of this.sockets) if (each === source) resetSocket(socket);
   }
 
+  /**
+   * Resets a connection on the near side, behind all its bytes, when the far side ends it. A reset by
+   * the far side itself would be read as an ordinary end if it came together with the last bytes.
+   * @param localPort - Port of the connection to the far side, as the far side sees it.
+   */
+  resetAtEnd(localPort: number): void {
+    for (const socket of this.sockets.keys()) {
+      const isFar = socket.remotePort === this.targetPort;
+      if (isFar && socket.localPort === localPort) this.resetAtEndBy.add(socket);
+    }
+  }
+
   /** Stops listening and closes all connections. */
   stop(): void {
     this.server.close();
@@ -144,7 +159,11 @@
     this.sockets.set(from, source);
     from.on('data', (data) => this.deliver(data, to, source, way));
     from.on('end', () => {
-      if (this.canForward(source, way)) this.runDelayed(source, way, () => to.end());
+      if (!this.canForward(source, way)) return;
+      this.runDelayed(source, way, () => {
+        if (this.resetAtEndBy.has(from)) resetSocket(to);
+        else to.end();
+      });
     });
     // Resets and closes are passed on to the other side, as they would be without a proxy.
     from.on('error', () => resetSocket(to));
--- a/src/soak/SoakCallers.ts
+++ b/src/soak/SoakCallers.ts
@@ -1,6 +1,7 @@
 import { Agent, get, request } from 'node:http';
 
 import {
+  askForSize,
   makeBody,
   readAddresses,
   SIGNATURE_HEADER,
@@ -8,6 +9,7 @@
   writeCallerHeaders,
   writeClaimedOrganisations,
 } from '../platform/standIn/index.js';
+import { sendOldRequest } from './OldCaller.js';
 import { PipelinedCaller } from './PipelinedCaller.js';
 import type { GatewayPorts } from './SoakGateway.js';
 import type { SoakIdentity, SoakOrganisations } from './SoakOrganisations.js';
@@ -32,6 +34,8 @@
   status?: number;
   /** Whether the answer is complete, signed and belongs to this request. */
   isSound?: boolean;
+  /** What was received in place of the whole body of its answer. */
+  received?: string;
   /** Whether it was pipelined after a request whose answer closed the connection. */
   isBehindClose?: boolean;
 }
@@ -50,9 +54,35 @@
 const PIPELINED_SHARE = 0.15;
 const MAX_PIPELINED = 4;
 
+/** With a variety of answers: shares of the requests, and sizes of large answers in bytes. */
+const LARGE_SHARE = 0.5;
+const MIN_LARGE_BYTES = 300_000;
+const MAX_LARGE_BYTES = 600_000;
+const OLD_SHARE = 0.2;
+const OPEN_CONNECTION_SHARE = 0.3;
+
 /** Time for which callers cache gateway addresses, in milliseconds. */
 const ADDRESS_TTL_MS = 2_000;
 
+/** What callers do, beside what all do. */
+export interface SoakCallersOptions {
+  /** Organisations of the callers; undefined if they need no keys. */
+  readonly organisations?: SoakOrganisations;
+  /**
+   * Whether some ask for large answers, use HTTP/1.0, or send on open connections until these are
+   * closed, whatever addresses they are told.
+   */
+  readonly hasVariety?: boolean;
+}
+
+/** Describes a body that is not the whole one of its request; undefined if it is. */
+function describeReceived(id: string, body: string, framing: string): string | undefined {
+  const whole = makeBody(id);
+  if (body === whole) return undefined;
+  const isPart = whole.startsWith(body) ? '' : ', other bytes';
+  return `${body.length} of ${whole.length} bytes${isPart}, ${framing}`;
+}
+
 function getMethod(isIdempotent: boolean, body: string | undefined): string {
   if (!isIdempotent) return 'POST';
   return body === undefined ? 'GET' : 'PUT';
@@ -80,6 +110,8 @@
   readonly route?: string;
   /** How its caller identifies itself; with a permanent key by default, if there are organisations. */
   readonly identity?: SoakIdentity;
+  /** Size of the answer that it asks for, in bytes; undefined for a small one. */
+  readonly answerBytes?: number;
 }
 
 /** Load generator whose callers cache gateway addresses and reuse their connections. */
@@ -101,16 +133,25 @@
   /** @internal */
   private timer: NodeJS.Timeout | undefined;
 
+  /** @internal */
+  private readonly organisations: SoakOrganisations | undefined;
+
+  /** @internal */
+  private readonly hasVariety: boolean;
+
   /**
    * @param gateways - Ports of all gateways.
    * @param random - Uniform in [0, 1).
-   * @param organisations - Organisations of the callers; undefined if they need no keys.
+   * @param options - What the callers do.
    */
   constructor(
     private readonly gateways: readonly GatewayPorts[],
     private readonly random: () => number,
-    private readonly organisations?: SoakOrganisations,
-  ) {}
+    { organisations, hasVariety = false }: SoakCallersOptions = {},
+  ) {
+    this.organisations = organisations;
+    this.hasVariety = hasVariety;
+  }
 
   /** Starts sending requests. */
   start(): void {
@@ -138,12 +179,12 @@
   ): Promise<CallerRecord> {
     const { hasOwnConnection = false, timeoutMs = REQUEST_TIMEOUT_MS, route } = options;
     const { identity = this.steadyIdentity } = options;
-    const record = this.createRecord(port, isIdempotent, route, identity);
+    const record = this.createRecord(port, isIdempotent, route, identity, options.answerBytes);
     const { id } = record;
     return new Promise((resolve) => {
-      const finish = (status: number, isSound: boolean): void => {
+      const finish = (status: number, isSound: boolean, received?: string): void => {
         if (record.endedAt !== undefined) return;
-        Object.assign(record, { endedAt: Date.now(), status, isSound });
+        Object.assign(record, { endedAt: Date.now(), status, isSound, received });
         resolve(record);
       };
       const req = request({
@@ -161,9 +202,10 @@
         res.on('data', (chunk: Buffer) => chunks.push(chunk));
         res.on('error', () => finish(0, false));
         res.on('end', () => {
-          const isOwn = Buffer.concat(chunks).toString() === makeBody(id);
+          const framing = res.headers['content-length'] === undefined ? 'in chunks' : 'by length';
+          const received = describeReceived(id, Buffer.concat(chunks).toString(), framing);
           const isSigned = res.headers[SIGNATURE_HEADER] === `s.${id}`;
-          finish(res.statusCode ?? 0, isOwn && isSigned);
+          finish(res.statusCode ?? 0, received === undefined && isSigned, received);
         });
       });
       req.end(body);
@@ -199,9 +241,11 @@
     isIdempotent: boolean,
     route?: string,
     identity?: SoakIdentity,
+    answerBytes?: number,
   ): CallerRecord {
     // The random part alone has 32 bits, and repeats among some thousand requests now and then.
-    const id = `${Math.floor(this.random() * 2 ** 48).toString(16)}.${this.records.length}`;
+    const plainId = `${Math.floor(this.random() * 2 ** 48).toString(16)}.${this.records.length}`;
+    const id = answerBytes === undefined ? plainId : askForSize(plainId, answerBytes);
     const { apiKey, isExempt, mayBeRefused } = identity ?? {};
     const access = { apiKey, isExempt, mayBeRefused };
     const record: CallerRecord = { id, isIdempotent, sentAt: Date.now(), port, route, ...access };
@@ -209,11 +253,54 @@
     return record;
   }
 
+  /** Sends a request of HTTP/1.0. @internal */
+  private sendOld(port: number, answerBytes: number | undefined): void {
+    const identity = this.steadyIdentity;
+    const record = this.createRecord(port, true, undefined, identity, answerBytes);
+    const { id } = record;
+    const timeoutMs = REQUEST_TIMEOUT_MS;
+    const headers = { Host: HOST, ...writeCallerHeaders(id, timeoutMs, identity?.apiKey) };
+    sendOldRequest({ port, path: '/read/x', headers, timeoutMs })
+      .then(({ status, headers: answered, body }) => {
+        const received = describeReceived(id, body, 'to HTTP/1.0');
+        const isSound = received === undefined && answered.get(SIGNATURE_HEADER) === `s.${id}`;
+        Object.assign(record, { endedAt: Date.now(), status, isSound, received });
+      })
+      .catch(() => undefined);
+  }
+
+  /** Ports of gateways to which a connection is open and unused. @internal */
+  private get openPorts(): readonly number[] {
+    const { freeSockets } = this.agent;
+    const all = this.gateways.map(({ callers }) => callers);
+    return all.filter((port) => freeSockets[`127.0.0.1:${port}:`] !== undefined);
+  }
+
+  /** Picks the gateway of the next request; undefined if no address is known. @internal */
+  private pickPort(): number | undefined {
+    const isOnOpen = this.hasVariety && this.random() < OPEN_CONNECTION_SHARE;
+    const open = isOnOpen ? this.openPorts : [];
+    const ports = open.length > 0 ? open : this.ports;
+    return ports[Math.floor(this.random() * ports.length)];
+  }
+
+  /** @internal */
+  private drawAnswerBytes(): number | undefined {
+    if (!this.hasVariety || this.random() >= LARGE_SHARE) return undefined;
+    return MIN_LARGE_BYTES + Math.floor(this.random() * (MAX_LARGE_BYTES - MIN_LARGE_BYTES));
+  }
+
   /** @internal */
   private sendNext(): void {
     if (Date.now() - this.addressesRequestedAt > ADDRESS_TTL_MS) this.requestAddresses();
     if (this.ports.length === 0) return;
-    const port = this.ports[Math.floor(this.random() * this.ports.length)];
+    const port = this.pickPort();
+    if (port === undefined) return;
+    const answerBytes = this.drawAnswerBytes();
+    if (this.hasVariety && this.random() < OLD_SHARE) {
+      this.sendOld(port, answerBytes);
+      return;
+    }
     if (this.random() < PIPELINED_SHARE) {
       this.sendPipelined(port, '/read/x', 2 + Math.floor(this.random() * (MAX_PIPELINED - 1)));
       return;
@@ -224,7 +311,8 @@
       this.send(port, '/open/x', true, undefined, { identity });
       return;
     }
-    this.send(port, isIdempotent ? '/read/x' : '/book/x', isIdempotent, undefined, { identity });
+    const path = isIdempotent ? '/read/x' : '/book/x';
+    this.send(port, path, isIdempotent, undefined, { identity, answerBytes });
   }
 
   /** @internal */
--- a/src/soak/SoakWorld.ts
+++ b/src/soak/SoakWorld.ts
@@ -162,6 +162,9 @@
   /** Ids of requests before whose answers a target has sent a copy of another one. */
   readonly copiesMet: string[] = [];
 
+  /** Ids of requests whose answers a target has broken off. */
+  readonly brokenOff = new Set<string>();
+
   /** Version of newly started targets, unless another one is given. */
   version = 'v1';
 
@@ -302,6 +305,9 @@
       onRun: (requestId, source) =>
         this.runs.push({ id: requestId, target: id, version, source, at: Date.now() }),
       onCopyMet: (requestId) => this.copiesMet.push(requestId),
+      resetAtEnd: (port) =>
+        this.targets.find((target) => target.model === model)?.link.resetAtEnd(port),
+      onBrokenOff: (requestId) => this.brokenOff.add(requestId),
       onArrival: (requestId) => this.arrivals.push({ id: requestId, service, at: Date.now() }),
       onIdentity: (requestId, identity) =>
         this.identities.push({ id: requestId, target: id, identity }),
--- a/src/soak/checkSoak.ts
+++ b/src/soak/checkSoak.ts
@@ -124,12 +124,13 @@
 }
 
 function checkRequest(record: CallerRecord, runs: number): string[] {
-  const { id, isIdempotent, status = 0, isSound } = record;
+  const { id, isIdempotent, status = 0, isSound, received } = record;
   const broken: string[] = [];
   if (!isIdempotent && runs > 1) broken.push(`${id} must not run twice but ran ${runs} times`);
   if (REFUSALS.has(status) && runs > 0) broken.push(`${id} was refused with ${status} but ran`);
   if (status === 200 && isSound !== true) {
-    broken.push(`${id} got an answer that is incomplete, unsigned or of another request`);
+    const what = received === undefined ? '' : ` (${received})`;
+    broken.push(`${id} got an answer that is incomplete, unsigned or of another request${what}`);
   }
   if (record.isBehindClose === true && runs > 0) {
     broken.push(`${id} was executed although an earlier answer closed its connection`);
--- a/src/soak/faults.ts
+++ b/src/soak/faults.ts
@@ -152,7 +152,9 @@
       notice(`${gateway.options.name} did not exit on SIGTERM and had to be killed`);
     }
     // Requests pipelined after an answer that closes the connection count as not read.
-    const cut = before.filter(({ status, isBehindClose }) => status === 0 && !isBehindClose);
+    const cut = before.filter(
+      ({ id, status, isBehindClose }) => status === 0 && !isBehindClose && !world.brokenOff.has(id),
+    );
     if (isUndisturbed && end !== 'byFault' && cut.length > 0) {
       notice(`a planned stop cut ${cut.length} requests`);
     }
--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -26,9 +26,10 @@
   const hasExpiries = process.argv.includes('--expiries');
   const hasOrganisations = process.argv.includes('--organisations');
   const hasCopies = process.argv.includes('--copies');
+  const hasAnswers = process.argv.includes('--answers');
   let failed = 0;
   for (let seed = first; seed < first + seeds; seed++) {
-    const { broken, requests, served, faults, copiesMet, dir } = await runSoak({
+    const { broken, requests, served, faults, copiesMet, brokenOff, dir } = await runSoak({
       seed,
       faultsMs,
       hasRollouts,
@@ -42,6 +43,7 @@
       hasExpiries,
       hasOrganisations,
       hasCopies,
+      hasAnswers,
       gatewayMains: GATEWAY_MAINS,
       onFault: (name, atMs) => {
         if (isVerbose) process.stdout.write(`  ${(atMs / 1_000).toFixed(2)} s ${name}\n`);
@@ -49,8 +51,9 @@
     });
     const verdict = broken.length === 0 ? 'passed' : `FAILED, logs in ${dir}`;
     const copies = hasCopies ? `, ${copiesMet} copies of answers met requests` : '';
+    const answers = hasAnswers ? `, ${brokenOff} requests had an answer broken off` : '';
     process.stdout.write(
-      `seed ${seed}: ${faults.length} faults${copies}, ${served} of ${requests} requests served: ${verdict}\n`,
+      `seed ${seed}: ${faults.length} faults${copies}${answers}, ${served} of ${requests} requests served: ${verdict}\n`,
     );
     for (const sentence of broken.slice(0, 10)) process.stdout.write(`  ${sentence}\n`);
     if (broken.length > 0) failed += 1;
--- a/src/soak/runQuotaTrial.ts
+++ b/src/soak/runQuotaTrial.ts
@@ -77,7 +77,7 @@
   const world = new SoakWorld(dir, { gateways, organisations, hasPeerCuts: true });
   await world.start();
   const ports = world.gateways.map((gateway) => gateway.options.ports);
-  const callers = new SoakCallers(ports, createRandom(2), organisations);
+  const callers = new SoakCallers(ports, createRandom(2), { organisations });
   const identity = { apiKey: `key-of-${BUSY}`, claims: [], isExempt: false, mayBeRefused: true };
   const send = (): void => {
     const { callers: port } = ports[callers.records.length % ports.length];
--- a/src/soak/runSoak.ts
+++ b/src/soak/runSoak.ts
@@ -4,6 +4,7 @@
 
 import { createRandom } from '../standIns/models/index.js';
 import type { OrganisationObservations } from './checkOrganisations.js';
+import { varyAnswers } from './answersFault.js';
 import { checkSoak } from './checkSoak.js';
 import { copyAnswers } from './copiesFault.js';
 import { countKnownTargets } from './countKnownTargets.js';
@@ -53,6 +54,11 @@
   readonly hasOrganisations?: boolean;
   /** Whether targets send second copies of answers and reject shares of the requests at times. */
   readonly hasCopies?: boolean;
+  /**
+   * Whether targets send answers without a length and large ones, and break some off, to callers of
+   * which some use HTTP/1.0 or keep to their open connections.
+   */
+  readonly hasAnswers?: boolean;
   /** Programs that the gateways run, in turn; that of this build by default. */
   readonly gatewayMains?: readonly string[];
   /** Called when a fault starts. */
@@ -67,6 +73,8 @@
   readonly faults: readonly string[];
   /** Copies of answers that were sent before the answer to a request. */
   readonly copiesMet: number;
+  /** Requests of which a target has broken an answer off. */
+  readonly brokenOff: number;
   /** Directory with the gateways' settings and logs. */
   readonly dir: string;
 }
@@ -97,7 +105,8 @@
 /** Returns the faults that the options add, by name. */
 function getOptionalFaults(options: SoakOptions): Readonly<Record<string, Fault>> {
   const { hasRollouts, hasLimits, hasStatements, hasRestores } = options;
-  const { hasCrashes, hasCuts, hasFailures, hasExpiries, hasOrganisations, hasCopies } = options;
+  const { hasCrashes, hasCuts, hasFailures, hasExpiries, hasOrganisations, hasCopies, hasAnswers } =
+    options;
   return {
     ...(hasRollouts === true ? { orderRollout } : {}),
     ...(hasLimits === true ? { nameLimit } : {}),
@@ -109,6 +118,7 @@
     ...(hasExpiries === true ? { expireWhileAway } : {}),
     ...(hasOrganisations === true ? { changeKeys, exceedQuota } : {}),
     ...(hasCopies === true ? { copyAnswers } : {}),
+    ...(hasAnswers === true ? { varyAnswers } : {}),
   };
 }
 
@@ -200,7 +210,10 @@
   const noticed: string[] = [];
   await world.start();
   const ports = world.gateways.map((gateway) => gateway.options.ports);
-  const callers = new SoakCallers(ports, createRandom(options.seed + 1), organisations);
+  const callers = new SoakCallers(ports, createRandom(options.seed + 1), {
+    organisations,
+    hasVariety: options.hasAnswers,
+  });
   try {
     noticed.push(...(await waitForGateways(world)));
     callers.start();
@@ -241,7 +254,8 @@
     });
     const served = callers.records.filter(({ status }) => status === 200).length;
     const requests = callers.records.length;
-    return { broken, requests, served, faults, copiesMet: world.copiesMet.length, dir };
+    const copiesMet = world.copiesMet.length;
+    return { broken, requests, served, faults, copiesMet, brokenOff: world.brokenOff.size, dir };
   } finally {
     callers.stop();
     callers.close();
--- a/src/tests/soak/soak.test.ts
+++ b/src/tests/soak/soak.test.ts
@@ -172,6 +172,14 @@
   },
 );
 
+// Guards against truncated answers that look complete: without a length, reset, stalled or copied.
+test('answers that are broken off never look complete during other faults', async (t) => {
+  t.timeout(90_000);
+  const { broken, brokenOff } = await runSoak({ seed: 13001, faultsMs: 5_000, hasAnswers: true });
+  t.deepEqual(broken, []);
+  t.true(brokenOff > 0);
+});
+
 // Statuses that promise, also for requests that run only after they were refused.
 test('a request that runs before or after a status that promises breaks the promise', (t) => {
   const [caller] = SOUND.callers;
