Stand-in store: a restore does not bring back targets that are gone for good

Cause: two restores overlapped. The first one brought t-6 back from a copy of before its removal. The second one took this object for the latest word of its owner and, as its own copy had an older or newer form of it, wrote it again after t-6 had been removed; the change that the first restore was to make again found another object than its copy's and did nothing.

The store now keeps what owners last wrote or removed apart from what a restore puts in place, and changes are made again as the owners want them by then.

Evidence: the new test fails before.

--- a/src/platform/standIn/PlatformStore.ts
+++ b/src/platform/standIn/PlatformStore.ts
@@ -78,11 +78,11 @@
   /** Whether all connections are reset. @internal */
   private isAway = false;
 
-  /** Number of removals by owners so far. @internal */
-  private removals = 0;
-
-  /** Which removal was the latest of each object, by kind and name. @internal */
-  private readonly removedAt = new Map<string, number>();
+  /**
+   * Objects as their owners have last written them, by kind and name; undefined for those that were
+   * removed. A restore does not change what owners want. @internal
+   */
+  private readonly wantedByKind = new Map<string, Map<string, StoredObject | undefined>>();
 
   /** Callbacks of the watches that wait for a change. @internal */
   private readonly watchers = new Set<() => void>();
@@ -118,6 +118,11 @@
 
   /** Creates or replaces an object, as operators and targets do. */
   put(kind: string, name: string, spec: unknown, status: unknown = null): void {
+    this.getWanted(kind).set(name, this.write(kind, name, spec, status));
+  }
+
+  /** @internal */
+  private write(kind: string, name: string, spec: unknown, status: unknown): StoredObject {
     const objects = this.getObjects(kind);
     const known = objects.get(name);
     this.revision += 1;
@@ -133,14 +138,13 @@
       status,
     };
     objects.set(name, object);
-    this.removedAt.delete(`${kind}/${name}`);
     this.recordEvent({ kind, revision: this.revision, object, deleted: false });
+    return object;
   }
 
   /** Removes an object; does nothing if it does not exist. */
   remove(kind: string, name: string): void {
-    this.removals += 1;
-    this.removedAt.set(`${kind}/${name}`, this.removals);
+    this.getWanted(kind).set(name, undefined);
     this.delete(kind, name);
   }
 
@@ -186,41 +190,36 @@
 
   /**
    * Lists the objects of operators and targets that differ from a copy. After a restore they are
-   * written again, except where an object has changed or was removed meanwhile. The history is no
-   * help, since it may have been cleared.
+   * written again, as their owners want them by then. What a restore has brought back is not what an
+   * owner wants, and the history is no help, since it may have been cleared.
    * @param copy - The copy.
    * @returns A function for each object that writes it again.
    */
   getChangesSince({ objectsByKind }: StoreCopy): readonly (() => void)[] {
-    const { removals } = this;
     return REWRITTEN_KINDS.flatMap((kind) => {
       const copied = objectsByKind.get(kind) ?? new Map<string, StoredObject>();
-      const current = new Map(this.getObjects(kind));
-      const names = [...new Set([...copied.keys(), ...current.keys()])];
-      return (
-        names
-          .filter((name) => copied.get(name) !== current.get(name))
-          // What an earlier restore has lost was not removed by its owner.
-          .filter((name) => current.has(name) || this.removedAt.has(`${kind}/${name}`))
-          .map((name) => () => {
-            const isRemoved = (this.removedAt.get(`${kind}/${name}`) ?? 0) > removals;
-            if (!isRemoved) this.writeAgain(kind, name, copied.get(name), current.get(name));
-          })
-      );
+      const wanted = this.getWanted(kind);
+      const names = [...new Set([...copied.keys(), ...wanted.keys()])];
+      return names
+        .filter((name) => copied.get(name) !== wanted.get(name))
+        .map((name) => () => this.writeAgain(kind, name));
     });
   }
 
   /** @internal */
-  private writeAgain(
-    kind: string,
-    name: string,
-    copied: StoredObject | undefined,
-    lost: StoredObject | undefined,
-  ): void {
+  private writeAgain(kind: string, name: string): void {
     const object = this.getObjects(kind).get(name);
-    if (object !== copied) return;
-    if (lost === undefined) this.delete(kind, name);
-    else this.put(kind, name, lost.spec, kind === 'servers' ? lost.status : object?.status);
+    const wanted = this.getWanted(kind).get(name);
+    if (object === wanted) return;
+    if (wanted === undefined) this.delete(kind, name);
+    else this.put(kind, name, wanted.spec, kind === 'servers' ? wanted.status : object?.status);
+  }
+
+  /** @internal */
+  private getWanted(kind: string): Map<string, StoredObject | undefined> {
+    const known = this.wantedByKind.get(kind) ?? new Map<string, StoredObject | undefined>();
+    this.wantedByKind.set(kind, known);
+    return known;
   }
 
   /** @internal */
@@ -273,8 +272,11 @@
     else if (revision !== undefined && revision !== known.metadata.revision) {
       this.sendJson(res, 409, known);
     } else {
-      this.put(kind, id, known.spec, status);
-      this.sendJson(res, 200, this.getObjects(kind).get(id));
+      const written = this.write(kind, id, known.spec, status);
+      const wanted = this.getWanted(kind);
+      // A status that is written to an object that a restore has brought back is not its owner's.
+      if (wanted.get(id) === known) wanted.set(id, written);
+      this.sendJson(res, 200, written);
     }
   }
 
--- a/src/tests/platform/PlatformStore.test.ts
+++ b/src/tests/platform/PlatformStore.test.ts
@@ -63,3 +63,22 @@
   for (const writeAgain of lostChanges) writeAgain();
   t.is(store.getSpec('servers', 't-1'), undefined);
 });
+
+// Guards against a target that one restore has brought back, and the next one takes for registered.
+test('a target that was removed before two overlapping restores is not registered again', (t) => {
+  for (const isFirstRewrittenFirst of [false, true]) {
+    const store = new PlatformStore();
+    putTarget(store, makeTarget('t-1'));
+    const older = store.copy();
+    putTarget(store, makeTarget('t-1', { isDraining: true }));
+    const newer = store.copy();
+    removeTarget(store, 't-1');
+    const lostFirst = store.getChangesSince(older);
+    store.restore(older);
+    const lostSecond = store.getChangesSince(newer);
+    store.restore(newer);
+    const lost = isFirstRewrittenFirst ? [lostFirst, lostSecond] : [lostSecond, lostFirst];
+    for (const writeAgain of lost.flat()) writeAgain();
+    t.is(store.getSpec('servers', 't-1'), undefined);
+  }
+});
