An attempt that only the state knows counts as one that may have run

After an event has failed, an attempt that the process does not have open was either never sent, or it ended by an event that was lost. The state cannot tell which, so that a request that may not run twice must not be sent again for it: it was counted as unsent, it is counted as broken now. The test expects 502 in place of a second sending for such a request; it is as strict, as it fails for any other status.

--- a/src/gateway/FaultRecovery.ts
+++ b/src/gateway/FaultRecovery.ts
@@ -152,13 +152,14 @@
       if (!requests.has(request)) dispatch({ kind: 'callerLeft', request });
       else if (!wakeTimers.has(request)) wakeTimers.set(request, clock.now());
     }
+    // Whether they were sent is not known, so that they count as attempts that may have run.
     for (const attempt of [...state.pendingAttempts.keys()]) {
       if (attempts.has(attempt)) continue;
-      dispatch({ kind: 'attemptEnded', attempt, end: { kind: 'unsent' } });
+      dispatch({ kind: 'attemptEnded', attempt, end: { kind: 'broken' } });
     }
     for (const attempt of [...state.forwards.keys()]) {
       if (attempts.has(attempt)) continue;
-      dispatch({ kind: 'forwardEnded', attempt, end: { kind: 'unsent' } });
+      dispatch({ kind: 'forwardEnded', attempt, end: { kind: 'broken' } });
     }
   }
 
