--- a/src/soak/AnswerTarget.ts
+++ b/src/soak/AnswerTarget.ts
@@ -61,6 +61,9 @@
 
 /** Target whose answers have different framings and sizes, and are broken off by resets. */
 export class AnswerTarget {
+  /** Answers that were broken off. */
+  resets = 0;
+
   /** @internal */
   private running = 0;
 
@@ -134,6 +137,7 @@
       if (!isUnframed) this.copies.afterAnswer(res, body);
       return;
     }
+    this.resets += 1;
     res.write(body.slice(0, random() * body.length));
     if (random() < 0.5) resetSocket(socket);
     else setTimeout(() => resetSocket(socket), random() * MAX_RESET_DELAY_MS);
--- a/src/soak/runAnswerTrial.ts
+++ b/src/soak/runAnswerTrial.ts
@@ -40,6 +40,8 @@
 
 /** Number of requests by outcome, and where they are recorded. */
 export interface AnswerTrialResult extends Readonly<Record<Outcome, number>> {
+  /** Answers that targets broke off. */
+  readonly resets: number;
   /** Requests that may not run twice, and ran more than once. */
   readonly twice: number;
   /** Directory with the gateways' settings and logs, and `observations.json`. */
@@ -171,6 +173,7 @@
       incomplete: count('incomplete'),
       brokenOff: count('brokenOff'),
       otherStatus: count('otherStatus'),
+      resets: targets.reduce((sum, { resets }) => sum + resets, 0),
       twice: records.filter((record) => !record.isIdempotent && record.runs > 1).length,
       dir,
     };
