--- a/src/tests/gateway/AnswerRelay.ts
+++ b/src/tests/gateway/AnswerRelay.ts
@@ -91,8 +91,9 @@
     }
   }
 
-  /** Stops the server and closes all connections. */
+  /** Breaks off all answers and closes all connections, as a planned stop does in the end. */
   stop(): void {
+    this.requests.stop();
     this.timers.stop();
     this.server.destroy();
     this.agents.destroy();
--- a/src/tests/gateway/answerEnds.test.ts
+++ b/src/tests/gateway/answerEnds.test.ts
@@ -138,6 +138,14 @@
   },
 };
 
+/** What may happen at the gateway that has sent the request to the target. */
+interface GatewayControl {
+  /** Cancels the attempt, and sends the request to the other target. */
+  cancel(): void;
+  /** Ends a planned stop. */
+  stop(): void;
+}
+
 /** A way in which an answer ends. */
 interface Ending {
   readonly stalls?: boolean;
@@ -146,7 +154,7 @@
   /** What callers may get; `endsWithConnection` stands for answers that end with their connection. */
   readonly allowed: readonly Verdict[];
   readonly allowedUpToClose: readonly Verdict[];
-  send(socket: Socket, answer: TargetBytes, cancel: () => void): void;
+  send(socket: Socket, answer: TargetBytes, gateway: GatewayControl): void;
 }
 
 function takePart({ head, body }: TargetBytes): string {
@@ -213,13 +221,18 @@
     stalls: true,
     send: (socket, answer) => socket.write(takePart(answer)),
   },
+  'in the middle of which a planned stop ends': {
+    ...WITHIN,
+    send: (socket, answer, gateway) =>
+      socket.write(takePart(answer), () => setTimeout(() => gateway.stop(), LONG_PAUSE_MS)),
+  },
   'whose attempt is cancelled': {
     needsBody: true,
     allowed: ['other'],
     allowedUpToClose: ['other'],
-    send: (socket, { head, body }, cancel) => {
+    send: (socket, { head, body }, gateway) => {
       socket.write(head + body.slice(0, 10));
-      cancel();
+      gateway.cancel();
       socket.end(body.slice(10));
     },
   },
@@ -268,8 +281,9 @@
   const whole = repeatBody(size.bytes);
   const answer = framing.format(id, whole);
   let relay: AnswerRelay | undefined;
+  const gateway = { cancel: () => relay?.cancel(id), stop: () => relay?.stop() };
   const first = await startTarget((socket) =>
-    socket.once('data', () => ending.send(socket, answer, () => relay?.cancel(id))),
+    socket.once('data', () => ending.send(socket, answer, gateway)),
   );
   const { head, body } = FRAMINGS['with a length'].format(id, OTHER_BODY);
   const other = await startTarget((socket) => socket.once('data', () => socket.end(head + body)));
