--- a/src/tests/fleet/feedMessages.test.ts
+++ b/src/tests/fleet/feedMessages.test.ts
@@ -124,3 +124,9 @@
   t.is(decodeFollowRequest({ revisions: {}, announce: oddVm }).announce, undefined);
   t.deepEqual(decodeFollowRequest({ revisions: {}, announce: vm }).announce, vm);
 });
+
+// Guards against a line that fails outside the handling of unreadable lines.
+test('a change of an unknown section is unreadable', (t) => {
+  const line = '{"kind":"change","section":"constructor","items":[],"revision":1}\n';
+  t.throws(() => new FeedReader(decodeFeedMessage).read(line), { name: 'TypeError' });
+});
