Answer trial: draw the kinds of requests by their weights

npm run answers ended at once with "Invalid array length" on the fleet of 15, as its weights are no whole tenths; the short test has one kind, and passed. Kinds are drawn as in fleetTraffic.

--- a/src/soak/runAnswerTrial.ts
+++ b/src/soak/runAnswerTrial.ts
@@ -10,6 +10,7 @@
 import type { FleetTraffic } from './fleetTraffic.js';
 import type { GatewayFault } from './retryFaults.js';
 import { GATEWAY_FAULTS } from './retryFaults.js';
+import type { RetryTraffic } from './retryFleets.js';
 import { SoakWorld, ZONES } from './SoakWorld.js';
 
 /** Time that gateways need to discover each other and their targets, in milliseconds. */
@@ -120,10 +121,18 @@
   runs: readonly string[],
 ): Promise<AnswerRecord[]> {
   const random = createRandom(seed);
-  const kinds = fleet.traffic.flatMap((kind) => Array<typeof kind>(kind.weight * 10).fill(kind));
+  const total = fleet.traffic.reduce((sum, { weight }) => sum + weight, 0);
+  const drawKind = (): RetryTraffic => {
+    let rest = random() * total;
+    const isDrawn = ({ weight }: RetryTraffic): boolean => {
+      rest -= weight;
+      return rest < 0;
+    };
+    return fleet.traffic.find(isDrawn) ?? fleet.traffic[0];
+  };
   const sent: Promise<AnswerRecord>[] = [];
   const send = async (index: number): Promise<AnswerRecord> => {
-    const { route, timeoutMs } = kinds[Math.floor(random() * kinds.length)];
+    const { route, timeoutMs } = drawKind();
     const { name, isIdempotent } = route;
     const running = gateways.filter(({ isRunning }) => isRunning);
     const { callers: port } = running[Math.floor(random() * running.length)].options.ports;
