Soak: an answer without a length ends in an orderly way only if it is whole

A target that is removed while such an answer is under way ends its connection with FIN, which no gateway can tell from the end of the body. That exactly this happened is not shown by a trace of the targets.

The link now resets such a connection unless its target has written the whole answer and ended it, also if bytes of it were dropped by a silent link or the link is stopped. Delayed bytes stay in order when the delay ends: later ones overtook them.

--- a/src/platform/standIn/PlatformTarget.ts
+++ b/src/platform/standIn/PlatformTarget.ts
@@ -48,7 +48,7 @@
   /** Called when a copy of another answer was sent before the answer to a request. */
   readonly onCopyMet?: (requestId: string) => void;
   /** Lets the connection from a port be reset in place of its end; for varied answers. */
-  readonly resetAtEnd?: (remotePort: number) => void;
+  readonly setEndMode?: (remotePort: number, mode: 'resetUnlessEnded' | 'reset') => void;
   /** Called when the answer to a request is about to be broken off on purpose. */
   readonly onBrokenOff?: (requestId: string) => void;
 }
@@ -142,12 +142,12 @@
 
   /** @param options - Properties of the target. */
   constructor(private readonly options: PlatformTargetOptions) {
-    const { random = Math.random, onCopyMet, resetAtEnd, onBrokenOff } = options;
+    const { random = Math.random, onCopyMet, setEndMode, onBrokenOff } = options;
     this.random = random;
     this.copies = new AnswerCopies(random, (requestId) => onCopyMet?.(requestId));
     this.varied = new VariedAnswers(
       random,
-      (remotePort) => resetAtEnd?.(remotePort),
+      (remotePort, mode) => setEndMode?.(remotePort, mode),
       (requestId) => onBrokenOff?.(requestId),
     );
     this.server = createServer((req, res) => {
--- a/src/platform/standIn/VariedAnswers.ts
+++ b/src/platform/standIn/VariedAnswers.ts
@@ -72,12 +72,13 @@
 
   /**
    * @param random - Uniform in [0, 1).
-   * @param resetAtEnd - Lets the connection from a port be reset in place of its end.
+   * @param setEndMode - Lets the connection from a port be reset in place of its end: always, or
+   *   unless this target has ended it.
    * @param onBrokenOff - Called when an answer is about to be broken off.
    */
   constructor(
     private readonly random: () => number,
-    private readonly resetAtEnd: (remotePort: number) => void,
+    private readonly setEndMode: (remotePort: number, mode: 'resetUnlessEnded' | 'reset') => void,
     private readonly onBrokenOff: (requestId: string) => void,
   ) {}
 
@@ -96,6 +97,9 @@
     if (this.share === 0 || this.random() >= this.share) return false;
     const plan = this.drawPlan();
     const { status, headers, body, requestId, onWhole } = answer;
+    const { remotePort = 0 } = res.req.socket;
+    // Nobody could tell an ordinary end from that of the whole body, should the target crash.
+    this.setEndMode(remotePort, 'reset');
     this.prepare(res, plan.framing, body);
     res.writeHead(status, headers);
     const size = this.drawSize(body);
@@ -104,7 +108,7 @@
       this.totals.whole += 1;
       const pauseMs = plan.end === 'paused' ? this.random() * MAX_PAUSE_MS : 0;
       setTimeout(() => {
-        res.end(body.slice(size));
+        res.end(body.slice(size), () => this.setEndMode(remotePort, 'resetUnlessEnded'));
         onWhole();
       }, pauseMs);
     } else {
@@ -149,7 +153,7 @@
       setTimeout(() => socket.destroy(), STALL_MS).unref();
       return;
     }
-    if (end !== 'fin') this.resetAtEnd(remotePort);
+    if (end === 'fin') this.setEndMode(remotePort, 'resetUnlessEnded');
     const delayMs = end === 'lateReset' ? 1 + this.random() * MAX_RESET_DELAY_MS : 0;
     setTimeout(() => socket.end(), delayMs);
   }
--- a/src/soak/FaultProxy.ts
+++ b/src/soak/FaultProxy.ts
@@ -38,6 +38,9 @@
 /** Time until the other side of a connection is closed if it must not see the close, in ms. */
 const CLOSE_DELAY_MS = 3_000;
 
+/** How a connection ends on the near side: by a reset, unless the far side has ended it or always. */
+export type EndMode = 'resetUnlessEnded' | 'reset';
+
 /** TCP proxy between two processes that injects network faults. */
 export class FaultProxy {
   /** @internal */
@@ -49,8 +52,17 @@
   /** @internal */
   private readonly sockets = new Map<Socket, string>();
 
-  /** Connections whose end by the far side becomes a reset on the near side. @internal */
-  private readonly resetAtEndBy = new WeakSet<Socket>();
+  /** Near sides of connections, by their far sides. @internal */
+  private readonly nearByFar = new WeakMap<Socket, Socket>();
+
+  /** How connections end, by their near sides; as the far side ends them by default. @internal */
+  private readonly endModes = new WeakMap<Socket, EndMode>();
+
+  /** Near sides of connections with an end mode to which bytes were not forwarded. @internal */
+  private readonly withGaps = new WeakSet<Socket>();
+
+  /** Delayed actions, by the connection that they write to. @internal */
+  private readonly delayed = new WeakMap<Socket, (() => void)[]>();
 
   /** Connections that were opened while the link was suspended. @internal */
   private readonly queue: Socket[] = [];
@@ -100,21 +112,26 @@
   }
 
   /**
-   * Resets a connection on the near side, behind all its bytes, when the far side ends it. A reset by
-   * the far side itself would be read as an ordinary end if it came together with the last bytes.
+   * Changes how a connection ends on the near side. An answer that ends with its connection must not
+   * end in an orderly way with bytes missing, should the far side crash or the link be stopped; and a
+   * reset by the far side that came together with the last bytes would be read as an ordinary end.
    * @param localPort - Port of the connection to the far side, as the far side sees it.
+   * @param mode - How it ends, behind all its bytes.
    */
-  resetAtEnd(localPort: number): void {
-    for (const socket of this.sockets.keys()) {
-      const isFar = socket.remotePort === this.targetPort;
-      if (isFar && socket.localPort === localPort) this.resetAtEndBy.add(socket);
+  setEndMode(localPort: number, mode: EndMode): void {
+    for (const far of this.sockets.keys()) {
+      const near = this.nearByFar.get(far);
+      if (near !== undefined && far.localPort === localPort) this.endModes.set(near, mode);
     }
   }
 
   /** Stops listening and closes all connections. */
   stop(): void {
     this.server.close();
-    for (const socket of this.sockets.keys()) socket.destroy();
+    for (const socket of this.sockets.keys()) {
+      if (this.endModes.has(socket)) resetSocket(socket);
+      else socket.destroy();
+    }
   }
 
   /** @internal */
@@ -137,6 +154,7 @@
     const [host, port] = this.target.split(':');
     // The far side sees whose connection it is.
     const far = connect({ host, port: Number(port), localAddress: near.remoteAddress });
+    this.nearByFar.set(far, near);
     this.forward(near, far, source, 'out');
     this.forward(far, near, source, 'back');
   }
@@ -160,8 +178,8 @@
     from.on('data', (data) => this.deliver(data, to, source, way));
     from.on('end', () => {
       if (!this.canForward(source, way)) return;
-      this.runDelayed(source, way, () => {
-        if (this.resetAtEndBy.has(from)) resetSocket(to);
+      this.runDelayed(to, source, way, () => {
+        if (this.mustReset(to)) resetSocket(to);
         else to.end();
       });
     });
@@ -169,24 +187,54 @@
     from.on('error', () => resetSocket(to));
     from.once('close', () => {
       this.sockets.delete(from);
-      if (this.canForward(source, way)) this.runDelayed(source, way, () => to.destroySoon());
+      const isEarly = this.endModes.has(to) && !from.readableEnded;
+      const isReset = isEarly || this.mustReset(to);
+      if (this.canForward(source, way)) {
+        this.runDelayed(to, source, way, () => (isReset ? resetSocket(to) : to.destroySoon()));
+      }
       // The far side does not see the close, but the socket must not be kept for ever.
-      else setTimeout(() => to.destroy(), CLOSE_DELAY_MS).unref();
+      else {
+        const close = (): void => {
+          if (isReset) resetSocket(to);
+          else to.destroy();
+        };
+        setTimeout(close, CLOSE_DELAY_MS).unref();
+      }
     });
   }
 
   /** @internal */
   private deliver(data: Buffer, to: Socket, source: string, way: 'out' | 'back'): void {
-    if (!this.canForward(source, way)) return;
-    this.runDelayed(source, way, () => to.writable && to.write(data));
+    if (!this.canForward(source, way)) {
+      if (this.endModes.has(to)) this.withGaps.add(to);
+      return;
+    }
+    // Behind a gap, the rest would be taken for the whole.
+    if (this.withGaps.has(to)) return;
+    this.runDelayed(to, source, way, () => to.writable && to.write(data));
+  }
+
+  /** Whether a connection must be reset in place of its end. @internal */
+  private mustReset(near: Socket): boolean {
+    return this.endModes.get(near) === 'reset' || this.withGaps.has(near);
   }
 
-  /** Runs an action after the delay of the link, in the order of the calls. @internal */
-  private runDelayed(source: string, way: 'out' | 'back', action: () => void): void {
+  /**
+   * Runs an action after the delay of the link, in the order of the calls, also if the delay has
+   * ended meanwhile.
+   * @internal
+   */
+  private runDelayed(to: Socket, source: string, way: 'out' | 'back', action: () => void): void {
     const delaysMs: Partial<Record<LinkMode, number>> = DELAYS_MS[way];
     const delayMs = delaysMs[this.getMode(source)];
-    if (delayMs === undefined) action();
-    else setTimeout(action, delayMs);
+    const queue = this.delayed.get(to) ?? [];
+    if (delayMs === undefined && queue.length === 0) {
+      action();
+      return;
+    }
+    this.delayed.set(to, queue);
+    queue.push(action);
+    setTimeout(() => queue.shift()?.(), delayMs ?? DELAY_MS);
   }
 
   /** @internal */
--- a/src/soak/SoakWorld.ts
+++ b/src/soak/SoakWorld.ts
@@ -305,8 +305,8 @@
       onRun: (requestId, source) =>
         this.runs.push({ id: requestId, target: id, version, source, at: Date.now() }),
       onCopyMet: (requestId) => this.copiesMet.push(requestId),
-      resetAtEnd: (port) =>
-        this.targets.find((target) => target.model === model)?.link.resetAtEnd(port),
+      setEndMode: (port, mode) =>
+        this.targets.find((target) => target.model === model)?.link.setEndMode(port, mode),
       onBrokenOff: (requestId) => this.brokenOff.add(requestId),
       onArrival: (requestId) => this.arrivals.push({ id: requestId, service, at: Date.now() }),
       onIdentity: (requestId, identity) =>
