Soak: odd entries beside those of the targets

They stay to the end, so that a gateway that takes one for a target is noticed by the count of known targets.

RawJson writes what JSON.stringify cannot.

--- a/src/platform/standIn/PlatformStore.ts
+++ b/src/platform/standIn/PlatformStore.ts
@@ -2,6 +2,7 @@
 
 import { StandInServer } from '../../standIns/http/StandInServer.js';
 import { STORE_EPOCH_HEADER } from '../headers.js';
+import { writeJson } from './RawJson.js';
 
 /** A stored object as sent over the wire. */
 interface StoredObject {
@@ -319,7 +320,7 @@
     const epoch = this.formatEpoch(this.epoch);
     if (epoch !== undefined) res.setHeader(STORE_EPOCH_HEADER, epoch);
     res.writeHead(status, { 'Content-Type': 'application/json' });
-    res.end(JSON.stringify(body));
+    res.end(writeJson(body));
   }
 
   /** @internal */
--- a/src/platform/standIn/index.ts
+++ b/src/platform/standIn/index.ts
@@ -3,6 +3,7 @@
 export { PlatformStore } from './PlatformStore.js';
 export type { TargetBehaviour } from './PlatformTarget.js';
 export { askForSize, makeBody, PlatformTarget } from './PlatformTarget.js';
+export { RawJson } from './RawJson.js';
 export type { ConfiguredOrganisation, ReceivedIdentity } from './storedObjects.js';
 export {
   dropAnnouncements,
--- a/src/soak/runSoak.ts
+++ b/src/soak/runSoak.ts
@@ -10,6 +10,7 @@
 import { countKnownTargets } from './countKnownTargets.js';
 import { repeatFatalRequest } from './crashFault.js';
 import { cutPaths } from './cutFault.js';
+import { leaveOddEntries } from './entriesFault.js';
 import { expireWhileAway } from './expiryFault.js';
 import { failWhileRestarting } from './failureFault.js';
 import type { Fault, FaultContext } from './faults.js';
@@ -56,7 +57,8 @@
   readonly hasCopies?: boolean;
   /**
    * Whether targets send answers without a length and large ones, and break some off, to callers of
-   * which some use HTTP/1.0 or keep to their open connections.
+   * which some use HTTP/1.0 or keep to their open connections; and whether entries that describe no
+   * target stand beside theirs.
    */
   readonly hasAnswers?: boolean;
   /** Programs that the gateways run, in turn; that of this build by default. */
@@ -118,7 +120,7 @@
     ...(hasExpiries === true ? { expireWhileAway } : {}),
     ...(hasOrganisations === true ? { changeKeys, exceedQuota } : {}),
     ...(hasCopies === true ? { copyAnswers } : {}),
-    ...(hasAnswers === true ? { varyAnswers } : {}),
+    ...(hasAnswers === true ? { varyAnswers, leaveOddEntries } : {}),
   };
 }
 
