masticlink entry: an answer whose last transfer coding is not chunked ends with its connection

A reset of such an answer was taken for its end, and its caller got a last chunk. The rule is that of the gateway, which now shares the code.

--- a/src/entry/attempts/TargetAttempt.ts
+++ b/src/entry/attempts/TargetAttempt.ts
@@ -2,7 +2,7 @@
 
 import type { AttemptEnd, CoreEvent } from '../../core/index.js';
 import type { AnswerOrigin, AnswerSink, AnswerSource, Exchange } from '../exchange/Exchange.js';
-import { cleanHeaders } from '../exchange/headers.js';
+import { cleanHeaders, endsInChunks } from '../exchange/headers.js';
 import type { Attempt } from './Attempt.js';
 import type { AttemptReporter } from './AttemptReporter.js';
 import { readLoadReport, readRetryAfterMs } from './loadReport.js';
@@ -123,8 +123,11 @@
       retryAfterMs,
     };
     clean.headers.push('Via', clean.via === undefined ? VIA : `${clean.via}, ${VIA}`);
-    const isFramed = clean.contentLength !== undefined || clean.transferEncoding !== undefined;
-    const { headers, contentType } = clean;
+    const { headers, contentType, transferEncoding } = clean;
+    const isFramed =
+      transferEncoding === undefined
+        ? clean.contentLength !== undefined
+        : endsInChunks(transferEncoding);
     const { origin } = this.parts;
     const contentLength =
       clean.contentLength === undefined ? undefined : Number(clean.contentLength);
--- a/src/entry/exchange/headers.ts
+++ b/src/entry/exchange/headers.ts
@@ -25,6 +25,20 @@
   draining: string | undefined;
 }
 
+/** Transfer codings of which `chunked` is the last one. */
+const CHUNKED_LAST_PATTERN = /(?:^|,)\s*chunked\s*$/i;
+
+/**
+ * Whether the last chunk marks the end of a body. With any other last transfer coding, the close of
+ * the connection does (RFC 9112, 6.3).
+ * @param transferEncoding - Value of the header `Transfer-Encoding`.
+ * @example
+ * endsInChunks('gzip'); // false
+ */
+export function endsInChunks(transferEncoding: string): boolean {
+  return CHUNKED_LAST_PATTERN.test(transferEncoding);
+}
+
 /** How a header is treated: whether it is forwarded, and the field that its value is stored in. */
 interface HeaderRule {
   readonly isForwarded: boolean;
--- a/src/gateway/AnswerEnd.ts
+++ b/src/gateway/AnswerEnd.ts
@@ -1,5 +1,7 @@
 import type { ClientRequest, IncomingMessage } from 'node:http';
 
+import { endsInChunks } from '../entry/exchange/headers.js';
+
 /** What marks the end of an answer's body: `close` is that of the connection, `none` is no body. */
 export type AnswerFraming = 'length' | 'chunks' | 'close' | 'none';
 
@@ -9,9 +11,6 @@
 /** Statuses of answers that never have a body. */
 const STATUSES_WITHOUT_BODY: ReadonlySet<number | undefined> = new Set([204, 304]);
 
-/** Transfer codings of which `chunked` is the last one. */
-const ENDS_IN_CHUNKS = /(?:^|,)\s*chunked\s*$/i;
-
 /**
  * Returns what marks the end of an answer's body (RFC 9112, 6.3). With any other last transfer
  * coding than `chunked`, it is the close of the connection.
@@ -26,7 +25,7 @@
 ): AnswerFraming {
   if (method === 'HEAD' || STATUSES_WITHOUT_BODY.has(statusCode)) return 'none';
   const codings = headers['transfer-encoding'];
-  if (codings !== undefined) return ENDS_IN_CHUNKS.test(codings) ? 'chunks' : 'close';
+  if (codings !== undefined) return endsInChunks(codings) ? 'chunks' : 'close';
   return headers['content-length'] === undefined ? 'close' : 'length';
 }
 
--- a/src/tests/entry/brokenOff.test.ts
+++ b/src/tests/entry/brokenOff.test.ts
@@ -9,7 +9,8 @@
   address: string,
 ): Promise<{ readonly received: string; readonly wasReset: boolean }> {
   const [host, port] = address.split(':');
-  const socket = connect(Number(port), host).setEncoding('latin1');
+  const options = { host, port: Number(port), allowHalfOpen: true };
+  const socket = connect(options).setEncoding('latin1');
   let received = '';
   let wasReset = false;
   socket.on('data', (data: string) => {
@@ -18,6 +19,8 @@
   socket.on('error', () => {
     wasReset = true;
   });
+  // A reset that comes with the last bytes is reported as an end; a write behind it fails.
+  socket.once('end', () => socket.end('\r\n'));
   socket.write('GET /x HTTP/1.1\r\nHost: horaires\r\nConnection: close\r\n\r\n');
   await new Promise((resolve) => {
     socket.once('close', resolve);
@@ -25,11 +28,14 @@
   return { received, wasReset };
 }
 
-// Guards against a truncated answer that looks complete, as its end is that of the connection.
-for (const [name, delayMs] of [
+/** Time from the last bytes of an answer to the reset, in milliseconds. */
+const RESETS = [
   ['with its last bytes', 0],
   ['after a pause', 30],
-] as const) {
+] as const;
+
+// Guards against a truncated answer that looks complete, as its end is that of the connection.
+for (const [name, delayMs] of RESETS) {
   test(`an answer without a length that is reset ${name} does not end in an orderly way`, async (t) => {
     const platform = await startTestPlatform();
     t.teardown(() => platform.stop());
@@ -45,3 +51,20 @@
     t.true(wasReset || received.startsWith('HTTP/1.1 502 '));
   });
 }
+
+// Guards against a truncated answer that looks complete, as it is taken for one in chunks.
+for (const coding of ['gzip', 'identity']) {
+  for (const [name, delayMs] of RESETS) {
+    test(`an answer in the transfer coding ${coding} that is reset ${name} does not end in an orderly way`, async (t) => {
+      const platform = await startTestPlatform();
+      t.teardown(() => platform.stop());
+      const entry = await startEntryWithHandler(platform, ({ socket }) => {
+        socket.write(`HTTP/1.1 200 OK\r\nTransfer-Encoding: ${coding}\r\n\r\n08:00 loutres`);
+        if (delayMs === 0) socket.resetAndDestroy();
+        else setTimeout(() => socket.resetAndDestroy(), delayMs);
+      });
+      const { received, wasReset } = await sendRequest(entry.address);
+      t.true(wasReset || received.startsWith('HTTP/1.1 502 '));
+    });
+  }
+}
