A caller that ends its side in the middle of an answer without a length is told that it is cut

Node ends the connection of such a caller in an orderly way, which it takes for the end of an answer that ends with its connection. The connection is reset.

--- a/src/entry/exchange/HttpExchange.ts
+++ b/src/entry/exchange/HttpExchange.ts
@@ -14,6 +14,7 @@
 import type { Problem } from './problem.js';
 import { getProblemHeaders, writeProblemBody } from './problem.js';
 import type { RequestBody } from './RequestBody.js';
+import { resetIfCallerEnds } from './resetIfCallerEnds.js';
 
 type ServiceOutcome = RequestOutcome['outcome'];
 
@@ -104,6 +105,10 @@
       this.res.useChunkedEncodingByDefault = false;
       this.res.shouldKeepAlive = false;
     }
+    const isOldCaller = this.req.httpVersion === '1.0';
+    if (head.endsWithConnection || (isOldCaller && head.contentLength === undefined)) {
+      resetIfCallerEnds(this.res);
+    }
     this.writeHead(head.status, head.headers);
     this.declaredLength = head.contentLength ?? Number.POSITIVE_INFINITY;
     // Node holds the head back until the first bytes of the body, which may be delayed.
--- a/src/gateway/CallerExchange.ts
+++ b/src/gateway/CallerExchange.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import { linger } from '../entry/exchange/linger.js';
+import { resetIfCallerEnds } from '../entry/exchange/resetIfCallerEnds.js';
 import { createRequestIdHeader, keepApiKey, writeOrganisation } from '../platform/index.js';
 import { REASON_HEADER } from './forwardHeaders.js';
 import type { TransferEnd } from './AnswerTransfer.js';
@@ -78,6 +79,7 @@
     else this.res.write(body, () => reservation.release());
     const isEndedByClose =
       remainder !== undefined && remainder.framing !== 'length' && this.req.httpVersion === '1.0';
+    if (isEndedByClose) resetIfCallerEnds(this.res);
     return new AnswerTransfer(this.res, { remainder, isEndedByClose, deadlineAt, onEnd });
   }
 
--- a/src/tests/entry/brokenOff.test.ts
+++ b/src/tests/entry/brokenOff.test.ts
@@ -4,9 +4,14 @@
 
 import { startEntryWithHandler, startTestPlatform } from './fixtures.js';
 
-/** Sends a request; returns what its caller receives, and how its connection ends. */
+/**
+ * Sends a request; returns what its caller receives, and how its connection ends.
+ * @param address - IP and port.
+ * @param endAt - Text at which the caller ends its own side of the connection.
+ */
 async function sendRequest(
   address: string,
+  endAt?: string,
 ): Promise<{ readonly received: string; readonly wasReset: boolean }> {
   const [host, port] = address.split(':');
   const options = { host, port: Number(port), allowHalfOpen: true };
@@ -15,12 +20,13 @@
   let wasReset = false;
   socket.on('data', (data: string) => {
     received += data;
+    if (endAt !== undefined && received.includes(endAt)) socket.end();
   });
   socket.on('error', () => {
     wasReset = true;
   });
   // A reset that comes with the last bytes is reported as an end; a write behind it fails.
-  socket.once('end', () => socket.end('\r\n'));
+  if (endAt === undefined) socket.once('end', () => socket.end('\r\n'));
   socket.write('GET /x HTTP/1.1\r\nHost: horaires\r\nConnection: close\r\n\r\n');
   await new Promise((resolve) => {
     socket.once('close', resolve);
@@ -68,3 +74,15 @@
     });
   }
 }
+
+// Guards against a truncated answer that looks complete, as its caller has ended its own side.
+test('a caller that ends its side in the middle of an answer without a length gets it whole or a reset', async (t) => {
+  const platform = await startTestPlatform();
+  t.teardown(() => platform.stop());
+  const entry = await startEntryWithHandler(platform, ({ socket }) => {
+    socket.write('HTTP/1.1 200 OK\r\n\r\n08:00 loutres');
+    setTimeout(() => socket.end('08:30 castors'), 100);
+  });
+  const { received, wasReset } = await sendRequest(entry.address, 'loutres');
+  t.true(wasReset || received.endsWith('castors'));
+});
--- a/src/tests/gateway/brokenOff.test.ts
+++ b/src/tests/gateway/brokenOff.test.ts
@@ -105,3 +105,13 @@
   target.destroy();
   t.regex(caller.received, new RegExp(`content-length: ${length}`, 'i'));
 });
+
+// Guards against a truncated answer that looks complete, as its caller has ended its own side.
+test('an HTTP/1.0 caller that ends its side in the middle of an answer gets it whole or a reset', async (t) => {
+  const { harness, caller, target } = await startScene(t, '1.0');
+  caller.socket.end();
+  await harness.pause(50);
+  target.end('the last bytes');
+  await harness.waitUntil(() => caller.socket.destroyed);
+  t.true(!caller.isEnded || caller.received.endsWith('the last bytes'));
+});
