--- a/src/gateway/FaultRecovery.ts
+++ b/src/gateway/FaultRecovery.ts
@@ -157,8 +157,10 @@
       if (attempts.has(attempt)) continue;
       dispatch({ kind: 'attemptEnded', attempt, end: { kind: 'broken' } });
     }
+    // The events above may have started further ones.
+    const openAttempts = new Set(activeRequests.attemptIds);
     for (const attempt of [...state.forwards.keys()]) {
-      if (attempts.has(attempt)) continue;
+      if (openAttempts.has(attempt)) continue;
       dispatch({ kind: 'forwardEnded', attempt, end: { kind: 'broken' } });
     }
   }
