--- a/src/platform/standIn/index.ts
+++ b/src/platform/standIn/index.ts
@@ -1,9 +1,9 @@
 export type { CopyCounts } from './AnswerCopies.js';
+export { ODD_ENTRY_NAMES, putOddEntry } from './oddEntries.js';
 export type { StoreCopy } from './PlatformStore.js';
 export { PlatformStore } from './PlatformStore.js';
 export type { TargetBehaviour } from './PlatformTarget.js';
 export { askForSize, makeBody, PlatformTarget } from './PlatformTarget.js';
-export { RawJson } from './RawJson.js';
 export type { ConfiguredOrganisation, ReceivedIdentity } from './storedObjects.js';
 export {
   dropAnnouncements,
